wire: messages of the work and control protocols

Cause: entry, agent, control and wrctl are built at the same time and need one definition of what they exchange. Change: schemas, message aggregates and the codec of the work protocol; the aggregates of the control protocol, whose codec follows.

--- /dev/null
+++ b/proto/control.capnp
@@ -0,0 +1,281 @@
+@0x9c44d2a6e07b1f35;
+
+# Messages between control and its members (entries, agents) and operators.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("wisteriaroute::proto");
+using Common = import "common.capnp";
+
+struct BackendInfo {
+  className @0 :Text;
+  service @1 :Text;
+  group @2 :Text;
+  rank @3 :UInt32;
+  incarnation @4 :UInt64;
+  window @5 :UInt64;
+  healthy @6 :Bool;
+  models @7 :List(Text);
+}
+
+struct MemberInfo {
+  name @0 :Text;
+  role @1 :UInt8;
+  incarnation @2 :UInt64;
+  address @3 :Text;
+  region @4 :Text;
+  dataCenter @5 :Text;
+  leaving @6 :Bool;
+  backend @7 :BackendInfo;
+}
+
+struct SessionHello {
+  info @0 :MemberInfo;
+  revision @1 :UInt64;
+}
+
+struct SessionHeartbeat {
+  sequence @0 :UInt64;
+  revision @1 :UInt64;
+  ready @2 :Bool;
+}
+
+struct SessionAck {
+  sequence @0 :UInt64;
+  term @1 :UInt64;
+  fencingIndex @2 :UInt64;
+  leaseMs @3 :Int64;
+  revision @4 :UInt64;
+}
+
+struct SessionGoodbye {
+}
+
+struct NotLeader {
+  leaderName @0 :Text;
+  leaderAddress @1 :Text;
+}
+
+struct ConfigObject {
+  kind @0 :Text;
+  name @1 :Text;
+  body @2 :Text;
+}
+
+struct ObjectName {
+  kind @0 :Text;
+  name @1 :Text;
+}
+
+struct ConfigUpdate {
+  baseRevision @0 :UInt64;
+  revision @1 :UInt64;
+  changed @2 :List(ConfigObject);
+  removed @3 :List(ObjectName);
+}
+
+struct MemberUpdate {
+  full @0 :Bool;
+  changed @1 :List(MemberInfo);
+  removed @2 :List(Text);
+  drained @3 :List(Text);
+}
+
+struct QuarantineEntry {
+  fingerprint @0 :Common.Digest128;
+  state @1 :UInt8;
+  crashes @2 :UInt32;
+  sinceMs @3 :Int64;
+}
+
+struct QuarantineUpdate {
+  full @0 :Bool;
+  changed @1 :List(QuarantineEntry);
+  removed @2 :List(Common.Digest128);
+}
+
+struct ClaimTarget {
+  attempt @0 :Common.Digest128;
+  agent @1 :Text;
+  backendIncarnation @2 :UInt64;
+  window @3 :UInt64;
+}
+
+struct ClaimRequest {
+  correlation @0 :UInt64;
+  workspace @1 :Text;
+  keyDigest @2 :Common.Digest128;
+  bodyDigest @3 :Common.Digest128;
+  keyCreatedMs @4 :Int64;
+  target @5 :ClaimTarget;
+}
+
+struct ClaimMove {
+  correlation @0 :UInt64;
+  workspace @1 :Text;
+  keyDigest @2 :Common.Digest128;
+  fromAttempt @3 :Common.Digest128;
+  to @4 :ClaimTarget;
+}
+
+struct ClaimOutcome {
+  correlation @0 :UInt64;
+  workspace @1 :Text;
+  keyDigest @2 :Common.Digest128;
+  attempt @3 :Common.Digest128;
+  response @4 :RecordedResponse;
+}
+
+struct RecordedResponse {
+  outcome @0 :UInt8;
+  status @1 :UInt16;
+  headers @2 :List(Common.Header);
+  body @3 :Data;
+  bodyDropped @4 :Bool;
+}
+
+struct ClaimReply {
+  correlation @0 :UInt64;
+  result @1 :UInt8;
+  holder @2 :ClaimTarget;
+  response @3 :RecordedResponse;
+}
+
+struct SuspectReport {
+  agent @0 :Text;
+  backendIncarnation @1 :UInt64;
+  running @2 :List(Common.Digest128);
+}
+
+struct SuspectCleared {
+  fingerprint @0 :Common.Digest128;
+}
+
+struct ExpertMap {
+  experts @0 :UInt32;
+  ranks @1 :UInt32;
+  layers @2 :UInt32;
+  # Slot lists: for each layer and rank the experts that it holds, flattened.
+  slotsPerRank @3 :UInt32;
+  slots @4 :List(UInt16);
+}
+
+struct Order {
+  orderId @0 :UInt64;
+  term @1 :UInt64;
+  index @2 :UInt64;
+  kind @3 :UInt8;
+  group @4 :Text;
+  generation @5 :UInt64;
+  epoch @6 :UInt64;
+  step @7 :UInt64;
+  commit @8 :Bool;
+  name @9 :Text;
+  version @10 :Text;
+  map @11 :ExpertMap;
+}
+
+struct OrderResult {
+  orderId @0 :UInt64;
+  term @1 :UInt64;
+  index @2 :UInt64;
+  result @3 :UInt8;
+  step @4 :UInt64;
+  message @5 :Text;
+}
+
+struct GroupReport {
+  group @0 :Text;
+  generation @1 :UInt64;
+  rank @2 :UInt32;
+  backendIncarnation @3 :UInt64;
+  step @4 :UInt64;
+  mapEpoch @5 :UInt64;
+  stagedEpoch @6 :UInt64;
+  stepTimeUs @7 :UInt32;
+  # Tokens per layer and expert since the last report, flattened; may be empty.
+  expertTokens @8 :List(UInt32);
+}
+
+struct PublishRequest {
+  baseRevision @0 :UInt64;
+  operationId @1 :Text;
+  changed @2 :List(ConfigObject);
+  removed @3 :List(ObjectName);
+}
+
+struct TimelineFilter {
+  requestId @0 :Text;
+  group @1 :Text;
+  server @2 :Text;
+  revision @3 :UInt64;
+  limit @4 :UInt32;
+}
+
+struct TimelineEvent {
+  hlc @0 :UInt64;
+  process @1 :Text;
+  kind @2 :Text;
+  requestId @3 :Text;
+  group @4 :Text;
+  server @5 :Text;
+  revision @6 :UInt64;
+  detail @7 :Text;
+}
+
+struct AdminRequest {
+  correlation @0 :UInt64;
+  union {
+    publish @1 :PublishRequest;
+    getConfig @2 :Void;
+    getStatus @3 :Void;
+    getHistory @4 :Void;
+    drain :group {
+      name @5 :Text;
+      drained @6 :Bool;
+    }
+    getGroups @7 :Void;
+    getQuarantine @8 :Void;
+    releaseQuarantine @9 :Common.Digest128;
+    getMembers @10 :Void;
+    addReplica :group {
+      name @11 :Text;
+      address @12 :Text;
+    }
+    removeReplica @13 :Text;
+    timeline @14 :TimelineFilter;
+    rebalance @15 :Text;
+  }
+}
+
+struct AdminReply {
+  correlation @0 :UInt64;
+  result @1 :UInt8;
+  code @2 :Text;
+  message @3 :Text;
+  json @4 :Text;
+  events @5 :List(TimelineEvent);
+}
+
+struct ControlMessage {
+  union {
+    sessionHello @0 :SessionHello;
+    sessionHeartbeat @1 :SessionHeartbeat;
+    sessionAck @2 :SessionAck;
+    sessionGoodbye @3 :SessionGoodbye;
+    notLeader @4 :NotLeader;
+    configUpdate @5 :ConfigUpdate;
+    memberUpdate @6 :MemberUpdate;
+    quarantineUpdate @7 :QuarantineUpdate;
+    claimRequest @8 :ClaimRequest;
+    claimMove @9 :ClaimMove;
+    claimOutcome @10 :ClaimOutcome;
+    claimReply @11 :ClaimReply;
+    suspectReport @12 :SuspectReport;
+    suspectCleared @13 :SuspectCleared;
+    order @14 :Order;
+    orderResult @15 :OrderResult;
+    groupReport @16 :GroupReport;
+    adminRequest @17 :AdminRequest;
+    adminReply @18 :AdminReply;
+  }
+}
--- /dev/null
+++ b/src/libwisteriaroute/wire/common.h
@@ -0,0 +1,75 @@
+#ifndef LIBWISTERIAROUTE_WIRE_COMMON_H_
+#define LIBWISTERIAROUTE_WIRE_COMMON_H_
+
+#include <common.capnp.h>
+
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "libwisteriaroute/base/digest.h"
+
+namespace capnp {
+class MessageBuilder;
+}
+
+namespace wisteriaroute::wire {
+
+/** Header names and values of an HTTP message. */
+using header_list = std::vector<std::pair<std::string, std::string>>;
+
+/** Entry incarnation (high) and a counter of that entry (low). */
+using attempt_id = base::digest128;
+
+/** What is known of whether a request ran. */
+enum class outcome : std::uint8_t { kNotRun = 0, kUnknown = 1, kRan = 2 };
+
+/** Thrown for bytes that aren't a message of the schema. */
+class malformed_message : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+std::string_view ToString(outcome value);
+
+// Helpers of the codecs.
+
+void Write(const base::digest128& from, proto::Digest128::Builder to);
+base::digest128 Read(proto::Digest128::Reader from);
+
+capnp::Data::Reader AsData(std::string_view bytes);
+std::string ReadData(capnp::Data::Reader data);
+
+void WriteHeaders(const header_list& from,
+                  capnp::List<proto::Header>::Builder to);
+header_list ReadHeaders(capnp::List<proto::Header>::Reader from);
+
+/** Serializes as a flat sequence of bytes. */
+std::string Serialize(capnp::MessageBuilder& builder);
+
+/** Aligned copy of the bytes of one message. */
+class message_bytes {
+ public:
+  /** Throws malformed_message if the size isn't one of a message. */
+  explicit message_bytes(std::string_view bytes);
+
+  kj::ArrayPtr<const capnp::word> words() const { return words_; }
+
+ private:
+  kj::Array<capnp::word> words_;
+};
+
+/** Reads an enumerator below `count`. Throws malformed_message. */
+template <typename Enum>
+Enum ReadEnum(unsigned value, unsigned count) {
+  if (value >= count) {
+    throw malformed_message("an enumerator is out of range");
+  }
+  return static_cast<Enum>(value);
+}
+
+}  // namespace wisteriaroute::wire
+
+#endif  // LIBWISTERIAROUTE_WIRE_COMMON_H_
