--- /dev/null
+++ b/src/libwisteriaroute/config/parse.h
@@ -0,0 +1,37 @@
+#ifndef LIBWISTERIAROUTE_CONFIG_PARSE_H_
+#define LIBWISTERIAROUTE_CONFIG_PARSE_H_
+
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "libwisteriaroute/base/finding.h"
+#include "libwisteriaroute/config/named_set.h"
+#include "libwisteriaroute/wire/control_messages.h"
+
+namespace wisteriaroute::config {
+
+/** A file of named objects. */
+struct source_file {
+  std::string name;
+  std::string text;
+};
+
+/** The objects of a set and what is wrong with it. */
+struct parsed_set {
+  named_set set;
+  /** Canonical form, sorted by kind and name. */
+  std::vector<wire::config_object> objects;
+  base::findings findings;
+};
+
+/** Reads TOML files as one set and checks it as a whole. */
+parsed_set ParseFiles(std::span<const source_file> files);
+
+/** Reads published objects and checks them as a whole. */
+parsed_set ParseObjects(std::span<const wire::config_object> objects);
+
+}  // namespace wisteriaroute::config
+
+#endif  // LIBWISTERIAROUTE_CONFIG_PARSE_H_
--- /dev/null
+++ b/src/libwisteriaroute/member/control_session.h
@@ -0,0 +1,69 @@
+#ifndef LIBWISTERIAROUTE_MEMBER_CONTROL_SESSION_H_
+#define LIBWISTERIAROUTE_MEMBER_CONTROL_SESSION_H_
+
+#include <functional>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include "libwisteriaroute/member/session.h"
+#include "libwisteriaroute/net/link_hub.h"
+#include "libwisteriaroute/net/loop.h"
+
+namespace wisteriaroute::member {
+
+struct control_session_callbacks {
+  /** config_update, member_update, quarantine_update, claim_reply, order... */
+  std::function<void(const wire::control_message&)> on_message;
+  std::function<void(base::time_us until_us, const wire::fencing_number&)>
+      on_lease;
+  std::function<void()> on_opened;
+  /** A message passed to Send was dropped because no leader is known. */
+  std::function<void(const wire::control_message&)> on_dropped;
+};
+
+/**
+ * Runs session_state over a link hub that the daemon owns. The daemon passes
+ * its hub callbacks on; each Handle function returns whether the link was one
+ * of this session's.
+ */
+class control_session {
+ public:
+  control_session(net::loop& event_loop,
+                  net::link_hub& hub,
+                  std::span<const std::string> control_addresses,
+                  wire::member_info info,
+                  control_session_callbacks callbacks);
+
+  bool HandleUp(net::link_id link,
+                net::dial_id dial,
+                const net::peer_identity& peer);
+  bool HandleMessage(net::link_id link, std::string_view body);
+  bool HandleDown(net::link_id link);
+
+  /** Sends to the leader; on_dropped follows if none is known. */
+  void Send(wire::control_message message);
+
+  /** Tells control what the member has in force and whether it is ready. */
+  void Update(wire::member_info info, std::uint64_t revision, bool ready);
+
+  /** Ends the session; the lease is given back. */
+  void Stop();
+
+  const session_state& state() const { return state_; }
+
+ private:
+  void Handle(const session_event& event);
+  void Run(const session_effect& effect);
+
+  net::link_hub& hub_;
+  control_session_callbacks callbacks_;
+  session_state state_;
+  std::map<net::dial_id, net::link_id> dials_;
+  net::timer tick_;
+};
+
+}  // namespace wisteriaroute::member
+
+#endif  // LIBWISTERIAROUTE_MEMBER_CONTROL_SESSION_H_
--- a/src/libwisteriaroute/wire/work_messages.cc
+++ b/src/libwisteriaroute/wire/work_messages.cc
@@ -87,8 +87,7 @@
   Write(from.attempt, to.initAttempt());
   to.setReason(static_cast<std::uint8_t>(from.reason));
   to.setOutcome(static_cast<std::uint8_t>(from.ran));
-  auto beside =
-      to.initRanBeside(static_cast<unsigned>(from.ran_beside.size()));
+  auto beside = to.initRanBeside(static_cast<unsigned>(from.ran_beside.size()));
   for (unsigned i = 0; i < from.ran_beside.size(); ++i) {
     Write(from.ran_beside[i], beside[i]);
   }
