--- /dev/null
+++ b/proto/command.capnp
@@ -0,0 +1,154 @@
+@0xe3b41c7f92d05a68;
+
+# Commands in control's replicated log, and the snapshot of the state that they
+# build. Both are read again after an upgrade: fields are only added.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("wisteriaroute::proto");
+using Common = import "common.capnp";
+using Control = import "control.capnp";
+
+struct PublishCommand {
+  baseRevision @0 :UInt64;
+  operationId @1 :Text;
+  contentDigest @2 :Common.Digest128;
+  resultDigest @3 :Common.Digest128;
+  validated @4 :Bool;
+  changed @5 :List(Control.ConfigObject);
+  removed @6 :List(Control.ObjectName);
+}
+
+struct ClaimCommand {
+  request @0 :Control.ClaimRequest;
+  # Limits that the leader read from the configuration.
+  retentionMs @1 :Int64;
+  maxUndatedKeys @2 :UInt64;
+}
+
+struct DrainCommand {
+  name @0 :Text;
+  drained @1 :Bool;
+}
+
+struct GroupRank {
+  agent @0 :Text;
+  incarnation @1 :UInt64;
+}
+
+struct FormGroupCommand {
+  group @0 :Text;
+  generation @1 :UInt64;
+  ranks @2 :List(GroupRank);
+  map @3 :Control.ExpertMap;
+}
+
+struct StageMapCommand {
+  group @0 :Text;
+  generation @1 :UInt64;
+  map @2 :Control.ExpertMap;
+}
+
+struct ArmMapCommand {
+  group @0 :Text;
+  generation @1 :UInt64;
+  epoch @2 :UInt64;
+  step @3 :UInt64;
+}
+
+struct DecideMapCommand {
+  group @0 :Text;
+  generation @1 :UInt64;
+  epoch @2 :UInt64;
+  step @3 :UInt64;
+  commit @4 :Bool;
+  # Whether an aborted change stays pending, to be armed for a later step.
+  retry @5 :Bool;
+}
+
+struct Command {
+  # The proposing leader's clock, Unix ms.
+  wallMs @0 :Int64;
+  # Run of the proposing replica and its number of the proposal.
+  proposer @1 :UInt64;
+  proposal @2 :UInt64;
+  union {
+    # Advances the log's time; drops what is older than the retention (ms).
+    clockTick @3 :Int64;
+    publish @4 :PublishCommand;
+    claim @5 :ClaimCommand;
+    claimMove @6 :Control.ClaimMove;
+    claimOutcome @7 :Control.ClaimOutcome;
+    drain @8 :DrainCommand;
+    suspects @9 :Control.SuspectReport;
+    suspectCleared @10 :Common.Digest128;
+    release @11 :Common.Digest128;
+    formGroup @12 :FormGroupCommand;
+    stageMap @13 :StageMapCommand;
+    armMap @14 :ArmMapCommand;
+    decideMap @15 :DecideMapCommand;
+  }
+}
+
+struct RevisionDelta {
+  revision @0 :UInt64;
+  operationId @1 :Text;
+  timeMs @2 :Int64;
+  changed @3 :List(Control.ConfigObject);
+  removed @4 :List(Control.ObjectName);
+}
+
+struct PublishOperation {
+  operationId @0 :Text;
+  contentDigest @1 :Common.Digest128;
+  revision @2 :UInt64;
+}
+
+struct ClaimRecord {
+  key @0 :Common.Digest128;
+  body @1 :Common.Digest128;
+  createdMs @2 :Int64;
+  claimedMs @3 :Int64;
+  target @4 :Control.ClaimTarget;
+  # Null while the call hasn't ended.
+  response @5 :Control.RecordedResponse;
+}
+
+struct WorkspaceClaims {
+  name @0 :Text;
+  claims @1 :List(ClaimRecord);
+  # Digests of 16 bytes each, sorted.
+  keptRan @2 :Data;
+  keptUnknown @3 :Data;
+}
+
+struct GroupRecord {
+  name @0 :Text;
+  generation @1 :UInt64;
+  ranks @2 :List(GroupRank);
+  phase @3 :UInt8;
+  orderIndex @4 :UInt64;
+  epoch @5 :UInt64;
+  nextEpoch @6 :UInt64;
+  map @7 :Control.ExpertMap;
+  pending @8 :Bool;
+  changeEpoch @9 :UInt64;
+  changeMap @10 :Control.ExpertMap;
+  step @11 :UInt64;
+  decidedEpoch @12 :UInt64;
+  commit @13 :Bool;
+}
+
+struct ControlState {
+  timeMs @0 :Int64;
+  revision @1 :UInt64;
+  objects @2 :List(Control.ConfigObject);
+  setDigest @3 :Common.Digest128;
+  deltas @4 :List(RevisionDelta);
+  operations @5 :List(PublishOperation);
+  horizonMs @6 :Int64;
+  workspaces @7 :List(WorkspaceClaims);
+  drained @8 :List(Text);
+  quarantine @9 :List(Control.QuarantineEntry);
+  suspectReports @10 :List(Common.Digest128);
+  groups @11 :List(GroupRecord);
+}
--- /dev/null
+++ b/src/libwisteriaroute/control/claim_table.h
@@ -0,0 +1,109 @@
+#ifndef LIBWISTERIAROUTE_CONTROL_CLAIM_TABLE_H_
+#define LIBWISTERIAROUTE_CONTROL_CLAIM_TABLE_H_
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "libwisteriaroute/base/clock.h"
+#include "libwisteriaroute/wire/control_messages.h"
+
+namespace wisteriaroute::control {
+
+/** A larger response body is dropped; its status is kept. */
+inline constexpr std::size_t kMaxRecordedBodyBytes = 64 * 1024;
+/** A key whose own time is further ahead of the log's is refused. */
+inline constexpr base::time_ms kMaxKeyAheadMs = 300'000;
+
+/** Limits that the leader reads from the configuration for each command. */
+struct claim_limits {
+  base::time_ms retention_ms = 24 * 3'600'000;
+  std::uint64_t max_undated_keys = 1'000'000;
+
+  bool operator==(const claim_limits&) const = default;
+};
+
+/** The state of one key of a workspace. */
+struct claim {
+  base::digest128 body_digest;
+  /** Unix ms from the key, 0 for an undated key. */
+  base::time_ms created_ms = 0;
+  /** The log's time of the grant. */
+  base::time_ms claimed_ms = 0;
+  wire::claim_target target;
+  /** Set when the call has ended. */
+  std::optional<wire::recorded_response> response;
+
+  bool operator==(const claim&) const = default;
+};
+
+/** Sorted digests of undated keys whose responses were dropped. */
+struct kept_digests {
+  std::vector<base::digest128> ran;
+  std::vector<base::digest128> unknown;
+
+  bool operator==(const kept_digests&) const = default;
+};
+
+struct workspace_claims {
+  std::unordered_map<base::digest128, claim> claims;
+  kept_digests kept;
+  /** Undated keys in `claims`. */
+  std::uint64_t live_undated = 0;
+
+  bool operator==(const workspace_claims&) const = default;
+};
+
+/** What became of a claim command; fields of the reply to the entry. */
+struct claim_decision {
+  wire::claim_result result = wire::claim_result::kUnavailable;
+  wire::claim_target holder;
+  wire::recorded_response response;
+
+  bool operator==(const claim_decision&) const = default;
+};
+
+/** All claims; changed only by committed commands. */
+struct claim_table {
+  std::map<std::string, workspace_claims, std::less<>> workspaces;
+  /** Expiry order: (time, workspace, key). */
+  std::set<std::pair<base::time_ms, std::pair<std::string, base::digest128>>>
+      by_time;
+  /**
+   * Dated keys created before this are refused. It never goes back, so that a
+   * longer retention doesn't accept a key whose record has been dropped.
+   */
+  base::time_ms horizon_ms = 0;
+
+  bool operator==(const claim_table&) const = default;
+};
+
+claim_decision Claim(claim_table& table,
+                     const wire::claim_request& request,
+                     const claim_limits& limits,
+                     base::time_ms log_time_ms);
+claim_decision Move(claim_table& table, const wire::claim_move& move);
+claim_decision RecordOutcome(claim_table& table,
+                             const wire::claim_outcome& outcome);
+
+/** Drops what is older than the retention; undated keys leave a digest. */
+void ExpireClaims(claim_table& table,
+                  base::time_ms retention_ms,
+                  base::time_ms log_time_ms);
+
+/** Drops the body if it is too large to be kept in the log. */
+void TrimResponse(wire::recorded_response& response);
+
+/** Number of claims that are held in full. */
+std::size_t ClaimCount(const claim_table& table);
+
+}  // namespace wisteriaroute::control
+
+#endif  // LIBWISTERIAROUTE_CONTROL_CLAIM_TABLE_H_
--- /dev/null
+++ b/src/libwisteriaroute/control/command.cc
@@ -0,0 +1,243 @@
+#include "libwisteriaroute/control/command.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+
+#include "libwisteriaroute/control/record_fields.h"
+
+namespace wisteriaroute::control {
+
+namespace {
+
+unsigned Size(const auto& list) {
+  return static_cast<unsigned>(list.size());
+}
+
+struct body_writer {
+  proto::Command::Builder root;
+
+  void operator()(const clock_tick& from) {
+    root.setClockTick(from.retention_ms);
+  }
+  void operator()(const publish_command& from) {
+    auto to = root.initPublish();
+    to.setBaseRevision(from.base_revision);
+    to.setOperationId(from.operation_id);
+    wire::Write(from.content_digest, to.initContentDigest());
+    wire::Write(from.result_digest, to.initResultDigest());
+    to.setValidated(from.validated);
+    WriteField(from.changed, to.initChanged(Size(from.changed)));
+    WriteField(from.removed, to.initRemoved(Size(from.removed)));
+  }
+  void operator()(const claim_command& from) {
+    auto to = root.initClaim();
+    auto request = to.initRequest();
+    request.setWorkspace(from.request.workspace);
+    wire::Write(from.request.key_digest, request.initKeyDigest());
+    wire::Write(from.request.body_digest, request.initBodyDigest());
+    request.setKeyCreatedMs(from.request.key_created_ms);
+    WriteField(from.request.target, request.initTarget());
+    to.setRetentionMs(from.limits.retention_ms);
+    to.setMaxUndatedKeys(from.limits.max_undated_keys);
+  }
+  void operator()(const wire::claim_move& from) {
+    auto to = root.initClaimMove();
+    to.setWorkspace(from.workspace);
+    wire::Write(from.key_digest, to.initKeyDigest());
+    wire::Write(from.from_attempt, to.initFromAttempt());
+    WriteField(from.to, to.initTo());
+  }
+  void operator()(const wire::claim_outcome& from) {
+    auto to = root.initClaimOutcome();
+    to.setWorkspace(from.workspace);
+    wire::Write(from.key_digest, to.initKeyDigest());
+    wire::Write(from.attempt, to.initAttempt());
+    WriteField(from.response, to.initResponse());
+  }
+  void operator()(const wire::drain_request& from) {
+    auto to = root.initDrain();
+    to.setName(from.name);
+    to.setDrained(from.drained);
+  }
+  void operator()(const wire::suspect_report& from) {
+    auto to = root.initSuspects();
+    to.setAgent(from.agent);
+    to.setBackendIncarnation(from.backend_incarnation);
+    auto running = to.initRunning(Size(from.running));
+    for (unsigned i = 0; i < from.running.size(); ++i) {
+      wire::Write(from.running[i], running[i]);
+    }
+  }
+  void operator()(const wire::suspect_cleared& from) {
+    wire::Write(from.fingerprint, root.initSuspectCleared());
+  }
+  void operator()(const wire::release_quarantine& from) {
+    wire::Write(from.fingerprint, root.initRelease());
+  }
+  void operator()(const form_group_command& from) {
+    auto to = root.initFormGroup();
+    to.setGroup(from.group);
+    to.setGeneration(from.generation);
+    WriteField(from.ranks, to.initRanks(Size(from.ranks)));
+    WriteField(from.map, to.initMap());
+  }
+  void operator()(const stage_map_command& from) {
+    auto to = root.initStageMap();
+    to.setGroup(from.group);
+    to.setGeneration(from.generation);
+    WriteField(from.map, to.initMap());
+  }
+  void operator()(const arm_map_command& from) {
+    auto to = root.initArmMap();
+    to.setGroup(from.group);
+    to.setGeneration(from.generation);
+    to.setEpoch(from.epoch);
+    to.setStep(from.step);
+  }
+  void operator()(const decide_map_command& from) {
+    auto to = root.initDecideMap();
+    to.setGroup(from.group);
+    to.setGeneration(from.generation);
+    to.setEpoch(from.epoch);
+    to.setStep(from.step);
+    to.setCommit(from.commit);
+    to.setRetry(from.retry);
+  }
+};
+
+publish_command ReadBody(proto::PublishCommand::Reader from) {
+  return {.base_revision = from.getBaseRevision(),
+          .operation_id = ReadText(from.getOperationId()),
+          .content_digest = wire::Read(from.getContentDigest()),
+          .result_digest = wire::Read(from.getResultDigest()),
+          .validated = from.getValidated(),
+          .changed = ReadField(from.getChanged()),
+          .removed = ReadField(from.getRemoved())};
+}
+
+claim_command ReadBody(proto::ClaimCommand::Reader from) {
+  const auto request = from.getRequest();
+  return {.request = {.workspace = ReadText(request.getWorkspace()),
+                      .key_digest = wire::Read(request.getKeyDigest()),
+                      .body_digest = wire::Read(request.getBodyDigest()),
+                      .key_created_ms = request.getKeyCreatedMs(),
+                      .target = ReadField(request.getTarget())},
+          .limits = {.retention_ms = from.getRetentionMs(),
+                     .max_undated_keys = from.getMaxUndatedKeys()}};
+}
+
+wire::claim_move ReadBody(proto::ClaimMove::Reader from) {
+  return {.workspace = ReadText(from.getWorkspace()),
+          .key_digest = wire::Read(from.getKeyDigest()),
+          .from_attempt = wire::Read(from.getFromAttempt()),
+          .to = ReadField(from.getTo())};
+}
+
+wire::claim_outcome ReadBody(proto::ClaimOutcome::Reader from) {
+  return {.workspace = ReadText(from.getWorkspace()),
+          .key_digest = wire::Read(from.getKeyDigest()),
+          .attempt = wire::Read(from.getAttempt()),
+          .response = ReadField(from.getResponse())};
+}
+
+wire::suspect_report ReadBody(proto::SuspectReport::Reader from) {
+  wire::suspect_report report{
+      .agent = ReadText(from.getAgent()),
+      .backend_incarnation = from.getBackendIncarnation()};
+  for (const auto fingerprint : from.getRunning()) {
+    report.running.push_back(wire::Read(fingerprint));
+  }
+  return report;
+}
+
+decide_map_command ReadBody(proto::DecideMapCommand::Reader from) {
+  return {.group = ReadText(from.getGroup()),
+          .generation = from.getGeneration(),
+          .epoch = from.getEpoch(),
+          .step = from.getStep(),
+          .commit = from.getCommit(),
+          .retry = from.getRetry()};
+}
+
+command_body ReadGroupBody(proto::Command::Reader root) {
+  if (root.isFormGroup()) {
+    const auto from = root.getFormGroup();
+    return form_group_command{.group = ReadText(from.getGroup()),
+                              .generation = from.getGeneration(),
+                              .ranks = ReadField(from.getRanks()),
+                              .map = ReadField(from.getMap())};
+  }
+  if (root.isStageMap()) {
+    const auto from = root.getStageMap();
+    return stage_map_command{.group = ReadText(from.getGroup()),
+                             .generation = from.getGeneration(),
+                             .map = ReadField(from.getMap())};
+  }
+  if (root.isArmMap()) {
+    const auto from = root.getArmMap();
+    return arm_map_command{.group = ReadText(from.getGroup()),
+                           .generation = from.getGeneration(),
+                           .epoch = from.getEpoch(),
+                           .step = from.getStep()};
+  }
+  return ReadBody(root.getDecideMap());
+}
+
+command_body ReadBody(proto::Command::Reader root) {
+  switch (root.which()) {
+    case proto::Command::CLOCK_TICK:
+      return clock_tick{root.getClockTick()};
+    case proto::Command::PUBLISH:
+      return ReadBody(root.getPublish());
+    case proto::Command::CLAIM:
+      return ReadBody(root.getClaim());
+    case proto::Command::CLAIM_MOVE:
+      return ReadBody(root.getClaimMove());
+    case proto::Command::CLAIM_OUTCOME:
+      return ReadBody(root.getClaimOutcome());
+    case proto::Command::DRAIN:
+      return wire::drain_request{ReadText(root.getDrain().getName()),
+                                 root.getDrain().getDrained()};
+    case proto::Command::SUSPECTS:
+      return ReadBody(root.getSuspects());
+    case proto::Command::SUSPECT_CLEARED:
+      return wire::suspect_cleared{wire::Read(root.getSuspectCleared())};
+    case proto::Command::RELEASE:
+      return wire::release_quarantine{wire::Read(root.getRelease())};
+    case proto::Command::FORM_GROUP:
+    case proto::Command::STAGE_MAP:
+    case proto::Command::ARM_MAP:
+    case proto::Command::DECIDE_MAP:
+      return ReadGroupBody(root);
+  }
+  // A replica that skipped a command would hold another state than the others.
+  throw wire::malformed_message("unknown kind of command");
+}
+
+}  // namespace
+
+std::string EncodeCommand(const command& value) {
+  capnp::MallocMessageBuilder builder(128);
+  auto root = builder.initRoot<proto::Command>();
+  root.setWallMs(value.wall_ms);
+  root.setProposer(value.proposer);
+  root.setProposal(value.proposal);
+  std::visit(body_writer{root}, value.body);
+  return wire::Serialize(builder);
+}
+
+command DecodeCommand(std::string_view bytes) {
+  const wire::message_bytes copy(bytes);
+  try {
+    capnp::FlatArrayMessageReader reader(copy.words(), RecordReaderOptions());
+    const auto root = reader.getRoot<proto::Command>();
+    return {.wall_ms = root.getWallMs(),
+            .proposer = root.getProposer(),
+            .proposal = root.getProposal(),
+            .body = ReadBody(root)};
+  } catch (const kj::Exception& exception) {
+    throw wire::malformed_message(exception.getDescription().cStr());
+  }
+}
+
+}  // namespace wisteriaroute::control
--- /dev/null
+++ b/src/libwisteriaroute/control/snapshot.cc
@@ -0,0 +1,264 @@
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+
+#include <algorithm>
+#include <cstring>
+
+#include "libwisteriaroute/control/control_state.h"
+#include "libwisteriaroute/control/record_fields.h"
+
+namespace wisteriaroute::control {
+
+namespace {
+
+static_assert(sizeof(base::digest128) == 16);
+
+unsigned Size(const auto& list) {
+  return static_cast<unsigned>(list.size());
+}
+
+std::string_view Bytes(const std::vector<base::digest128>& digests) {
+  return {reinterpret_cast<const char*>(digests.data()),
+          digests.size() * sizeof(base::digest128)};
+}
+
+std::vector<base::digest128> Digests(capnp::Data::Reader bytes) {
+  std::vector<base::digest128> digests(bytes.size() / sizeof(base::digest128));
+  if (!digests.empty()) {
+    std::memcpy(digests.data(), bytes.begin(),
+                digests.size() * sizeof(base::digest128));
+  }
+  return digests;
+}
+
+void WriteConfig(const config_history& from, proto::ControlState::Builder to) {
+  to.setRevision(from.revision);
+  const std::vector<wire::config_object> objects = Objects(from);
+  WriteField(objects, to.initObjects(Size(objects)));
+  wire::Write(from.digest, to.initSetDigest());
+  auto deltas = to.initDeltas(Size(from.deltas));
+  for (unsigned i = 0; i < from.deltas.size(); ++i) {
+    const revision_delta& delta = from.deltas[i];
+    deltas[i].setRevision(delta.revision);
+    deltas[i].setOperationId(delta.operation_id);
+    deltas[i].setTimeMs(delta.time_ms);
+    WriteField(delta.changed, deltas[i].initChanged(Size(delta.changed)));
+    WriteField(delta.removed, deltas[i].initRemoved(Size(delta.removed)));
+  }
+  auto operations = to.initOperations(Size(from.operations));
+  for (unsigned i = 0; i < from.operations.size(); ++i) {
+    operations[i].setOperationId(from.operations[i].operation_id);
+    wire::Write(from.operations[i].content_digest,
+                operations[i].initContentDigest());
+    operations[i].setRevision(from.operations[i].revision);
+  }
+}
+
+config_history ReadConfig(proto::ControlState::Reader from) {
+  config_history config{.revision = from.getRevision(),
+                        .digest = wire::Read(from.getSetDigest())};
+  for (wire::config_object& object : ReadField(from.getObjects())) {
+    config.objects[{object.kind, object.name}] = std::move(object.body);
+  }
+  for (const auto delta : from.getDeltas()) {
+    config.deltas.push_back({.revision = delta.getRevision(),
+                             .operation_id = ReadText(delta.getOperationId()),
+                             .time_ms = delta.getTimeMs(),
+                             .changed = ReadField(delta.getChanged()),
+                             .removed = ReadField(delta.getRemoved())});
+  }
+  for (const auto operation : from.getOperations()) {
+    config.operations.push_back(
+        {.operation_id = ReadText(operation.getOperationId()),
+         .content_digest = wire::Read(operation.getContentDigest()),
+         .revision = operation.getRevision()});
+  }
+  return config;
+}
+
+void WriteWorkspace(const std::string& name,
+                    const workspace_claims& from,
+                    proto::WorkspaceClaims::Builder to) {
+  to.setName(name);
+  to.setKeptRan(wire::AsData(Bytes(from.kept.ran)));
+  to.setKeptUnknown(wire::AsData(Bytes(from.kept.unknown)));
+  // Sorted, so that equal states have equal snapshots.
+  std::vector<base::digest128> keys;
+  keys.reserve(from.claims.size());
+  for (const auto& [key, held] : from.claims) {
+    keys.push_back(key);
+  }
+  std::sort(keys.begin(), keys.end());
+  auto claims = to.initClaims(Size(keys));
+  for (unsigned i = 0; i < keys.size(); ++i) {
+    const claim& held = from.claims.at(keys[i]);
+    wire::Write(keys[i], claims[i].initKey());
+    wire::Write(held.body_digest, claims[i].initBody());
+    claims[i].setCreatedMs(held.created_ms);
+    claims[i].setClaimedMs(held.claimed_ms);
+    WriteField(held.target, claims[i].initTarget());
+    if (held.response) {
+      WriteField(*held.response, claims[i].initResponse());
+    }
+  }
+}
+
+claim ReadClaim(proto::ClaimRecord::Reader from) {
+  claim held{.body_digest = wire::Read(from.getBody()),
+             .created_ms = from.getCreatedMs(),
+             .claimed_ms = from.getClaimedMs(),
+             .target = ReadField(from.getTarget())};
+  if (from.hasResponse()) {
+    held.response = ReadField(from.getResponse());
+  }
+  return held;
+}
+
+void ReadWorkspace(proto::WorkspaceClaims::Reader from, claim_table& table) {
+  const std::string name = ReadText(from.getName());
+  workspace_claims& workspace = table.workspaces[name];
+  workspace.kept = {.ran = Digests(from.getKeptRan()),
+                    .unknown = Digests(from.getKeptUnknown())};
+  workspace.claims.reserve(from.getClaims().size());
+  for (const auto record : from.getClaims()) {
+    const base::digest128 key = wire::Read(record.getKey());
+    claim held = ReadClaim(record);
+    if (held.created_ms == 0) {
+      ++workspace.live_undated;
+    }
+    table.by_time.insert(
+        {held.created_ms != 0 ? held.created_ms : held.claimed_ms,
+         {name, key}});
+    workspace.claims.emplace(key, std::move(held));
+  }
+}
+
+void WriteGroup(const std::string& name,
+                const group_state& from,
+                proto::GroupRecord::Builder to) {
+  to.setName(name);
+  to.setGeneration(from.generation);
+  WriteField(from.ranks, to.initRanks(Size(from.ranks)));
+  to.setPhase(static_cast<std::uint8_t>(from.phase));
+  to.setOrderIndex(from.order_index);
+  to.setEpoch(from.epoch);
+  to.setNextEpoch(from.next_epoch);
+  WriteField(from.map, to.initMap());
+  to.setPending(from.change.has_value());
+  if (from.change) {
+    to.setChangeEpoch(from.change->epoch);
+    WriteField(from.change->map, to.initChangeMap());
+  }
+  to.setStep(from.step);
+  to.setDecidedEpoch(from.decided_epoch);
+  to.setCommit(from.commit);
+}
+
+group_state ReadGroup(proto::GroupRecord::Reader from) {
+  group_state group{.generation = from.getGeneration(),
+                    .ranks = ReadField(from.getRanks()),
+                    .phase = wire::ReadEnum<group_phase>(from.getPhase(), 5),
+                    .order_index = from.getOrderIndex(),
+                    .epoch = from.getEpoch(),
+                    .map = ReadField(from.getMap()),
+                    .next_epoch = from.getNextEpoch(),
+                    .step = from.getStep(),
+                    .decided_epoch = from.getDecidedEpoch(),
+                    .commit = from.getCommit()};
+  if (from.getPending()) {
+    group.change = {.epoch = from.getChangeEpoch(),
+                    .map = ReadField(from.getChangeMap())};
+  }
+  return group;
+}
+
+void WriteQuarantine(const quarantine_table& from,
+                     proto::ControlState::Builder to) {
+  auto entries = to.initQuarantine(Size(from.entries));
+  unsigned position = 0;
+  for (const auto& [fingerprint, entry] : from.entries) {
+    auto record = entries[position++];
+    wire::Write(fingerprint, record.initFingerprint());
+    record.setState(static_cast<std::uint8_t>(entry.state));
+    record.setCrashes(entry.crashes);
+    record.setSinceMs(entry.since_ms);
+  }
+  auto reports = to.initSuspectReports(Size(from.reports));
+  for (unsigned i = 0; i < from.reports.size(); ++i) {
+    wire::Write(from.reports[i], reports[i]);
+  }
+}
+
+quarantine_table ReadQuarantine(proto::ControlState::Reader from) {
+  quarantine_table table;
+  for (const auto record : from.getQuarantine()) {
+    const base::digest128 fingerprint = wire::Read(record.getFingerprint());
+    table.entries[fingerprint] = {
+        .fingerprint = fingerprint,
+        .state = wire::ReadEnum<wire::quarantine_state>(record.getState(), 2),
+        .crashes = record.getCrashes(),
+        .since_ms = record.getSinceMs()};
+  }
+  for (const auto report : from.getSuspectReports()) {
+    table.reports.push_back(wire::Read(report));
+  }
+  return table;
+}
+
+void WriteState(const control_state& from, proto::ControlState::Builder to) {
+  to.setTimeMs(from.time_ms);
+  WriteConfig(from.config, to);
+  to.setHorizonMs(from.claims.horizon_ms);
+  auto workspaces = to.initWorkspaces(Size(from.claims.workspaces));
+  unsigned position = 0;
+  for (const auto& [name, workspace] : from.claims.workspaces) {
+    WriteWorkspace(name, workspace, workspaces[position++]);
+  }
+  auto drained = to.initDrained(Size(from.drained));
+  position = 0;
+  for (const std::string& name : from.drained) {
+    drained.set(position++, name);
+  }
+  WriteQuarantine(from.quarantine, to);
+  auto groups = to.initGroups(Size(from.groups.groups));
+  position = 0;
+  for (const auto& [name, group] : from.groups.groups) {
+    WriteGroup(name, group, groups[position++]);
+  }
+}
+
+control_state ReadState(proto::ControlState::Reader from) {
+  control_state state{.time_ms = from.getTimeMs(), .config = ReadConfig(from)};
+  state.claims.horizon_ms = from.getHorizonMs();
+  for (const auto workspace : from.getWorkspaces()) {
+    ReadWorkspace(workspace, state.claims);
+  }
+  for (const auto name : from.getDrained()) {
+    state.drained.insert(ReadText(name));
+  }
+  state.quarantine = ReadQuarantine(from);
+  for (const auto group : from.getGroups()) {
+    state.groups.groups[ReadText(group.getName())] = ReadGroup(group);
+  }
+  return state;
+}
+
+}  // namespace
+
+std::string EncodeState(const control_state& state) {
+  capnp::MallocMessageBuilder builder;
+  WriteState(state, builder.initRoot<proto::ControlState>());
+  return wire::Serialize(builder);
+}
+
+control_state DecodeState(std::string_view bytes) {
+  const wire::message_bytes copy(bytes);
+  try {
+    capnp::FlatArrayMessageReader reader(copy.words(), RecordReaderOptions());
+    return ReadState(reader.getRoot<proto::ControlState>());
+  } catch (const kj::Exception& exception) {
+    throw wire::malformed_message(exception.getDescription().cStr());
+  }
+}
+
+}  // namespace wisteriaroute::control
