--- /dev/null
+++ b/src/libwisteriaroute/member/control_session.cc
@@ -0,0 +1,114 @@
+#include "libwisteriaroute/member/control_session.h"
+
+#include <utility>
+
+#include "libwisteriaroute/base/clock.h"
+
+namespace wisteriaroute::member {
+
+namespace {
+
+constexpr base::time_us kTickUs = 100'000;
+
+}  // namespace
+
+control_session::control_session(net::loop& event_loop,
+                                 net::link_hub& hub,
+                                 std::span<const std::string> control_addresses,
+                                 wire::member_info info,
+                                 control_session_callbacks callbacks)
+    : hub_(hub),
+      callbacks_(std::move(callbacks)),
+      tick_(event_loop.ev(), [this] { Handle(session_tick{}); }) {
+  state_.info = std::move(info);
+  for (const std::string& address : control_addresses) {
+    dials_[hub_.Dial(address)] = 0;
+  }
+  tick_.Start(kTickUs, kTickUs);
+}
+
+bool control_session::HandleUp(net::link_id link,
+                               net::dial_id dial,
+                               const net::peer_identity& peer) {
+  const auto it = dials_.find(dial);
+  if (dial == 0 || it == dials_.end()) {
+    return false;
+  }
+  it->second = link;
+  Handle(control_up{link, peer.name});
+  return true;
+}
+
+bool control_session::HandleMessage(net::link_id link, std::string_view body) {
+  if (!state_.controls.contains(link)) {
+    return false;
+  }
+  try {
+    Handle(control_received{link, wire::DecodeControl(body)});
+  } catch (const wire::malformed_message& error) {
+    hub_.Close(link, error.what());
+  }
+  return true;
+}
+
+bool control_session::HandleDown(net::link_id link) {
+  if (!state_.controls.contains(link)) {
+    return false;
+  }
+  Handle(control_down{link});
+  return true;
+}
+
+void control_session::Send(wire::control_message message) {
+  Handle(send_to_leader{std::move(message)});
+}
+
+void control_session::Update(wire::member_info info,
+                             std::uint64_t revision,
+                             bool ready) {
+  Handle(member_changed{std::move(info), revision, ready});
+}
+
+void control_session::Stop() {
+  Handle(session_stop{});
+}
+
+void control_session::Handle(const session_event& event) {
+  for (const session_effect& effect :
+       Step(state_, event, base::MonotonicUs())) {
+    Run(effect);
+  }
+}
+
+void control_session::Run(const session_effect& effect) {
+  struct runner {
+    control_session& self;
+
+    void operator()(const send_control& send) {
+      self.hub_.Send(send.link, wire::Encode(send.message));
+    }
+    void operator()(const lease_extended& lease) {
+      if (self.callbacks_.on_lease) {
+        self.callbacks_.on_lease(lease.until_us, lease.fencing);
+      }
+    }
+    void operator()(const deliver_to_member& delivery) {
+      if (self.callbacks_.on_message) {
+        self.callbacks_.on_message(delivery.message);
+      }
+    }
+    void operator()(const session_opened&) {
+      if (self.callbacks_.on_opened) {
+        self.callbacks_.on_opened();
+      }
+    }
+    void operator()(const leader_unknown& dropped) {
+      if (self.callbacks_.on_dropped) {
+        self.callbacks_.on_dropped(dropped.message);
+      }
+    }
+  };
+  std::visit(runner{*this}, effect);
+}
+
+}  // namespace wisteriaroute::member
--- /dev/null
+++ b/src/libwisteriaroute/member/session.cc
@@ -0,0 +1,213 @@
+#include "libwisteriaroute/member/session.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace wisteriaroute::member {
+
+namespace {
+
+// How long a replica may take to acknowledge the first heartbeat before
+// another one is tried. An election takes up to 1 s.
+constexpr base::time_us kProbePeriodUs = 300'000;
+// Sending times beyond this are older than any lease.
+constexpr std::size_t kMaxUnacknowledged = 32;
+
+using effects = std::vector<session_effect>;
+
+void SendHeartbeat(session_state& state, base::time_us now, effects& out) {
+  const std::uint64_t sequence = state.next_sequence++;
+  state.sent_us[sequence] = now;
+  if (state.sent_us.size() > kMaxUnacknowledged) {
+    state.sent_us.erase(state.sent_us.begin());
+  }
+  state.next_heartbeat_us = now + kHeartbeatPeriodUs;
+  out.push_back(send_control{
+      state.session_link,
+      wire::session_heartbeat{sequence, state.revision, state.ready}});
+}
+
+void SendHello(session_state& state, effects& out) {
+  out.push_back(send_control{state.session_link,
+                             wire::session_hello{state.info, state.revision}});
+}
+
+void OpenOn(session_state& state,
+            net::link_id link,
+            base::time_us now,
+            effects& out) {
+  state.session_link = link;
+  state.confirmed = false;
+  // An acknowledgement from another replica must not count for a heartbeat
+  // that this one received.
+  state.sent_us.clear();
+  state.next_probe_us = now + kProbePeriodUs;
+  if (link != 0) {
+    SendHello(state, out);
+    SendHeartbeat(state, now, out);
+  }
+}
+
+net::link_id NextCandidate(const session_state& state) {
+  const auto usable = [&](const auto& entry) {
+    return !state.refused_by.contains(entry.first);
+  };
+  // Starts behind the current one, so that all replicas are tried in turn.
+  auto it = std::find_if(state.controls.upper_bound(state.session_link),
+                         state.controls.end(), usable);
+  if (it == state.controls.end()) {
+    it = std::find_if(state.controls.begin(), state.controls.end(), usable);
+  }
+  return it == state.controls.end() ? 0 : it->first;
+}
+
+void TryNext(session_state& state, base::time_us now, effects& out) {
+  net::link_id next = NextCandidate(state);
+  if (next == 0) {
+    state.refused_by.clear();
+    // All were tried; wait for the next probe instead of asking in a loop.
+    state.session_link = 0;
+    state.confirmed = false;
+    state.next_probe_us = now + kProbePeriodUs;
+    return;
+  }
+  OpenOn(state, next, now, out);
+}
+
+void HandleNotLeader(session_state& state,
+                     net::link_id link,
+                     const wire::not_leader& message,
+                     base::time_us now,
+                     effects& out) {
+  if (link != state.session_link) {
+    return;
+  }
+  state.refused_by.insert(link);
+  for (const auto& [candidate, name] : state.controls) {
+    if (name == message.leader_name && candidate != link &&
+        !state.refused_by.contains(candidate)) {
+      OpenOn(state, candidate, now, out);
+      return;
+    }
+  }
+  TryNext(state, now, out);
+}
+
+void HandleAck(session_state& state,
+               const wire::session_ack& ack,
+               effects& out) {
+  const auto sent = state.sent_us.find(ack.sequence);
+  if (sent == state.sent_us.end()) {
+    return;
+  }
+  const base::time_us until = sent->second + ack.lease_ms * 1'000;
+  state.sent_us.erase(state.sent_us.begin(), std::next(sent));
+  state.refused_by.clear();
+  if (!state.confirmed) {
+    state.confirmed = true;
+    out.push_back(session_opened{});
+  }
+  state.fencing = std::max(state.fencing, ack.fencing);
+  // A member that lacks an accepted revision must not take new work; its
+  // update is on the way, and the next acknowledgement counts.
+  if (state.revision < ack.revision || state.stopping) {
+    return;
+  }
+  state.lease_until_us = std::max(state.lease_until_us, until);
+  out.push_back(lease_extended{state.lease_until_us, state.fencing});
+}
+
+struct event_handler {
+  session_state& state;
+  base::time_us now;
+  effects& out;
+
+  void operator()(const control_up& event) {
+    state.controls[event.link] = event.name;
+    state.refused_by.erase(event.link);
+    if (state.session_link == 0) {
+      OpenOn(state, event.link, now, out);
+    }
+  }
+
+  void operator()(const control_down& event) {
+    state.controls.erase(event.link);
+    state.refused_by.erase(event.link);
+    if (state.session_link == event.link) {
+      TryNext(state, now, out);
+    }
+  }
+
+  void operator()(const control_received& event) {
+    if (const auto* refusal = std::get_if<wire::not_leader>(&event.message)) {
+      HandleNotLeader(state, event.link, *refusal, now, out);
+      return;
+    }
+    if (event.link != state.session_link) {
+      return;
+    }
+    if (const auto* ack = std::get_if<wire::session_ack>(&event.message)) {
+      HandleAck(state, *ack, out);
+      return;
+    }
+    out.push_back(deliver_to_member{event.message});
+  }
+
+  void operator()(const member_changed& event) {
+    const bool described_anew = state.info != event.info;
+    const bool changed = described_anew || state.revision != event.revision ||
+                         state.ready != event.ready;
+    state.info = event.info;
+    state.revision = event.revision;
+    state.ready = event.ready;
+    if (state.session_link == 0 || !changed) {
+      return;
+    }
+    if (described_anew) {
+      SendHello(state, out);
+    }
+    // Sent at once: status and lease follow a new revision without waiting
+    // for the next period.
+    SendHeartbeat(state, now, out);
+  }
+
+  void operator()(const send_to_leader& event) {
+    if (state.session_link == 0) {
+      out.push_back(leader_unknown{event.message});
+    } else {
+      out.push_back(send_control{state.session_link, event.message});
+    }
+  }
+
+  void operator()(const session_stop&) {
+    state.stopping = true;
+    state.lease_until_us = 0;
+    out.push_back(lease_extended{0, state.fencing});
+    if (state.session_link != 0) {
+      out.push_back(send_control{state.session_link, wire::session_goodbye{}});
+    }
+  }
+
+  void operator()(const session_tick&) {
+    if (state.stopping) {
+      return;
+    }
+    if (!state.confirmed && now >= state.next_probe_us) {
+      TryNext(state, now, out);
+    } else if (state.session_link != 0 && now >= state.next_heartbeat_us) {
+      SendHeartbeat(state, now, out);
+    }
+  }
+};
+
+}  // namespace
+
+std::vector<session_effect> Step(session_state& state,
+                                 const session_event& event,
+                                 base::time_us now_us) {
+  effects out;
+  std::visit(event_handler{state, now_us, out}, event);
+  return out;
+}
+
+}  // namespace wisteriaroute::member
--- a/src/libwisteriaroute/wire/common.h
+++ b/src/libwisteriaroute/wire/common.h
@@ -46,6 +46,18 @@
                   capnp::List<proto::Header>::Builder to);
 header_list ReadHeaders(capnp::List<proto::Header>::Reader from);
 
+/** Copies a list of numbers. */
+template <typename Number>
+std::vector<Number> ReadNumbers(
+    typename capnp::List<Number, capnp::Kind::PRIMITIVE>::Reader from) {
+  std::vector<Number> numbers;
+  numbers.reserve(from.size());
+  for (const Number number : from) {
+    numbers.push_back(number);
+  }
+  return numbers;
+}
+
 /** Serializes as a flat sequence of bytes. */
 std::string Serialize(capnp::MessageBuilder& builder);
 
--- a/src/libwisteriaroute/wire/work_messages.cc
+++ b/src/libwisteriaroute/wire/work_messages.cc
@@ -134,8 +134,8 @@
 
 cache_hint ReadFields(proto::CacheHint::Reader from) {
   cache_hint result{.sequence = from.getSequence(), .reset = from.getReset()};
-  result.added.assign(from.getAdded().begin(), from.getAdded().end());
-  result.removed.assign(from.getRemoved().begin(), from.getRemoved().end());
+  result.added = ReadNumbers<std::uint64_t>(from.getAdded());
+  result.removed = ReadNumbers<std::uint64_t>(from.getRemoved());
   return result;
 }
 
