--- /dev/null
+++ b/src/libwisteriaroute/storage/file.h
@@ -0,0 +1,47 @@
+#ifndef LIBWISTERIAROUTE_STORAGE_FILE_H_
+#define LIBWISTERIAROUTE_STORAGE_FILE_H_
+
+#include <cstdint>
+#include <filesystem>
+#include <string>
+#include <string_view>
+
+namespace wisteriaroute::storage {
+
+/** An owned file descriptor. Errors throw std::system_error. */
+class file {
+ public:
+  file() = default;
+  /** Opens with open(2)'s flags; files are created with mode 0600. */
+  file(const std::filesystem::path& path, int flags);
+  ~file();
+  file(file&& other) noexcept;
+  file& operator=(file&& other) noexcept;
+
+  bool is_open() const { return descriptor_ >= 0; }
+  void Close();
+
+  /** Writes all of it at `offset`. */
+  void WriteAt(std::string_view data, std::uint64_t offset);
+  void Truncate(std::uint64_t size);
+  /** fdatasync(2). */
+  void Sync();
+  /** Takes an exclusive lock, or returns false if another process has it. */
+  bool TryLock();
+
+ private:
+  int descriptor_ = -1;
+  std::string path_;
+};
+
+std::string ReadFile(const std::filesystem::path& path);
+
+/**
+ * Replaces `path` so that after a loss of power it holds the old or the new
+ * content: temporary file, sync, rename, sync of the directory.
+ */
+void ReplaceFile(const std::filesystem::path& path, std::string_view content);
+
+}  // namespace wisteriaroute::storage
+
+#endif  // LIBWISTERIAROUTE_STORAGE_FILE_H_
--- /dev/null
+++ b/src/libwisteriaroute/storage/log_writer.h
@@ -0,0 +1,70 @@
+#ifndef LIBWISTERIAROUTE_STORAGE_LOG_WRITER_H_
+#define LIBWISTERIAROUTE_STORAGE_LOG_WRITER_H_
+
+#include <ev.h>
+
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "libwisteriaroute/raft/raft.h"
+#include "libwisteriaroute/storage/log_store.h"
+
+namespace wisteriaroute::storage {
+
+struct log_writer_callbacks {
+  /** All batches up to `sequence` are synced. */
+  std::function<void(std::uint64_t sequence)> on_persisted;
+  /** Nothing more is written; the process must end. */
+  std::function<void(const std::string& reason)> on_failed;
+};
+
+/**
+ * Writes and syncs on a thread of its own, because fsync blocks. Batches that
+ * are queued while a sync runs share the next one.
+ */
+class log_writer {
+ public:
+  /** Callbacks run on the loop. The store is used by the thread only. */
+  log_writer(struct ev_loop* loop,
+             log_store& store,
+             log_writer_callbacks callbacks);
+  /** Writes and syncs what is queued; calls no more callbacks. */
+  ~log_writer();
+  log_writer(const log_writer&) = delete;
+  log_writer& operator=(const log_writer&) = delete;
+
+  void Submit(raft::persist batch);
+
+  /** Number of syncs so far, for metrics. */
+  std::uint64_t sync_count() const;
+
+ private:
+  void Run();
+  void WriteBatches(const std::vector<raft::persist>& batches);
+  void Report();
+
+  struct ev_loop* loop_;
+  log_store& store_;
+  log_writer_callbacks callbacks_;
+  ev_async wake_loop_;
+
+  mutable std::mutex mutex_;
+  std::condition_variable wake_thread_;
+  std::vector<raft::persist> queue_;
+  bool stopping_ = false;
+  std::uint64_t synced_sequence_ = 0;
+  std::uint64_t reported_sequence_ = 0;
+  std::uint64_t sync_count_ = 0;
+  std::string failure_;
+  bool failure_reported_ = false;
+  std::thread thread_;
+};
+
+}  // namespace wisteriaroute::storage
+
+#endif  // LIBWISTERIAROUTE_STORAGE_LOG_WRITER_H_
