--- a/src/libwisteriaroute/control/claim_table.cc
+++ b/src/libwisteriaroute/control/claim_table.cc
@@ -103,8 +103,7 @@
                      const wire::claim_request& request,
                      const claim_limits& limits,
                      base::time_ms log_time_ms) {
-  const found_claim found =
-      Find(table, request.workspace, request.key_digest);
+  const found_claim found = Find(table, request.workspace, request.key_digest);
   if (found.held != nullptr) {
     if (found.held->body_digest != request.body_digest) {
       return Decide(claim_result::kBodyMismatch);
--- a/src/libwisteriaroute/control/command.cc
+++ b/src/libwisteriaroute/control/command.cc
@@ -9,10 +9,6 @@
 
 namespace {
 
-unsigned Size(const auto& list) {
-  return static_cast<unsigned>(list.size());
-}
-
 struct body_writer {
   proto::Command::Builder root;
 
@@ -26,33 +22,20 @@
     wire::Write(from.content_digest, to.initContentDigest());
     wire::Write(from.result_digest, to.initResultDigest());
     to.setValidated(from.validated);
-    WriteField(from.changed, to.initChanged(Size(from.changed)));
-    WriteField(from.removed, to.initRemoved(Size(from.removed)));
+    wire::WriteList(from.changed, to.initChanged(wire::Count(from.changed)));
+    wire::WriteList(from.removed, to.initRemoved(wire::Count(from.removed)));
   }
   void operator()(const claim_command& from) {
     auto to = root.initClaim();
-    auto request = to.initRequest();
-    request.setWorkspace(from.request.workspace);
-    wire::Write(from.request.key_digest, request.initKeyDigest());
-    wire::Write(from.request.body_digest, request.initBodyDigest());
-    request.setKeyCreatedMs(from.request.key_created_ms);
-    WriteField(from.request.target, request.initTarget());
+    wire::WriteFields(from.request, to.initRequest());
     to.setRetentionMs(from.limits.retention_ms);
     to.setMaxUndatedKeys(from.limits.max_undated_keys);
   }
   void operator()(const wire::claim_move& from) {
-    auto to = root.initClaimMove();
-    to.setWorkspace(from.workspace);
-    wire::Write(from.key_digest, to.initKeyDigest());
-    wire::Write(from.from_attempt, to.initFromAttempt());
-    WriteField(from.to, to.initTo());
+    wire::WriteFields(from, root.initClaimMove());
   }
   void operator()(const wire::claim_outcome& from) {
-    auto to = root.initClaimOutcome();
-    to.setWorkspace(from.workspace);
-    wire::Write(from.key_digest, to.initKeyDigest());
-    wire::Write(from.attempt, to.initAttempt());
-    WriteField(from.response, to.initResponse());
+    wire::WriteFields(from, root.initClaimOutcome());
   }
   void operator()(const wire::drain_request& from) {
     auto to = root.initDrain();
@@ -63,7 +46,7 @@
     auto to = root.initSuspects();
     to.setAgent(from.agent);
     to.setBackendIncarnation(from.backend_incarnation);
-    auto running = to.initRunning(Size(from.running));
+    auto running = to.initRunning(wire::Count(from.running));
     for (unsigned i = 0; i < from.running.size(); ++i) {
       wire::Write(from.running[i], running[i]);
     }
@@ -78,14 +61,14 @@
     auto to = root.initFormGroup();
     to.setGroup(from.group);
     to.setGeneration(from.generation);
-    WriteField(from.ranks, to.initRanks(Size(from.ranks)));
-    WriteField(from.map, to.initMap());
+    WriteRanks(from.ranks, to.initRanks(wire::Count(from.ranks)));
+    wire::WriteFields(from.map, to.initMap());
   }
   void operator()(const stage_map_command& from) {
     auto to = root.initStageMap();
     to.setGroup(from.group);
     to.setGeneration(from.generation);
-    WriteField(from.map, to.initMap());
+    wire::WriteFields(from.map, to.initMap());
   }
   void operator()(const arm_map_command& from) {
     auto to = root.initArmMap();
@@ -107,42 +90,23 @@
 
 publish_command ReadBody(proto::PublishCommand::Reader from) {
   return {.base_revision = from.getBaseRevision(),
-          .operation_id = ReadText(from.getOperationId()),
+          .operation_id = from.getOperationId(),
           .content_digest = wire::Read(from.getContentDigest()),
           .result_digest = wire::Read(from.getResultDigest()),
           .validated = from.getValidated(),
-          .changed = ReadField(from.getChanged()),
-          .removed = ReadField(from.getRemoved())};
+          .changed = wire::ReadList<wire::config_object>(from.getChanged()),
+          .removed = wire::ReadList<wire::object_name>(from.getRemoved())};
 }
 
 claim_command ReadBody(proto::ClaimCommand::Reader from) {
-  const auto request = from.getRequest();
-  return {.request = {.workspace = ReadText(request.getWorkspace()),
-                      .key_digest = wire::Read(request.getKeyDigest()),
-                      .body_digest = wire::Read(request.getBodyDigest()),
-                      .key_created_ms = request.getKeyCreatedMs(),
-                      .target = ReadField(request.getTarget())},
+  return {.request = wire::ReadFields(from.getRequest()),
           .limits = {.retention_ms = from.getRetentionMs(),
                      .max_undated_keys = from.getMaxUndatedKeys()}};
 }
 
-wire::claim_move ReadBody(proto::ClaimMove::Reader from) {
-  return {.workspace = ReadText(from.getWorkspace()),
-          .key_digest = wire::Read(from.getKeyDigest()),
-          .from_attempt = wire::Read(from.getFromAttempt()),
-          .to = ReadField(from.getTo())};
-}
-
-wire::claim_outcome ReadBody(proto::ClaimOutcome::Reader from) {
-  return {.workspace = ReadText(from.getWorkspace()),
-          .key_digest = wire::Read(from.getKeyDigest()),
-          .attempt = wire::Read(from.getAttempt()),
-          .response = ReadField(from.getResponse())};
-}
-
 wire::suspect_report ReadBody(proto::SuspectReport::Reader from) {
   wire::suspect_report report{
-      .agent = ReadText(from.getAgent()),
+      .agent = from.getAgent(),
       .backend_incarnation = from.getBackendIncarnation()};
   for (const auto fingerprint : from.getRunning()) {
     report.running.push_back(wire::Read(fingerprint));
@@ -151,7 +115,7 @@
 }
 
 decide_map_command ReadBody(proto::DecideMapCommand::Reader from) {
-  return {.group = ReadText(from.getGroup()),
+  return {.group = from.getGroup(),
           .generation = from.getGeneration(),
           .epoch = from.getEpoch(),
           .step = from.getStep(),
@@ -162,20 +126,20 @@
 command_body ReadGroupBody(proto::Command::Reader root) {
   if (root.isFormGroup()) {
     const auto from = root.getFormGroup();
-    return form_group_command{.group = ReadText(from.getGroup()),
+    return form_group_command{.group = from.getGroup(),
                               .generation = from.getGeneration(),
-                              .ranks = ReadField(from.getRanks()),
-                              .map = ReadField(from.getMap())};
+                              .ranks = ReadRanks(from.getRanks()),
+                              .map = wire::ReadFields(from.getMap())};
   }
   if (root.isStageMap()) {
     const auto from = root.getStageMap();
-    return stage_map_command{.group = ReadText(from.getGroup()),
+    return stage_map_command{.group = from.getGroup(),
                              .generation = from.getGeneration(),
-                             .map = ReadField(from.getMap())};
+                             .map = wire::ReadFields(from.getMap())};
   }
   if (root.isArmMap()) {
     const auto from = root.getArmMap();
-    return arm_map_command{.group = ReadText(from.getGroup()),
+    return arm_map_command{.group = from.getGroup(),
                            .generation = from.getGeneration(),
                            .epoch = from.getEpoch(),
                            .step = from.getStep()};
@@ -192,11 +156,11 @@
     case proto::Command::CLAIM:
       return ReadBody(root.getClaim());
     case proto::Command::CLAIM_MOVE:
-      return ReadBody(root.getClaimMove());
+      return wire::ReadFields(root.getClaimMove());
     case proto::Command::CLAIM_OUTCOME:
-      return ReadBody(root.getClaimOutcome());
+      return wire::ReadFields(root.getClaimOutcome());
     case proto::Command::DRAIN:
-      return wire::drain_request{ReadText(root.getDrain().getName()),
+      return wire::drain_request{root.getDrain().getName(),
                                  root.getDrain().getDrained()};
     case proto::Command::SUSPECTS:
       return ReadBody(root.getSuspects());
--- a/src/libwisteriaroute/control/config_history.cc
+++ b/src/libwisteriaroute/control/config_history.cc
@@ -54,9 +54,8 @@
 publish_result Publish(config_history& history,
                        const publish_command& command,
                        base::time_ms log_time_ms) {
-  const auto known =
-      std::ranges::find(history.operations, command.operation_id,
-                        &publish_operation::operation_id);
+  const auto known = std::ranges::find(history.operations, command.operation_id,
+                                       &publish_operation::operation_id);
   if (known != history.operations.end()) {
     if (known->content_digest != command.content_digest) {
       return {.code = publish_code::kOperationReused,
--- a/src/libwisteriaroute/control/control_state.cc
+++ b/src/libwisteriaroute/control/control_state.cc
@@ -27,9 +27,8 @@
     return RecordOutcome(state.claims, outcome);
   }
   command_result operator()(const wire::drain_request& drain) {
-    const bool changed = drain.drained
-                             ? state.drained.insert(drain.name).second
-                             : state.drained.erase(drain.name) > 0;
+    const bool changed = drain.drained ? state.drained.insert(drain.name).second
+                                       : state.drained.erase(drain.name) > 0;
     return change_result{changed};
   }
   command_result operator()(const wire::suspect_report& report) {
--- a/src/libwisteriaroute/control/control_state.h
+++ b/src/libwisteriaroute/control/control_state.h
@@ -35,10 +35,8 @@
   bool operator==(const change_result&) const = default;
 };
 
-using command_result = std::variant<change_result,
-                                    publish_result,
-                                    claim_decision,
-                                    quarantine_changes>;
+using command_result = std::
+    variant<change_result, publish_result, claim_decision, quarantine_changes>;
 
 /**
  * Applies a committed command. The result depends on the state, the command
--- a/src/libwisteriaroute/control/group_table.h
+++ b/src/libwisteriaroute/control/group_table.h
@@ -67,7 +67,8 @@
   bool operator==(const group_table&) const = default;
 };
 
-/** Starts a new generation from `map`, or from the map in use if it is empty. */
+/** Starts a new generation from `map`, or from the map in use if it is empty.
+ */
 struct form_group_command {
   std::string group;
   /** Must be the current generation plus one. */
--- a/src/libwisteriaroute/control/quarantine_table.cc
+++ b/src/libwisteriaroute/control/quarantine_table.cc
@@ -37,9 +37,8 @@
   }
   if (known.empty()) {
     for (const base::digest128& fingerprint : running) {
-      table.entries[fingerprint] = {.fingerprint = fingerprint,
-                                    .crashes = 1,
-                                    .since_ms = log_time_ms};
+      table.entries[fingerprint] = {
+          .fingerprint = fingerprint, .crashes = 1, .since_ms = log_time_ms};
     }
     return {running.begin(), running.end()};
   }
--- a/src/libwisteriaroute/control/snapshot.cc
+++ b/src/libwisteriaroute/control/snapshot.cc
@@ -13,10 +13,6 @@
 
 static_assert(sizeof(base::digest128) == 16);
 
-unsigned Size(const auto& list) {
-  return static_cast<unsigned>(list.size());
-}
-
 std::string_view Bytes(const std::vector<base::digest128>& digests) {
   return {reinterpret_cast<const char*>(digests.data()),
           digests.size() * sizeof(base::digest128)};
@@ -34,18 +30,20 @@
 void WriteConfig(const config_history& from, proto::ControlState::Builder to) {
   to.setRevision(from.revision);
   const std::vector<wire::config_object> objects = Objects(from);
-  WriteField(objects, to.initObjects(Size(objects)));
+  wire::WriteList(objects, to.initObjects(wire::Count(objects)));
   wire::Write(from.digest, to.initSetDigest());
-  auto deltas = to.initDeltas(Size(from.deltas));
+  auto deltas = to.initDeltas(wire::Count(from.deltas));
   for (unsigned i = 0; i < from.deltas.size(); ++i) {
     const revision_delta& delta = from.deltas[i];
     deltas[i].setRevision(delta.revision);
     deltas[i].setOperationId(delta.operation_id);
     deltas[i].setTimeMs(delta.time_ms);
-    WriteField(delta.changed, deltas[i].initChanged(Size(delta.changed)));
-    WriteField(delta.removed, deltas[i].initRemoved(Size(delta.removed)));
+    wire::WriteList(delta.changed,
+                    deltas[i].initChanged(wire::Count(delta.changed)));
+    wire::WriteList(delta.removed,
+                    deltas[i].initRemoved(wire::Count(delta.removed)));
   }
-  auto operations = to.initOperations(Size(from.operations));
+  auto operations = to.initOperations(wire::Count(from.operations));
   for (unsigned i = 0; i < from.operations.size(); ++i) {
     operations[i].setOperationId(from.operations[i].operation_id);
     wire::Write(from.operations[i].content_digest,
@@ -57,19 +55,21 @@
 config_history ReadConfig(proto::ControlState::Reader from) {
   config_history config{.revision = from.getRevision(),
                         .digest = wire::Read(from.getSetDigest())};
-  for (wire::config_object& object : ReadField(from.getObjects())) {
+  for (wire::config_object& object :
+       wire::ReadList<wire::config_object>(from.getObjects())) {
     config.objects[{object.kind, object.name}] = std::move(object.body);
   }
   for (const auto delta : from.getDeltas()) {
-    config.deltas.push_back({.revision = delta.getRevision(),
-                             .operation_id = ReadText(delta.getOperationId()),
-                             .time_ms = delta.getTimeMs(),
-                             .changed = ReadField(delta.getChanged()),
-                             .removed = ReadField(delta.getRemoved())});
+    config.deltas.push_back(
+        {.revision = delta.getRevision(),
+         .operation_id = delta.getOperationId(),
+         .time_ms = delta.getTimeMs(),
+         .changed = wire::ReadList<wire::config_object>(delta.getChanged()),
+         .removed = wire::ReadList<wire::object_name>(delta.getRemoved())});
   }
   for (const auto operation : from.getOperations()) {
     config.operations.push_back(
-        {.operation_id = ReadText(operation.getOperationId()),
+        {.operation_id = operation.getOperationId(),
          .content_digest = wire::Read(operation.getContentDigest()),
          .revision = operation.getRevision()});
   }
@@ -89,16 +89,16 @@
     keys.push_back(key);
   }
   std::sort(keys.begin(), keys.end());
-  auto claims = to.initClaims(Size(keys));
+  auto claims = to.initClaims(wire::Count(keys));
   for (unsigned i = 0; i < keys.size(); ++i) {
     const claim& held = from.claims.at(keys[i]);
     wire::Write(keys[i], claims[i].initKey());
     wire::Write(held.body_digest, claims[i].initBody());
     claims[i].setCreatedMs(held.created_ms);
     claims[i].setClaimedMs(held.claimed_ms);
-    WriteField(held.target, claims[i].initTarget());
+    wire::WriteFields(held.target, claims[i].initTarget());
     if (held.response) {
-      WriteField(*held.response, claims[i].initResponse());
+      wire::WriteFields(*held.response, claims[i].initResponse());
     }
   }
 }
@@ -107,15 +107,15 @@
   claim held{.body_digest = wire::Read(from.getBody()),
              .created_ms = from.getCreatedMs(),
              .claimed_ms = from.getClaimedMs(),
-             .target = ReadField(from.getTarget())};
+             .target = wire::ReadFields(from.getTarget())};
   if (from.hasResponse()) {
-    held.response = ReadField(from.getResponse());
+    held.response = wire::ReadFields(from.getResponse());
   }
   return held;
 }
 
 void ReadWorkspace(proto::WorkspaceClaims::Reader from, claim_table& table) {
-  const std::string name = ReadText(from.getName());
+  const std::string name = from.getName();
   workspace_claims& workspace = table.workspaces[name];
   workspace.kept = {.ran = Digests(from.getKeptRan()),
                     .unknown = Digests(from.getKeptUnknown())};
@@ -138,16 +138,16 @@
                 proto::GroupRecord::Builder to) {
   to.setName(name);
   to.setGeneration(from.generation);
-  WriteField(from.ranks, to.initRanks(Size(from.ranks)));
+  WriteRanks(from.ranks, to.initRanks(wire::Count(from.ranks)));
   to.setPhase(static_cast<std::uint8_t>(from.phase));
   to.setOrderIndex(from.order_index);
   to.setEpoch(from.epoch);
   to.setNextEpoch(from.next_epoch);
-  WriteField(from.map, to.initMap());
+  wire::WriteFields(from.map, to.initMap());
   to.setPending(from.change.has_value());
   if (from.change) {
     to.setChangeEpoch(from.change->epoch);
-    WriteField(from.change->map, to.initChangeMap());
+    wire::WriteFields(from.change->map, to.initChangeMap());
   }
   to.setStep(from.step);
   to.setDecidedEpoch(from.decided_epoch);
@@ -156,34 +156,30 @@
 
 group_state ReadGroup(proto::GroupRecord::Reader from) {
   group_state group{.generation = from.getGeneration(),
-                    .ranks = ReadField(from.getRanks()),
+                    .ranks = ReadRanks(from.getRanks()),
                     .phase = wire::ReadEnum<group_phase>(from.getPhase(), 5),
                     .order_index = from.getOrderIndex(),
                     .epoch = from.getEpoch(),
-                    .map = ReadField(from.getMap()),
+                    .map = wire::ReadFields(from.getMap()),
                     .next_epoch = from.getNextEpoch(),
                     .step = from.getStep(),
                     .decided_epoch = from.getDecidedEpoch(),
                     .commit = from.getCommit()};
   if (from.getPending()) {
     group.change = {.epoch = from.getChangeEpoch(),
-                    .map = ReadField(from.getChangeMap())};
+                    .map = wire::ReadFields(from.getChangeMap())};
   }
   return group;
 }
 
 void WriteQuarantine(const quarantine_table& from,
                      proto::ControlState::Builder to) {
-  auto entries = to.initQuarantine(Size(from.entries));
+  auto entries = to.initQuarantine(wire::Count(from.entries));
   unsigned position = 0;
   for (const auto& [fingerprint, entry] : from.entries) {
-    auto record = entries[position++];
-    wire::Write(fingerprint, record.initFingerprint());
-    record.setState(static_cast<std::uint8_t>(entry.state));
-    record.setCrashes(entry.crashes);
-    record.setSinceMs(entry.since_ms);
+    wire::WriteFields(entry, entries[position++]);
   }
-  auto reports = to.initSuspectReports(Size(from.reports));
+  auto reports = to.initSuspectReports(wire::Count(from.reports));
   for (unsigned i = 0; i < from.reports.size(); ++i) {
     wire::Write(from.reports[i], reports[i]);
   }
@@ -192,12 +188,8 @@
 quarantine_table ReadQuarantine(proto::ControlState::Reader from) {
   quarantine_table table;
   for (const auto record : from.getQuarantine()) {
-    const base::digest128 fingerprint = wire::Read(record.getFingerprint());
-    table.entries[fingerprint] = {
-        .fingerprint = fingerprint,
-        .state = wire::ReadEnum<wire::quarantine_state>(record.getState(), 2),
-        .crashes = record.getCrashes(),
-        .since_ms = record.getSinceMs()};
+    const wire::quarantine_entry entry = wire::ReadFields(record);
+    table.entries[entry.fingerprint] = entry;
   }
   for (const auto report : from.getSuspectReports()) {
     table.reports.push_back(wire::Read(report));
@@ -209,18 +201,18 @@
   to.setTimeMs(from.time_ms);
   WriteConfig(from.config, to);
   to.setHorizonMs(from.claims.horizon_ms);
-  auto workspaces = to.initWorkspaces(Size(from.claims.workspaces));
+  auto workspaces = to.initWorkspaces(wire::Count(from.claims.workspaces));
   unsigned position = 0;
   for (const auto& [name, workspace] : from.claims.workspaces) {
     WriteWorkspace(name, workspace, workspaces[position++]);
   }
-  auto drained = to.initDrained(Size(from.drained));
+  auto drained = to.initDrained(wire::Count(from.drained));
   position = 0;
   for (const std::string& name : from.drained) {
     drained.set(position++, name);
   }
   WriteQuarantine(from.quarantine, to);
-  auto groups = to.initGroups(Size(from.groups.groups));
+  auto groups = to.initGroups(wire::Count(from.groups.groups));
   position = 0;
   for (const auto& [name, group] : from.groups.groups) {
     WriteGroup(name, group, groups[position++]);
@@ -238,7 +230,7 @@
   }
   state.quarantine = ReadQuarantine(from);
   for (const auto group : from.getGroups()) {
-    state.groups.groups[ReadText(group.getName())] = ReadGroup(group);
+    state.groups.groups[group.getName()] = ReadGroup(group);
   }
   return state;
 }
