--- /dev/null
+++ b/src/libwisteriaroute/control/admin.cc
@@ -0,0 +1,211 @@
+#include "libwisteriaroute/control/admin.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+#include "libwisteriaroute/config/parse.h"
+#include "libwisteriaroute/control/admin_json.h"
+#include "libwisteriaroute/control/proposals.h"
+#include "libwisteriaroute/control/sessions.h"
+
+namespace wisteriaroute::control {
+
+namespace {
+
+void Reply(net::link_id link,
+           std::uint64_t correlation,
+           wire::admin_reply reply,
+           replica_effects& out) {
+  reply.correlation = correlation;
+  out.push_back(send_to_links{{link}, std::move(reply)});
+}
+
+/** The set after the request, keyed, as the parser wants it. */
+std::vector<wire::config_object> SetAfter(
+    const config_history& history,
+    const wire::publish_request& request) {
+  std::map<wire::object_name, std::string> objects = history.objects;
+  for (const wire::object_name& name : request.removed) {
+    objects.erase(name);
+  }
+  for (const wire::config_object& object : request.changed) {
+    objects[{object.kind, object.name}] = object.body;
+  }
+  std::vector<wire::config_object> list;
+  list.reserve(objects.size());
+  for (auto& [name, body] : objects) {
+    list.push_back({name.kind, name.name, std::move(body)});
+  }
+  return list;
+}
+
+/** Fills the difference between the newest set and a validated one. */
+void FillDifference(const config_history& history,
+                    std::vector<wire::config_object> objects,
+                    publish_command& command) {
+  std::map<wire::object_name, bool> kept;
+  for (wire::config_object& object : objects) {
+    const wire::object_name name{object.kind, object.name};
+    kept[name] = true;
+    const auto old = history.objects.find(name);
+    if (old == history.objects.end() || old->second != object.body) {
+      command.changed.push_back(std::move(object));
+    }
+  }
+  for (const auto& [name, body] : history.objects) {
+    if (!kept.contains(name)) {
+      command.removed.push_back(name);
+    }
+  }
+}
+
+struct admin_caller {
+  replica_state& state;
+  net::link_id link;
+  std::uint64_t correlation;
+  const step_time& now;
+  replica_effects& out;
+
+  void operator()(const wire::publish_request& request) const {
+    if (request.operation_id.empty()) {
+      Refuse("invalid_operation", "an operation id is required");
+      return;
+    }
+    const config_history& history = state.durable.config;
+    publish_command command{.base_revision = request.base_revision,
+                            .operation_id = request.operation_id,
+                            .content_digest = ContentDigest(request)};
+    const bool resend = std::ranges::any_of(
+        history.operations, [&](const publish_operation& operation) {
+          return operation.operation_id == request.operation_id;
+        });
+    if (!resend && request.base_revision == history.revision) {
+      config::parsed_set parsed =
+          config::ParseObjects(SetAfter(history, request));
+      if (!parsed.findings.empty()) {
+        Refuse("invalid_config", base::findings_error(parsed.findings).what());
+        return;
+      }
+      FillDifference(history, std::move(parsed.objects), command);
+      command.result_digest =
+          DigestAfter(history, command.changed, command.removed);
+      command.validated = true;
+    }
+    Submit(std::move(command));
+  }
+  void operator()(const wire::drain_request& request) const { Submit(request); }
+  void operator()(const wire::release_quarantine& request) const {
+    Submit(request);
+  }
+  void operator()(const wire::add_replica& request) const {
+    ChangeReplica(request);
+  }
+  void operator()(const wire::remove_replica& request) const {
+    ChangeReplica(request);
+  }
+  void operator()(const base::timeline_filter& filter) const {
+    out.push_back(answer_timeline{link, correlation, filter});
+  }
+  void operator()(const wire::rebalance_request& request) const {
+    if (!state.durable.groups.groups.contains(request.group)) {
+      Refuse("not_found", "this group has not been formed");
+      return;
+    }
+    out.push_back(consider_map{request.group});
+    Reply(link, correlation,
+          {.result = wire::admin_result::kOk, .json = R"({"asked":true})"},
+          out);
+  }
+  template <typename Read>
+  void operator()(const Read& read) const {
+    state.leading->waiting.reads.push_back({link, correlation, read});
+    BeginConfirm(state, now, out);
+  }
+
+ private:
+  void Refuse(std::string code, std::string message) const {
+    Reply(link, correlation,
+          {.result = wire::admin_result::kRefused,
+           .code = std::move(code),
+           .message = std::move(message)},
+          out);
+  }
+  void Submit(command_body body) const {
+    Propose(state, std::move(body), pending_admin{link, correlation}, now, out);
+  }
+  template <typename Change>
+  void ChangeReplica(const Change& change) const {
+    const std::uint64_t id = state.next_id++;
+    state.leading->proposals.emplace(id, pending_admin{link, correlation});
+    out.push_back(change_replica{id, change});
+  }
+};
+
+struct read_answer {
+  replica_state& state;
+  const step_time& now;
+
+  std::string operator()(const wire::get_config&) const {
+    return ConfigJson(state);
+  }
+  std::string operator()(const wire::get_status&) const {
+    return StatusJson(state, now.now_us);
+  }
+  std::string operator()(const wire::get_history&) const {
+    return HistoryJson(state);
+  }
+  std::string operator()(const wire::get_groups&) const {
+    return GroupsJson(state);
+  }
+  std::string operator()(const wire::get_quarantine&) const {
+    return QuarantineJson(state);
+  }
+  std::string operator()(const wire::get_members&) const {
+    return MembersJson(state, now.now_us);
+  }
+  template <typename Other>
+  std::string operator()(const Other&) const {
+    return "{}";
+  }
+};
+
+}  // namespace
+
+void HandleAdmin(replica_state& state,
+                 net::link_id link,
+                 const wire::admin_request& request,
+                 const step_time& now,
+                 replica_effects& out) {
+  const bool any_replica =
+      std::holds_alternative<base::timeline_filter>(request.call);
+  if (!state.leading && !any_replica) {
+    Reply(link, request.correlation,
+          {.result = wire::admin_result::kNotLeader,
+           .code = "not_leader",
+           .message = state.leader_address},
+          out);
+    return;
+  }
+  std::visit(admin_caller{state, link, request.correlation, now, out},
+             request.call);
+}
+
+void AnswerRead(replica_state& state,
+                const waiting_read& read,
+                const step_time& now,
+                replica_effects& out) {
+  Reply(read.link, read.correlation,
+        {.result = wire::admin_result::kOk,
+         .json = std::visit(read_answer{state, now}, read.call)},
+        out);
+}
+
+void RefuseRead(const waiting_read& read, replica_effects& out) {
+  Reply(read.link, read.correlation,
+        {.code = "unavailable",
+         .message = "no quorum confirmed the leader; send it again"},
+        out);
+}
+
+}  // namespace wisteriaroute::control
--- /dev/null
+++ b/src/libwisteriaroute/control/group_drive.cc
@@ -0,0 +1,369 @@
+#include "libwisteriaroute/control/group_drive.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include "libwisteriaroute/control/proposals.h"
+#include "libwisteriaroute/control/sessions.h"
+
+namespace wisteriaroute::control {
+
+namespace {
+
+// The arm has to reach all ranks before the fastest one reaches its step.
+constexpr base::time_us kArmLeadUs = 500'000;
+constexpr std::uint64_t kMinMarginSteps = 8;
+constexpr std::uint64_t kMaxMarginSteps = 100'000;
+
+/** The agent that serves a rank now. */
+struct rank_server {
+  std::string agent;
+  std::uint64_t incarnation = 0;
+  net::link_id link = 0;
+};
+
+using rank_servers = std::vector<std::optional<rank_server>>;
+
+bool Serves(const replica_state& state,
+            const std::string& name,
+            const member_session& session) {
+  return session.info.role == wire::member_role::kAgent &&
+         session.info.backend.healthy && !session.info.leaving &&
+         session.link != 0 && !state.durable.drained.contains(name);
+}
+
+/** The servers of all ranks; one that already has the rank keeps it. */
+rank_servers FindServers(const replica_state& state,
+                         const std::string& group_name,
+                         std::size_t ranks) {
+  const auto durable = state.durable.groups.groups.find(group_name);
+  const auto holds = [&](const rank_server& server, std::uint32_t rank) {
+    return durable != state.durable.groups.groups.end() &&
+           rank < durable->second.ranks.size() &&
+           durable->second.ranks[rank] ==
+               group_rank{server.agent, server.incarnation};
+  };
+  rank_servers servers(ranks);
+  for (const auto& [name, session] : state.leading->sessions) {
+    const wire::backend_info& backend = session.info.backend;
+    if (backend.group != group_name || backend.rank >= ranks ||
+        !Serves(state, name, session)) {
+      continue;
+    }
+    const rank_server server{name, backend.incarnation, session.link};
+    auto& slot = servers[backend.rank];
+    if (!slot || holds(server, backend.rank)) {
+      slot = server;
+    }
+  }
+  return servers;
+}
+
+bool FitsConfig(const group_state& group, const config::model_group& wanted) {
+  return group.ranks.size() == static_cast<std::size_t>(wanted.ranks) &&
+         group.map.experts == wanted.experts &&
+         group.map.layers == wanted.layers && group.map.ranks == wanted.ranks &&
+         group.map.slots_per_rank == wanted.slots_per_rank;
+}
+
+bool Complete(const rank_servers& servers) {
+  return std::ranges::all_of(servers,
+                             [](const auto& server) { return server.has_value(); });
+}
+
+/** Whether every rank is served by the backend server that the log names. */
+bool Unchanged(const group_state& group, const rank_servers& servers) {
+  for (std::size_t rank = 0; rank < servers.size(); ++rank) {
+    if (servers[rank] &&
+        group.ranks[rank] !=
+            group_rank{servers[rank]->agent, servers[rank]->incarnation}) {
+      return false;
+    }
+  }
+  return true;
+}
+
+struct driver {
+  replica_state& state;
+  const std::string& name;
+  group_drive& drive;
+  const step_time& now;
+  replica_effects& out;
+
+  template <typename Command>
+  void ProposeNext(Command command) {
+    out.push_back(note_event{{.kind = "group_command", .group = name}});
+    drive.proposal_id =
+        Propose(state, std::move(command), pending_group{name}, now, out);
+  }
+
+  void Form(const config::model_group& wanted, const rank_servers& servers) {
+    form_group_command form{.group = name};
+    const auto found = state.durable.groups.groups.find(name);
+    if (found != state.durable.groups.groups.end()) {
+      form.generation = found->second.generation;
+    }
+    ++form.generation;
+    for (const auto& server : servers) {
+      form.ranks.push_back({server->agent, server->incarnation});
+    }
+    if (found == state.durable.groups.groups.end() ||
+        !FitsConfig(found->second, wanted)) {
+      form.map = EvenMap(wanted);
+    }
+    ProposeNext(std::move(form));
+  }
+
+  void SendOrders(const group_state& group, const rank_servers& servers) {
+    if (now.now_us < drive.next_send_us) {
+      return;
+    }
+    std::vector<net::link_id> links;
+    for (std::uint32_t rank = 0; rank < servers.size(); ++rank) {
+      if (servers[rank] && !drive.done.contains(rank)) {
+        links.push_back(servers[rank]->link);
+      }
+    }
+    if (!links.empty()) {
+      out.push_back(send_to_links{
+          std::move(links), PhaseOrder(name, group, state.leading->term)});
+      drive.next_send_us = now.now_us + state.options.order_retry_us;
+    }
+  }
+
+  void ProposeArm(const group_state& group) {
+    drive.margin_steps =
+        std::clamp(drive.margin_steps, MarginFloor(), kMaxMarginSteps);
+    ProposeNext(
+        arm_map_command{.group = name,
+                        .generation = group.generation,
+                        .epoch = group.change->epoch,
+                        .step = drive.highest_step + drive.margin_steps});
+  }
+
+  /** Steps that the fastest rank makes in the lead time. */
+  std::uint64_t MarginFloor() const {
+    std::uint64_t steps = kMinMarginSteps;
+    for (const auto& [rank, report] : drive.reports) {
+      if (report.step_time_us > 0) {
+        steps =
+            std::max<std::uint64_t>(steps, kArmLeadUs / report.step_time_us);
+      }
+    }
+    return std::min(steps, kMaxMarginSteps);
+  }
+
+  void ProposeDecision(const group_state& group, bool commit, bool retry) {
+    ProposeNext(decide_map_command{.group = name,
+                                   .generation = group.generation,
+                                   .epoch = group.change->epoch,
+                                   .step = group.step,
+                                   .commit = commit,
+                                   .retry = retry});
+  }
+
+  /** Begins the next phase when all ranks have carried out this one's. */
+  void Advance(const group_state& group) {
+    if (drive.failed && group.phase == group_phase::kStaging) {
+      ProposeDecision(group, false, false);
+      return;
+    }
+    if (drive.too_late && group.phase == group_phase::kArming) {
+      drive.margin_steps = std::min(drive.margin_steps * 2, kMaxMarginSteps);
+      ProposeDecision(group, false, true);
+      return;
+    }
+    if (drive.done.size() < group.ranks.size()) {
+      return;
+    }
+    switch (group.phase) {
+      case group_phase::kNone:
+        break;
+      case group_phase::kStaging:
+        ProposeArm(group);
+        break;
+      case group_phase::kArming:
+        ProposeDecision(group, true, false);
+        break;
+      case group_phase::kForming:
+      case group_phase::kDeciding:
+        if (group.change) {
+          ProposeArm(group);
+        } else if (drive.wanted && Switched(group)) {
+          ProposeNext(stage_map_command{
+              .group = name,
+              .generation = group.generation,
+              .map = *std::exchange(drive.wanted, std::nullopt)});
+        }
+        break;
+    }
+  }
+
+  /**
+   * Whether every rank reports the map in use. Until then a rank may hold a
+   * decision for a step ahead, and it keeps only one.
+   */
+  bool Switched(const group_state& group) const {
+    return drive.reports.size() == group.ranks.size() &&
+           std::ranges::all_of(drive.reports, [&](const auto& item) {
+             return item.second.map_epoch == group.epoch;
+           });
+  }
+
+  void EnterPhase(const group_state& group) {
+    if (drive.order_index == group.order_index) {
+      return;
+    }
+    if (group.phase == group_phase::kForming) {
+      // Steps are counted anew in each generation.
+      drive.highest_step = 0;
+      drive.margin_steps = 0;
+      drive.reports.clear();
+    }
+    drive.order_index = group.order_index;
+    drive.done.clear();
+    drive.too_late = false;
+    drive.failed = false;
+    drive.next_send_us = 0;
+  }
+
+  void Run(const config::model_group& wanted) {
+    if (drive.proposal_id != 0) {
+      return;
+    }
+    const rank_servers servers =
+        FindServers(state, name, static_cast<std::size_t>(wanted.ranks));
+    const auto found = state.durable.groups.groups.find(name);
+    if (found == state.durable.groups.groups.end() ||
+        !FitsConfig(found->second, wanted) ||
+        !Unchanged(found->second, servers)) {
+      // Until all ranks are there, the group keeps the state it is in.
+      if (Complete(servers)) {
+        Form(wanted, servers);
+      }
+      return;
+    }
+    EnterPhase(found->second);
+    SendOrders(found->second, servers);
+    Advance(found->second);
+  }
+};
+
+void DriveGroup(replica_state& state,
+                const std::string& name,
+                const config::model_group& wanted,
+                const step_time& now,
+                replica_effects& out) {
+  driver{state, name, state.leading->groups[name], now, out}.Run(wanted);
+}
+
+}  // namespace
+
+void DriveGroups(replica_state& state,
+                 const step_time& now,
+                 replica_effects& out) {
+  for (const auto& [name, wanted] : CurrentConfig(state).model_groups) {
+    DriveGroup(state, name, wanted, now, out);
+  }
+}
+
+void HandleOrderResult(replica_state& state,
+                       net::link_id link,
+                       const wire::order_result& result,
+                       const step_time& now,
+                       replica_effects& out) {
+  const member_session* session = FindSession(state, link);
+  if (session == nullptr) {
+    return;
+  }
+  const wire::backend_info& backend = session->info.backend;
+  const auto found = state.durable.groups.groups.find(backend.group);
+  // A result counts for the phase that it answers and only from the run of the
+  // backend server that the log names; a restarted one has made no promise.
+  if (found == state.durable.groups.groups.end() ||
+      result.order_id != found->second.order_index ||
+      backend.rank >= found->second.ranks.size() ||
+      found->second.ranks[backend.rank] !=
+          group_rank{session->info.name, backend.incarnation}) {
+    return;
+  }
+  const auto configured = CurrentConfig(state).model_groups.find(backend.group);
+  group_drive& drive = state.leading->groups[backend.group];
+  if (configured == CurrentConfig(state).model_groups.end() ||
+      drive.order_index != result.order_id) {
+    return;
+  }
+  drive.highest_step = std::max(drive.highest_step, result.step);
+  switch (result.result) {
+    case wire::order_status::kDone:
+      drive.done.insert(backend.rank);
+      break;
+    case wire::order_status::kTooLate:
+      drive.too_late = true;
+      break;
+    case wire::order_status::kFailed:
+      drive.failed = true;
+      break;
+    case wire::order_status::kFenced:
+      break;
+  }
+  DriveGroup(state, backend.group, configured->second, now, out);
+}
+
+void HandleGroupReport(replica_state& state,
+                       net::link_id link,
+                       const wire::group_report& report) {
+  const member_session* session = FindSession(state, link);
+  if (session == nullptr) {
+    return;
+  }
+  const auto found = state.durable.groups.groups.find(report.group);
+  if (found == state.durable.groups.groups.end() ||
+      report.rank >= found->second.ranks.size() ||
+      report.generation != found->second.generation) {
+    return;
+  }
+  group_drive& drive = state.leading->groups[report.group];
+  drive.reports[report.rank] = {.incarnation = report.backend_incarnation,
+                                .generation = report.generation,
+                                .step = report.step,
+                                .map_epoch = report.map_epoch,
+                                .step_time_us = report.step_time_us};
+  drive.highest_step = std::max(drive.highest_step, report.step);
+  if (drive.tokens.size() < report.expert_tokens.size()) {
+    drive.tokens.resize(report.expert_tokens.size());
+  }
+  for (std::size_t i = 0; i < report.expert_tokens.size(); ++i) {
+    drive.tokens[i] += report.expert_tokens[i];
+  }
+}
+
+void HandleMapWanted(replica_state& state, const map_wanted& wanted) {
+  const auto found = state.durable.groups.groups.find(wanted.group);
+  if (found == state.durable.groups.groups.end() ||
+      found->second.map == wanted.map ||
+      found->second.map.slots.size() != wanted.map.slots.size()) {
+    return;
+  }
+  state.leading->groups[wanted.group].wanted = wanted.map;
+}
+
+wire::expert_map EvenMap(const config::model_group& group) {
+  wire::expert_map map{
+      .experts = static_cast<std::uint32_t>(group.experts),
+      .ranks = static_cast<std::uint32_t>(group.ranks),
+      .layers = static_cast<std::uint32_t>(group.layers),
+      .slots_per_rank = static_cast<std::uint32_t>(group.slots_per_rank)};
+  const std::size_t slots_per_layer =
+      static_cast<std::size_t>(map.ranks) * map.slots_per_rank;
+  map.slots.reserve(slots_per_layer * map.layers);
+  for (std::uint32_t layer = 0; layer < map.layers; ++layer) {
+    for (std::size_t slot = 0; slot < slots_per_layer; ++slot) {
+      map.slots.push_back(static_cast<std::uint16_t>(slot % map.experts));
+    }
+  }
+  return map;
+}
+
+}  // namespace wisteriaroute::control
--- a/src/libwisteriaroute/control/group_table.cc
+++ b/src/libwisteriaroute/control/group_table.cc
@@ -69,7 +69,7 @@
   group_state* group = FindGeneration(table, command.group, command.generation);
   if (group == nullptr || !group->change ||
       group->change->epoch != command.epoch ||
-      group->phase == group_phase::kArming) {
+      group->phase == group_phase::kArming || command.step <= group->step) {
     return false;
   }
   group->step = command.step;
--- /dev/null
+++ b/src/libwisteriaroute/control/proposals.h
@@ -0,0 +1,59 @@
+#ifndef LIBWISTERIAROUTE_CONTROL_PROPOSALS_H_
+#define LIBWISTERIAROUTE_CONTROL_PROPOSALS_H_
+
+#include <cstdint>
+#include <string_view>
+
+#include "libwisteriaroute/control/replica.h"
+
+namespace wisteriaroute::control {
+
+// Commands that the leader proposes. `state.leading` must be set.
+
+/** Proposes a command; `waiter` is told the result. Returns its id. */
+std::uint64_t Propose(replica_state& state,
+                      command_body body,
+                      pending_proposal waiter,
+                      const step_time& now,
+                      replica_effects& out);
+
+void ProposeClaim(replica_state& state,
+                  net::link_id link,
+                  const wire::claim_request& request,
+                  const step_time& now,
+                  replica_effects& out);
+void ProposeClaim(replica_state& state,
+                  net::link_id link,
+                  const wire::claim_move& move,
+                  const step_time& now,
+                  replica_effects& out);
+void ProposeClaim(replica_state& state,
+                  net::link_id link,
+                  const wire::claim_outcome& outcome,
+                  const step_time& now,
+                  replica_effects& out);
+
+/** Tells the waiter of an applied command. */
+void AnswerProposal(replica_state& state,
+                    const command& value,
+                    const command_result& result,
+                    replica_effects& out);
+
+/** Tells the waiter that nothing is known to be committed. */
+void FailProposal(replica_state& state,
+                  std::uint64_t proposal_id,
+                  std::string_view reason,
+                  replica_effects& out);
+
+/** Tells all waiters so, at the end of leadership. */
+void FailAllProposals(replica_state& state, replica_effects& out);
+
+/** The newest configuration, parsed at most once for each revision. */
+const config::named_set& CurrentConfig(replica_state& state);
+
+/** Retention of keys: the longest that a service declares. */
+base::time_ms KeyRetentionMs(replica_state& state);
+
+}  // namespace wisteriaroute::control
+
+#endif  // LIBWISTERIAROUTE_CONTROL_PROPOSALS_H_
--- /dev/null
+++ b/src/libwisteriaroute/control/replica.cc
@@ -0,0 +1,294 @@
+#include "libwisteriaroute/control/replica.h"
+
+#include <utility>
+
+#include "libwisteriaroute/control/admin.h"
+#include "libwisteriaroute/control/group_drive.h"
+#include "libwisteriaroute/control/proposals.h"
+#include "libwisteriaroute/control/sessions.h"
+#include "libwisteriaroute/control/updates.h"
+
+namespace wisteriaroute::control {
+
+namespace {
+
+/** What the leader does after a command was applied, whoever proposed it. */
+struct applied_reaction {
+  replica_state& state;
+  const command_result& result;
+  const step_time& now;
+  replica_effects& out;
+
+  void operator()(const publish_command& publish) const {
+    const auto& outcome = std::get<publish_result>(result);
+    if (outcome.code != publish_code::kOk || outcome.repeated) {
+      return;
+    }
+    state.leading->config.reset();
+    out.push_back(note_event{{.kind = "revision_accepted",
+                              .revision = outcome.revision,
+                              .detail = publish.operation_id}});
+    SendConfigToAll(state, now, out);
+  }
+  void operator()(const wire::drain_request& drain) const {
+    if (!std::get<change_result>(result).changed) {
+      return;
+    }
+    out.push_back(note_event{{.kind = drain.drained ? "drained" : "undrained",
+                              .server = drain.name}});
+    state.leading->drained_changed = true;
+    FlushMembers(state, now, out);
+  }
+  void operator()(const form_group_command& form) const {
+    NoteGroup(form.group, "group_formed", form.generation);
+  }
+  void operator()(const stage_map_command& stage) const {
+    NoteGroup(stage.group, "map_staged", stage.generation);
+  }
+  void operator()(const arm_map_command& arm) const {
+    NoteGroup(arm.group, "map_armed", arm.step);
+  }
+  void operator()(const decide_map_command& decide) const {
+    NoteGroup(decide.group, decide.commit ? "map_committed" : "map_aborted",
+              decide.step);
+  }
+  template <typename Other>
+  void operator()(const Other&) const {
+    if (const auto* changes = std::get_if<quarantine_changes>(&result)) {
+      SendQuarantine(state, *changes, out);
+    }
+  }
+
+ private:
+  void NoteGroup(const std::string& group,
+                 const char* kind,
+                 std::uint64_t number) const {
+    if (std::get<change_result>(result).changed) {
+      out.push_back(note_event{
+          {.kind = kind, .group = group, .detail = std::to_string(number)}});
+      DriveGroups(state, now, out);
+    }
+  }
+};
+
+struct message_handler {
+  replica_state& state;
+  net::link_id link;
+  const step_time& now;
+  replica_effects& out;
+
+  void operator()(const wire::admin_request& request) const {
+    HandleAdmin(state, link, request, now, out);
+  }
+  void operator()(const wire::session_hello& hello) const {
+    if (Leads()) {
+      HandleHello(state, link, hello, now, out);
+    }
+  }
+  void operator()(const wire::session_heartbeat& heartbeat) const {
+    if (Leads()) {
+      HandleHeartbeat(state, link, heartbeat, now, out);
+    }
+  }
+  void operator()(const wire::session_goodbye&) const {
+    if (state.leading) {
+      HandleGoodbye(state, link, out);
+    }
+  }
+  void operator()(const wire::claim_request& request) const { Claim(request); }
+  void operator()(const wire::claim_move& move) const { Claim(move); }
+  void operator()(const wire::claim_outcome& outcome) const { Claim(outcome); }
+  void operator()(const wire::suspect_report& report) const {
+    if (Leads()) {
+      Propose(state, report, std::monostate{}, now, out);
+    }
+  }
+  void operator()(const wire::suspect_cleared& cleared) const {
+    if (Leads()) {
+      Propose(state, cleared, std::monostate{}, now, out);
+    }
+  }
+  void operator()(const wire::order_result& result) const {
+    if (state.leading) {
+      HandleOrderResult(state, link, result, now, out);
+    }
+  }
+  void operator()(const wire::group_report& report) const {
+    if (state.leading) {
+      HandleGroupReport(state, link, report);
+    }
+  }
+  // Messages that only members receive.
+  template <typename Other>
+  void operator()(const Other&) const {}
+
+ private:
+  bool Leads() const {
+    if (!state.leading) {
+      out.push_back(send_to_links{
+          {link}, wire::not_leader{state.leader_name, state.leader_address}});
+      return false;
+    }
+    return true;
+  }
+  template <typename Message>
+  void Claim(const Message& message) const {
+    if (Leads()) {
+      ProposeClaim(state, link, message, now, out);
+    }
+  }
+};
+
+struct event_handler {
+  replica_state& state;
+  const step_time& now;
+  replica_effects& out;
+
+  void operator()(const became_leader& event) const {
+    StepDown();
+    state.leading.emplace();
+    state.leading->term = event.term;
+    state.leading->elected_us = now.now_us;
+    state.leading->next_clock_tick_us = now.now_us;
+    out.push_back(note_event{
+        {.kind = "leader_elected", .detail = std::to_string(event.term)}});
+  }
+
+  void operator()(const became_follower& event) const {
+    state.leader_name = event.leader_name;
+    state.leader_address = event.leader_address;
+    StepDown();
+  }
+
+  void operator()(const entry_committed& event) const {
+    const command value = DecodeCommand(event.payload);
+    const command_result result = Apply(state.durable, value, event.index);
+    state.applied_index = event.index;
+    if (state.leading) {
+      AnswerProposal(state, value, result, out);
+      std::visit(applied_reaction{state, result, now, out}, value.body);
+    }
+  }
+
+  void operator()(const state_installed& event) const {
+    state.durable = DecodeState(event.payload);
+    state.applied_index = event.index;
+  }
+
+  void operator()(const proposal_failed& event) const {
+    if (state.leading) {
+      FailProposal(state, event.proposal_id, event.reason, out);
+    }
+  }
+
+  void operator()(const replica_change_done& event) const {
+    if (!state.leading) {
+      return;
+    }
+    const auto node = state.leading->proposals.extract(event.proposal_id);
+    if (node.empty()) {
+      return;
+    }
+    const auto& waiter = std::get<pending_admin>(node.mapped());
+    out.push_back(
+        send_to_links{{waiter.link},
+                      wire::admin_reply{.correlation = waiter.correlation,
+                                        .result = wire::admin_result::kOk,
+                                        .json = R"({"changed":true})"}});
+  }
+
+  void operator()(const leader_confirmed& event) const {
+    if (!state.leading || state.leading->confirm_id != event.confirm_id) {
+      return;
+    }
+    state.leading->confirm_id = 0;
+    const confirm_batch batch =
+        std::exchange(state.leading->confirming, confirm_batch{});
+    if (event.confirmed) {
+      AcknowledgeHeartbeats(state, batch.heartbeats, out);
+    }
+    for (const waiting_read& read : batch.reads) {
+      if (event.confirmed) {
+        AnswerRead(state, read, now, out);
+      } else {
+        RefuseRead(read, out);
+      }
+    }
+    BeginConfirm(state, now, out);
+  }
+
+  void operator()(const link_closed& event) const {
+    if (state.leading) {
+      DetachSession(state, event.link);
+    }
+  }
+
+  void operator()(const link_received& event) const {
+    std::visit(message_handler{state, event.link, now, out}, event.message);
+  }
+
+  void operator()(const map_wanted& event) const {
+    if (state.leading) {
+      HandleMapWanted(state, event);
+    }
+  }
+
+  void operator()(const replicas_seen& event) const {
+    state.replicas = event.replicas;
+  }
+
+  void operator()(const replica_tick&) const {
+    if (!state.leading) {
+      return;
+    }
+    ExpireSessions(state, now, out);
+    FlushMembers(state, now, out);
+    BeginConfirm(state, now, out);
+    DriveGroups(state, now, out);
+    if (now.now_us >= state.leading->next_clock_tick_us) {
+      state.leading->next_clock_tick_us =
+          now.now_us + state.options.clock_tick_us;
+      Propose(state, clock_tick{KeyRetentionMs(state)}, std::monostate{}, now,
+              out);
+    }
+  }
+
+ private:
+  /** Tells those who wait and all members, who then look for the leader. */
+  void StepDown() const {
+    if (!state.leading) {
+      return;
+    }
+    out.push_back(note_event{{.kind = "leadership_lost",
+                              .detail = std::to_string(state.leading->term)}});
+    FailAllProposals(state, out);
+    for (const auto* batch :
+         {&state.leading->confirming, &state.leading->waiting}) {
+      for (const waiting_read& read : batch->reads) {
+        RefuseRead(read, out);
+      }
+    }
+    std::vector<net::link_id> links;
+    for (const auto& [link, name] : state.leading->session_links) {
+      links.push_back(link);
+    }
+    state.leading.reset();
+    if (!links.empty()) {
+      out.push_back(send_to_links{
+          std::move(links),
+          wire::not_leader{state.leader_name, state.leader_address}});
+    }
+  }
+};
+
+}  // namespace
+
+replica_effects Step(replica_state& state,
+                     const replica_event& event,
+                     const step_time& now) {
+  replica_effects out;
+  std::visit(event_handler{state, now, out}, event);
+  return out;
+}
+
+}  // namespace wisteriaroute::control
--- /dev/null
+++ b/src/libwisteriaroute/control/sessions.cc
@@ -0,0 +1,226 @@
+#include "libwisteriaroute/control/sessions.h"
+
+#include <algorithm>
+
+#include "libwisteriaroute/control/updates.h"
+
+namespace wisteriaroute::control {
+
+namespace {
+
+// A member that still reports an old revision this long after an update was
+// sent has lost it.
+constexpr base::time_us kConfigRetryUs = 1'000'000;
+
+void NoteMember(const wire::member_info& info,
+                const char* kind,
+                replica_effects& out) {
+  out.push_back(note_event{
+      {.kind = kind,
+       .group = info.backend.group,
+       .server = info.name,
+       .detail = info.role == wire::member_role::kEntry ? "entry" : "agent"}});
+}
+
+/** The lowest fencing number of an order that the member may accept. */
+wire::fencing_number FencingFor(const replica_state& state,
+                                const wire::member_info& info) {
+  wire::fencing_number number{.term = state.leading->term};
+  const auto group = state.durable.groups.groups.find(info.backend.group);
+  if (group != state.durable.groups.groups.end()) {
+    number.index = group->second.order_index;
+  }
+  return number;
+}
+
+void KeepOldLease(leader_view& leader,
+                  const member_session& session,
+                  base::time_us now_us) {
+  if (session.lease_until_us > now_us) {
+    leader.old_leases.push_back({session.revision, session.lease_until_us});
+  }
+}
+
+void ForgetMember(leader_view& leader,
+                  const std::string& name,
+                  wire::member_role role) {
+  leader.changed_members.erase(name);
+  if (role == wire::member_role::kAgent) {
+    leader.removed_members.insert(name);
+  }
+}
+
+bool IsOver(const member_session& session, base::time_us now_us) {
+  return session.lease_until_us <= now_us &&
+         session.heard_us + kLeaseBoundUs <= now_us;
+}
+
+}  // namespace
+
+void HandleHello(replica_state& state,
+                 net::link_id link,
+                 const wire::session_hello& hello,
+                 const step_time& now,
+                 replica_effects& out) {
+  leader_view& leader = *state.leading;
+  const std::string& name = hello.info.name;
+  const auto earlier = leader.session_links.find(link);
+  if (earlier != leader.session_links.end() && earlier->second != name) {
+    DetachSession(state, link);
+  }
+  member_session& session = leader.sessions[name];
+  const bool restarted = session.info.incarnation != hello.info.incarnation;
+  if (restarted) {
+    KeepOldLease(leader, session, now.now_us);
+    leader.session_links.erase(session.link);
+    session = {.revision = hello.revision};
+    NoteMember(hello.info, "session_opened", out);
+  }
+  const bool reconnected = session.link != link;
+  if (reconnected) {
+    leader.session_links.erase(session.link);
+    session.link = link;
+    leader.session_links[link] = name;
+    session.sent_revision = hello.revision;
+  }
+  session.heard_us = now.now_us;
+  session.revision = std::max(session.revision, hello.revision);
+  if (session.info != hello.info) {
+    session.info = hello.info;
+    if (hello.info.role == wire::member_role::kAgent) {
+      leader.changed_members.insert(name);
+      leader.removed_members.erase(name);
+    }
+  }
+  if (reconnected) {
+    SendConfig(state, session, now, out);
+    SendFirstLists(state, session, now, out);
+  }
+}
+
+void HandleHeartbeat(replica_state& state,
+                     net::link_id link,
+                     const wire::session_heartbeat& heartbeat,
+                     const step_time& now,
+                     replica_effects& out) {
+  member_session* session = FindSession(state, link);
+  if (session == nullptr) {
+    // Its hello came on an older link, or was lost; it has to say it again.
+    out.push_back(send_to_links{{link}, wire::not_leader{}});
+    return;
+  }
+  session->heard_us = now.now_us;
+  session->revision = std::max(session->revision, heartbeat.revision);
+  session->ready = heartbeat.ready;
+  if (session->revision < state.durable.config.revision &&
+      now.now_us - session->config_sent_us > kConfigRetryUs) {
+    session->sent_revision = session->revision;
+    SendConfig(state, *session, now, out);
+  }
+  state.leading->waiting.heartbeats.push_back(
+      {link, heartbeat.sequence, now.now_us});
+  BeginConfirm(state, now, out);
+}
+
+void HandleGoodbye(replica_state& state,
+                   net::link_id link,
+                   replica_effects& out) {
+  leader_view& leader = *state.leading;
+  const auto found = leader.session_links.find(link);
+  if (found == leader.session_links.end()) {
+    return;
+  }
+  const std::string name = found->second;
+  NoteMember(leader.sessions[name].info, "session_closed", out);
+  leader.session_links.erase(found);
+  ForgetMember(leader, name, leader.sessions[name].info.role);
+  leader.sessions.erase(name);
+}
+
+void DetachSession(replica_state& state, net::link_id link) {
+  if (member_session* session = FindSession(state, link)) {
+    session->link = 0;
+    state.leading->session_links.erase(link);
+  }
+}
+
+void ExpireSessions(replica_state& state,
+                    const step_time& now,
+                    replica_effects& out) {
+  leader_view& leader = *state.leading;
+  std::erase_if(leader.old_leases, [&](const old_lease& lease) {
+    return lease.until_us <= now.now_us;
+  });
+  std::erase_if(leader.sessions, [&](const auto& item) {
+    const auto& [name, session] = item;
+    if (!IsOver(session, now.now_us)) {
+      return false;
+    }
+    NoteMember(session.info, "session_expired", out);
+    leader.session_links.erase(session.link);
+    ForgetMember(leader, name, session.info.role);
+    return true;
+  });
+}
+
+void BeginConfirm(replica_state& state,
+                  const step_time& now,
+                  replica_effects& out) {
+  leader_view& leader = *state.leading;
+  const bool wanted =
+      !leader.waiting.heartbeats.empty() || !leader.waiting.reads.empty();
+  if (!wanted || leader.confirm_id != 0 ||
+      now.now_us < leader.next_confirm_us) {
+    return;
+  }
+  leader.confirm_id = state.next_id++;
+  leader.confirming = std::exchange(leader.waiting, {});
+  leader.next_confirm_us = now.now_us + state.options.confirm_interval_us;
+  out.push_back(confirm_leader{leader.confirm_id});
+}
+
+void AcknowledgeHeartbeats(replica_state& state,
+                           const std::vector<waiting_heartbeat>& heartbeats,
+                           replica_effects& out) {
+  for (const waiting_heartbeat& heartbeat : heartbeats) {
+    member_session* session = FindSession(state, heartbeat.link);
+    if (session == nullptr) {
+      continue;
+    }
+    session->lease_until_us =
+        std::max(session->lease_until_us, heartbeat.arrived_us + kLeaseBoundUs);
+    out.push_back(send_to_links{
+        {heartbeat.link},
+        wire::session_ack{.sequence = heartbeat.sequence,
+                          .fencing = FencingFor(state, session->info),
+                          .lease_ms = kLeaseMs,
+                          .revision = state.durable.config.revision}});
+  }
+}
+
+member_session* FindSession(replica_state& state, net::link_id link) {
+  const auto found = state.leading->session_links.find(link);
+  if (found == state.leading->session_links.end()) {
+    return nullptr;
+  }
+  return &state.leading->sessions.find(found->second)->second;
+}
+
+std::optional<std::uint64_t> RevisionInForce(const replica_state& state,
+                                             base::time_us now_us) {
+  if (!state.leading || now_us < state.leading->elected_us + kLeaseBoundUs) {
+    return std::nullopt;
+  }
+  std::uint64_t revision = state.durable.config.revision;
+  for (const auto& [name, session] : state.leading->sessions) {
+    revision = std::min(revision, session.revision);
+  }
+  for (const old_lease& lease : state.leading->old_leases) {
+    if (lease.until_us > now_us) {
+      revision = std::min(revision, lease.revision);
+    }
+  }
+  return revision;
+}
+
+}  // namespace wisteriaroute::control
--- a/src/libwisteriaroute/control/snapshot.cc
+++ b/src/libwisteriaroute/control/snapshot.cc
@@ -226,7 +226,7 @@
     ReadWorkspace(workspace, state.claims);
   }
   for (const auto name : from.getDrained()) {
-    state.drained.insert(ReadText(name));
+    state.drained.emplace(name.cStr(), name.size());
   }
   state.quarantine = ReadQuarantine(from);
   for (const auto group : from.getGroups()) {
--- /dev/null
+++ b/src/libwisteriaroute/control/updates.cc
@@ -0,0 +1,153 @@
+#include "libwisteriaroute/control/updates.h"
+
+#include <utility>
+
+namespace wisteriaroute::control {
+
+namespace {
+
+using wire::member_role;
+
+std::vector<net::link_id> LinksOf(const leader_view& leader, member_role role) {
+  std::vector<net::link_id> links;
+  for (const auto& [name, session] : leader.sessions) {
+    if (session.link != 0 && session.info.role == role) {
+      links.push_back(session.link);
+    }
+  }
+  return links;
+}
+
+std::vector<std::string> Drained(const replica_state& state) {
+  return {state.durable.drained.begin(), state.durable.drained.end()};
+}
+
+std::vector<wire::member_info> Agents(const leader_view& leader) {
+  std::vector<wire::member_info> agents;
+  for (const auto& [name, session] : leader.sessions) {
+    if (session.info.role == member_role::kAgent) {
+      agents.push_back(session.info);
+    }
+  }
+  return agents;
+}
+
+wire::member_update AllMembers(const replica_state& state, bool full) {
+  return {.full = full,
+          .changed = Agents(*state.leading),
+          .drained = Drained(state)};
+}
+
+/** Whether the members of an earlier leader have had time to come back. */
+bool IsSettled(const leader_view& leader, const step_time& now) {
+  return now.now_us >= leader.elected_us + kLeaseBoundUs;
+}
+
+void Send(std::vector<net::link_id> links,
+          wire::control_message message,
+          replica_effects& out) {
+  if (!links.empty()) {
+    out.push_back(send_to_links{std::move(links), std::move(message)});
+  }
+}
+
+}  // namespace
+
+void SendConfig(replica_state& state,
+                member_session& session,
+                const step_time& now,
+                replica_effects& out) {
+  const std::uint64_t revision = state.durable.config.revision;
+  if (session.link == 0 || session.sent_revision >= revision) {
+    return;
+  }
+  Send({session.link}, UpdateSince(state.durable.config, session.sent_revision),
+       out);
+  session.sent_revision = revision;
+  session.config_sent_us = now.now_us;
+}
+
+void SendConfigToAll(replica_state& state,
+                     const step_time& now,
+                     replica_effects& out) {
+  const std::uint64_t revision = state.durable.config.revision;
+  std::map<std::uint64_t, std::vector<net::link_id>> by_base;
+  for (auto& [name, session] : state.leading->sessions) {
+    if (session.link != 0 && session.sent_revision < revision) {
+      by_base[session.sent_revision].push_back(session.link);
+      session.sent_revision = revision;
+      session.config_sent_us = now.now_us;
+    }
+  }
+  for (auto& [base, links] : by_base) {
+    Send(std::move(links), UpdateSince(state.durable.config, base), out);
+  }
+}
+
+void SendFirstLists(const replica_state& state,
+                    const member_session& session,
+                    const step_time& now,
+                    replica_effects& out) {
+  if (session.info.role == member_role::kAgent) {
+    Send({session.link}, wire::member_update{.drained = Drained(state)}, out);
+    return;
+  }
+  // Just after an election most agents have no session yet. A full list would
+  // make the entry drop them.
+  Send({session.link}, AllMembers(state, IsSettled(*state.leading, now)), out);
+  wire::quarantine_update update{.full = true};
+  for (const auto& [fingerprint, entry] : state.durable.quarantine.entries) {
+    update.changed.push_back(entry);
+  }
+  Send({session.link}, std::move(update), out);
+}
+
+void FlushMembers(replica_state& state,
+                  const step_time& now,
+                  replica_effects& out) {
+  leader_view& leader = *state.leading;
+  if (!leader.settled && IsSettled(leader, now)) {
+    leader.settled = true;
+    leader.changed_members.clear();
+    leader.removed_members.clear();
+    Send(LinksOf(leader, member_role::kEntry), AllMembers(state, true), out);
+    return;
+  }
+  if (std::exchange(leader.drained_changed, false)) {
+    Send(LinksOf(leader, member_role::kAgent),
+         wire::member_update{.drained = Drained(state)}, out);
+  } else if (leader.changed_members.empty() && leader.removed_members.empty()) {
+    return;
+  }
+  wire::member_update update{.drained = Drained(state)};
+  for (const std::string& name : std::exchange(leader.changed_members, {})) {
+    update.changed.push_back(leader.sessions[name].info);
+  }
+  const auto removed = std::exchange(leader.removed_members, {});
+  update.removed.assign(removed.begin(), removed.end());
+  Send(LinksOf(leader, member_role::kEntry), std::move(update), out);
+}
+
+void SendQuarantine(replica_state& state,
+                    const quarantine_changes& changes,
+                    replica_effects& out) {
+  if (changes.empty()) {
+    return;
+  }
+  wire::quarantine_update update;
+  for (const base::digest128& fingerprint : changes) {
+    const auto found = state.durable.quarantine.entries.find(fingerprint);
+    if (found == state.durable.quarantine.entries.end()) {
+      update.removed.push_back(fingerprint);
+      continue;
+    }
+    update.changed.push_back(found->second);
+    if (found->second.state == wire::quarantine_state::kQuarantined) {
+      out.push_back(note_event{
+          {.kind = "quarantined", .detail = base::ToString(fingerprint)}});
+    }
+  }
+  Send(LinksOf(*state.leading, member_role::kEntry), std::move(update), out);
+}
+
+}  // namespace wisteriaroute::control
