base: no suggestion that shares no character with the word

NearestWord offered any one-letter name for a one-letter word, because the limit on the edit distance was above the length of the word.

--- a/src/libwisteriaroute/base/toml_reader.cc
+++ b/src/libwisteriaroute/base/toml_reader.cc
@@ -198,7 +198,8 @@
 std::string NearestWord(std::string_view word,
                         const std::set<std::string, std::less<>>& candidates) {
   std::string nearest;
-  std::size_t best = word.size() / 3 + 2;
+  // A candidate that shares no character with the word is no suggestion.
+  std::size_t best = std::min(word.size(), word.size() / 3 + 2);
   for (const std::string& candidate : candidates) {
     const std::size_t distance = EditDistance(word, candidate);
     if (distance < best) {
