--- /dev/null
+++ b/src/libwisteriaroute/config/object_reader.h
@@ -0,0 +1,69 @@
+#ifndef LIBWISTERIAROUTE_CONFIG_OBJECT_READER_H_
+#define LIBWISTERIAROUTE_CONFIG_OBJECT_READER_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "libwisteriaroute/base/toml_reader.h"
+#include "libwisteriaroute/config/fields.h"
+
+namespace wisteriaroute::config {
+
+/** Fills an object from its table; the visitor of VisitFields. */
+class object_reader {
+ public:
+  object_reader(const toml::table& table,
+                std::string_view file,
+                base::findings& out);
+
+  void Boolean(std::string_view key, bool& value);
+  void Integer(std::string_view key,
+               std::int64_t& value,
+               std::int64_t min,
+               std::int64_t max);
+  void Number(std::string_view key, double& value, double min, double max);
+  void Kind(std::string_view key, backend_kind& value);
+  void RequiredString(std::string_view key, std::string& value);
+  void Names(std::string_view key, std::vector<std::string>& values);
+  void Methods(std::string_view key, std::vector<std::string>& values);
+  void KeyDigests(std::string_view key, std::vector<std::string>& values);
+  void Reference(std::string_view key,
+                 std::string& value,
+                 std::string_view kind,
+                 presence wanted);
+  void References(std::string_view key,
+                  std::vector<std::string>& values,
+                  std::string_view kind);
+
+  /** Reports keys that no field has. */
+  void Finish();
+
+ private:
+  /** Reads strings; each that fails `valid`, or is a repetition, is reported.
+   */
+  void Strings(std::string_view key,
+               std::vector<std::string>& values,
+               bool (*valid)(std::string_view),
+               std::string_view wanted);
+
+  const toml::table& table_;
+  std::string file_;
+  base::findings& out_;
+  base::toml_reader reader_;
+};
+
+/** Whether `name` is `[a-z0-9][a-z0-9-]*` of at most 63 characters. */
+bool IsName(std::string_view name);
+
+/** The finding at element `index` of the array `key`, or else at `key`. */
+base::finding FindingAt(const toml::table& table,
+                        std::string_view file,
+                        std::string_view key,
+                        std::size_t index,
+                        std::string message);
+
+}  // namespace wisteriaroute::config
+
+#endif  // LIBWISTERIAROUTE_CONFIG_OBJECT_READER_H_
