wire: a publish request may carry the whole set

A resend of an operation must have the content of the first request, but the objects that a whole directory changes depend on the revision that is newest when wrctl reads it, which the operation itself may have moved. With `whole` the content depends on the directory only; control takes the difference (config::Changes) against the base. Control must include `whole` in its content digest. codec_test and config_changes_test pass.

--- a/proto/control.capnp
+++ b/proto/control.capnp
@@ -201,6 +201,8 @@
   operationId @1 :Text;
   changed @2 :List(ConfigObject);
   removed @3 :List(ObjectName);
+  # `changed` is the whole set: every other object is removed.
+  whole @4 :Bool;
 }
 
 struct TimelineFilter {
--- a/src/libwisteriaroute/config/changes.cc
+++ b/src/libwisteriaroute/config/changes.cc
@@ -57,6 +57,14 @@
   return changes;
 }
 
+set_changes Changes(const wire::publish_request& request,
+                    std::span<const wire::config_object> base) {
+  if (request.whole) {
+    return Diff(base, request.changed);
+  }
+  return {.changed = request.changed, .removed = request.removed};
+}
+
 std::vector<wire::config_object> Apply(
     std::span<const wire::config_object> objects,
     std::span<const wire::config_object> changed,
--- a/src/libwisteriaroute/config/changes.h
+++ b/src/libwisteriaroute/config/changes.h
@@ -24,6 +24,10 @@
 set_changes Diff(std::span<const wire::config_object> from,
                  std::span<const wire::config_object> to);
 
+/** What an operator's request changes in the objects that it is based on. */
+set_changes Changes(const wire::publish_request& request,
+                    std::span<const wire::config_object> base);
+
 /**
  * Returns `objects` with the changes, sorted by kind and name. An object that
  * is both removed and changed stays, as changed. Removing an absent object
--- a/src/libwisteriaroute/wire/control_fields.cc
+++ b/src/libwisteriaroute/wire/control_fields.cc
@@ -238,13 +238,15 @@
   to.setOperationId(from.operation_id);
   WriteList(from.changed, to.initChanged(Count(from.changed)));
   WriteList(from.removed, to.initRemoved(Count(from.removed)));
+  to.setWhole(from.whole);
 }
 
 publish_request ReadFields(proto::PublishRequest::Reader from) {
   return {.base_revision = from.getBaseRevision(),
           .operation_id = from.getOperationId(),
           .changed = ReadList<config_object>(from.getChanged()),
-          .removed = ReadList<object_name>(from.getRemoved())};
+          .removed = ReadList<object_name>(from.getRemoved()),
+          .whole = from.getWhole()};
 }
 
 }  // namespace wisteriaroute::wire
--- a/src/libwisteriaroute/wire/control_messages.h
+++ b/src/libwisteriaroute/wire/control_messages.h
@@ -345,6 +345,11 @@
   std::string operation_id;
   std::vector<config_object> changed;
   std::vector<object_name> removed;
+  /**
+   * `changed` is the whole set: every other object is removed. A resend then
+   * has the same content whatever the newest revision has become.
+   */
+  bool whole = false;
 
   bool operator==(const publish_request&) const = default;
 };
--- a/tests/wire/codec_test.cc
+++ b/tests/wire/codec_test.cc
@@ -87,7 +87,7 @@
 }
 
 std::vector<admin_call> AdminSamples() {
-  return {publish_request{1, "op", {{"region", "r", "{}"}}, {{"a", "b"}}},
+  return {publish_request{1, "op", {{"region", "r", "{}"}}, {{"a", "b"}}, true},
           get_config{},
           get_status{},
           get_history{},
