--- a/src/libwisteriaroute/control/admin.cc
+++ b/src/libwisteriaroute/control/admin.cc
@@ -1,9 +1,9 @@
 #include "libwisteriaroute/control/admin.h"
 
 #include <algorithm>
-#include <map>
 #include <utility>
 
+#include "libwisteriaroute/config/changes.h"
 #include "libwisteriaroute/config/parse.h"
 #include "libwisteriaroute/control/admin_json.h"
 #include "libwisteriaroute/control/proposals.h"
@@ -21,45 +21,6 @@
   out.push_back(send_to_links{{link}, std::move(reply)});
 }
 
-/** The set after the request, keyed, as the parser wants it. */
-std::vector<wire::config_object> SetAfter(
-    const config_history& history,
-    const wire::publish_request& request) {
-  std::map<wire::object_name, std::string> objects = history.objects;
-  for (const wire::object_name& name : request.removed) {
-    objects.erase(name);
-  }
-  for (const wire::config_object& object : request.changed) {
-    objects[{object.kind, object.name}] = object.body;
-  }
-  std::vector<wire::config_object> list;
-  list.reserve(objects.size());
-  for (auto& [name, body] : objects) {
-    list.push_back({name.kind, name.name, std::move(body)});
-  }
-  return list;
-}
-
-/** Fills the difference between the newest set and a validated one. */
-void FillDifference(const config_history& history,
-                    std::vector<wire::config_object> objects,
-                    publish_command& command) {
-  std::map<wire::object_name, bool> kept;
-  for (wire::config_object& object : objects) {
-    const wire::object_name name{object.kind, object.name};
-    kept[name] = true;
-    const auto old = history.objects.find(name);
-    if (old == history.objects.end() || old->second != object.body) {
-      command.changed.push_back(std::move(object));
-    }
-  }
-  for (const auto& [name, body] : history.objects) {
-    if (!kept.contains(name)) {
-      command.removed.push_back(name);
-    }
-  }
-}
-
 struct admin_caller {
   replica_state& state;
   net::link_id link;
@@ -81,13 +42,18 @@
           return operation.operation_id == request.operation_id;
         });
     if (!resend && request.base_revision == history.revision) {
-      config::parsed_set parsed =
-          config::ParseObjects(SetAfter(history, request));
+      const std::vector<wire::config_object> base = Objects(history);
+      const config::set_changes wanted = config::Changes(request, base);
+      const config::parsed_set parsed = config::ParseObjects(
+          config::Apply(base, wanted.changed, wanted.removed));
       if (!parsed.findings.empty()) {
         Refuse("invalid_config", base::findings_error(parsed.findings).what());
         return;
       }
-      FillDifference(history, std::move(parsed.objects), command);
+      // The parser's canonical form is what the log and the members get.
+      config::set_changes changes = config::Diff(base, parsed.objects);
+      command.changed = std::move(changes.changed);
+      command.removed = std::move(changes.removed);
       command.result_digest =
           DigestAfter(history, command.changed, command.removed);
       command.validated = true;
--- a/src/libwisteriaroute/control/config_history.h
+++ b/src/libwisteriaroute/control/config_history.h
@@ -92,7 +92,10 @@
 /** All objects, sorted by kind and name. */
 std::vector<wire::config_object> Objects(const config_history& history);
 
-/** Digest of a request, to tell a resend from a reused operation id. */
+/**
+ * Digest of a request, to tell a resend from a reused operation id. It leaves
+ * out the base, which a resend reads anew.
+ */
 base::digest128 ContentDigest(const wire::publish_request& request);
 
 /** The set's digest after a change, without applying it. */
--- a/src/libwisteriaroute/control/group_drive.cc
+++ b/src/libwisteriaroute/control/group_drive.cc
@@ -68,8 +68,8 @@
 }
 
 bool Complete(const rank_servers& servers) {
-  return std::ranges::all_of(servers,
-                             [](const auto& server) { return server.has_value(); });
+  return std::ranges::all_of(
+      servers, [](const auto& server) { return server.has_value(); });
 }
 
 /** Whether every rank is served by the backend server that the log names. */
