--- /dev/null
+++ b/src/control/daemon.cc
@@ -0,0 +1,187 @@
+#include "control/daemon.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "libwisteriaroute/base/digest.h"
+#include "libwisteriaroute/base/log.h"
+
+namespace wisteriaroute::control {
+
+namespace {
+
+constexpr base::time_us kReportPeriodUs = 500'000;
+// An election by transfer takes a few round trips; without an answer the
+// others elect a leader on their own, so waiting longer gains nothing.
+constexpr base::time_us kShutdownLimitUs = 2'000'000;
+constexpr base::time_us kShutdownPollUs = 20'000;
+
+constexpr std::string_view kControlRole = "control";
+
+}  // namespace
+
+daemon::daemon(net::loop& event_loop, control_settings settings, bool bootstrap)
+    : event_loop_(event_loop),
+      settings_(std::move(settings)),
+      incarnation_(base::RandomU64()),
+      hub_(
+          {.event_loop = &event_loop,
+           .self = {.name = settings_.process.name,
+                    .role = std::string(kControlRole),
+                    .incarnation = incarnation_,
+                    .data_center = settings_.process.data_center,
+                    .address = settings_.process.advertise},
+           .cluster_key =
+               base::ReadClusterKey(settings_.process.cluster_key_file),
+           .clock = &clock_},
+          {.on_up =
+               [this](net::link_id link,
+                      net::dial_id,
+                      const net::peer_identity& peer) { HandleUp(link, peer); },
+           .on_message =
+               [this](net::link_id link, std::string_view body) {
+                 HandleMessage(link, body);
+               },
+           .on_down = [this](net::link_id link,
+                             std::string_view) { HandleDown(link); }}),
+      raft_(event_loop,
+            settings_,
+            bootstrap,
+            {.on_effect =
+                 [this](const raft::effect& effect) { HandleRaft(effect); },
+             .on_failed = [this](const std::string& reason) { Fail(reason); }}),
+      tick_(event_loop.ev(), [this] { Post(replica_tick{}); }),
+      report_(event_loop.ev(), [this] { ReportReplicas(); }),
+      shutdown_(event_loop.ev(), [this] {
+        if (HandOver()) {
+          event_loop_.Stop();
+        }
+      }) {
+  state_.options.incarnation = incarnation_;
+  state_.options.max_pending_proposals =
+      static_cast<std::size_t>(settings_.max_pending_proposals);
+}
+
+void daemon::Start() {
+  if (const raft::snapshot* stored = raft_.stored_snapshot()) {
+    state_.durable = DecodeState(*stored->data);
+    state_.applied_index = stored->last_index;
+    snapshot_index_ = stored->last_index;
+  }
+  const std::string address = hub_.Listen(settings_.process.listen);
+  base::LogInfo("started", {{"address", address},
+                            {"applied_index", state_.applied_index},
+                            {"term", raft_.state().hard.term}});
+  wire::replica_list initial;
+  for (const replica_address& replica : settings_.replicas) {
+    initial.push_back({.name = replica.name, .address = replica.address});
+  }
+  DialReplicas(initial);
+  DialReplicas(raft::Replicas(raft_.state()));
+  raft_.Start();
+  tick_.Start(kReplicaTickUs, kReplicaTickUs);
+  report_.Start(kReportPeriodUs, kReportPeriodUs);
+}
+
+void daemon::Shutdown() {
+  if (shutdown_until_us_ != 0) {
+    return;
+  }
+  base::LogInfo("stopping", {{"applied_index", state_.applied_index}});
+  shutdown_until_us_ = base::MonotonicUs() + kShutdownLimitUs;
+  shutdown_.Start(0, kShutdownPollUs);
+}
+
+bool daemon::HandOver() {
+  const raft::raft_state& raft = raft_.state();
+  if (raft.current_role != raft::role::kLeader ||
+      base::MonotonicUs() > shutdown_until_us_) {
+    return true;
+  }
+  std::string best;
+  std::uint64_t best_index = 0;
+  for (const wire::replica& replica : raft::Replicas(raft)) {
+    const auto peer = raft.leader.peers.find(replica.name);
+    const bool reachable = replica_links_.contains(replica.name);
+    if (replica.voter && reachable && peer != raft.leader.peers.end() &&
+        (best.empty() || peer->second.match_index > best_index)) {
+      best = replica.name;
+      best_index = peer->second.match_index;
+    }
+  }
+  if (best.empty()) {
+    return true;
+  }
+  if (raft.leader.transfer_to.empty()) {
+    raft_.Post(raft::transfer_leadership{best});
+  }
+  return false;
+}
+
+void daemon::HandleUp(net::link_id link, const net::peer_identity& peer) {
+  peers_[link] = peer;
+  if (peer.role == kControlRole) {
+    replica_links_.emplace(peer.name, link);
+  }
+}
+
+void daemon::HandleMessage(net::link_id link, std::string_view body) {
+  const auto peer = peers_.find(link);
+  if (peer == peers_.end()) {
+    return;
+  }
+  try {
+    if (peer->second.role == kControlRole) {
+      raft_.Post(raft::received{peer->second.name, wire::DecodeRaft(body)});
+    } else {
+      Post(link_received{link, wire::DecodeControl(body)});
+    }
+  } catch (const wire::malformed_message& error) {
+    ++malformed_messages_;
+    base::LogWarning("malformed_message",
+                     {{"peer", peer->second.name},
+                      {"cause", error.what()},
+                      {"malformed_messages", malformed_messages_}});
+    hub_.Close(link, error.what());
+  }
+}
+
+void daemon::HandleDown(net::link_id link) {
+  const auto peer = peers_.find(link);
+  if (peer == peers_.end()) {
+    return;
+  }
+  if (peer->second.role == kControlRole) {
+    std::erase_if(replica_links_,
+                  [&](const auto& item) { return item.second == link; });
+  } else {
+    Post(link_closed{link});
+  }
+  peers_.erase(peer);
+}
+
+void daemon::DialReplicas(const wire::replica_list& replicas) {
+  for (const wire::replica& replica : replicas) {
+    if (replica.name == settings_.process.name || replica.address.empty() ||
+        dials_.contains(replica.address)) {
+      continue;
+    }
+    dials_[replica.address] = hub_.Dial(replica.address);
+  }
+}
+
+void daemon::SendToReplica(const std::string& name, std::string body) {
+  const auto [first, last] = replica_links_.equal_range(name);
+  if (first != last) {
+    // The newest link: an older one may have gone silent.
+    hub_.Send(std::prev(last)->second, std::move(body));
+  }
+}
+
+void daemon::Fail(const std::string& reason) {
+  failure_ = reason;
+  base::LogError("failed", {{"cause", reason}});
+  event_loop_.Stop();
+}
+
+}  // namespace wisteriaroute::control
--- /dev/null
+++ b/src/control/daemon.h
@@ -0,0 +1,86 @@
+#ifndef CONTROL_DAEMON_H_
+#define CONTROL_DAEMON_H_
+
+#include <deque>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "control/raft_runner.h"
+#include "libwisteriaroute/base/event_ring.h"
+#include "libwisteriaroute/base/hlc.h"
+#include "libwisteriaroute/control/replica.h"
+#include "libwisteriaroute/control/settings.h"
+#include "libwisteriaroute/net/link_hub.h"
+#include "libwisteriaroute/net/loop.h"
+
+namespace wisteriaroute::control {
+
+/** A control replica: links, the log and the reducer above it on one loop. */
+class daemon {
+ public:
+  /** Opens the data directory. Throws if it is damaged or in use. */
+  daemon(net::loop& event_loop, control_settings settings, bool bootstrap);
+
+  /** Accepts links and joins the other replicas. */
+  void Start();
+
+  /** Hands the leadership over, then ends the loop; bounded in time. */
+  void Shutdown();
+
+  /** Empty unless the process had to end because of a fault. */
+  const std::string& failure() const { return failure_; }
+
+ private:
+  // Links.
+  void HandleUp(net::link_id link, const net::peer_identity& peer);
+  void HandleMessage(net::link_id link, std::string_view body);
+  void HandleDown(net::link_id link);
+  void DialReplicas(const wire::replica_list& replicas);
+  void SendToReplica(const std::string& name, std::string body);
+
+  // The log.
+  void HandleRaft(const raft::effect& effect);
+  void ApplyEntries(const std::vector<wire::log_entry>& entries);
+  void HandleRole(const raft::role_changed& change);
+  void HandleProposal(const raft::proposal_result& result);
+  void MakeSnapshotIfDue();
+
+  // The reducer above the log.
+  void Post(replica_event event);
+  void Run(const replica_effect& effect);
+  void Propose(std::uint64_t proposal_id, std::string payload);
+  void ChangeReplicas(const change_replica& change);
+  void AnswerTimeline(const answer_timeline& request);
+  void Note(base::timeline_event event);
+  void ReportReplicas();
+
+  void Fail(const std::string& reason);
+  bool HandOver();
+
+  net::loop& event_loop_;
+  control_settings settings_;
+  std::uint64_t incarnation_;
+  base::hybrid_clock clock_;
+  base::event_ring timeline_;
+  net::link_hub hub_;
+  raft_runner raft_;
+  replica_state state_;
+  net::timer tick_;
+  net::timer report_;
+  net::timer shutdown_;
+  std::map<net::link_id, net::peer_identity> peers_;
+  /** Links of each other replica, by its name. */
+  std::multimap<std::string, net::link_id> replica_links_;
+  std::map<std::string, net::dial_id> dials_;
+  std::deque<replica_event> events_;
+  bool running_ = false;
+  std::uint64_t snapshot_index_ = 0;
+  base::time_us shutdown_until_us_ = 0;
+  std::uint64_t malformed_messages_ = 0;
+  std::string failure_;
+};
+
+}  // namespace wisteriaroute::control
+
+#endif  // CONTROL_DAEMON_H_
--- /dev/null
+++ b/src/control/daemon_effects.cc
@@ -0,0 +1,119 @@
+#include <utility>
+
+#include "control/daemon.h"
+#include "libwisteriaroute/base/log.h"
+
+namespace wisteriaroute::control {
+
+// The daemon's side towards the reducer above the log.
+
+void daemon::Post(replica_event event) {
+  events_.push_back(std::move(event));
+  if (std::exchange(running_, true)) {
+    return;
+  }
+  while (!events_.empty()) {
+    const replica_event next = std::move(events_.front());
+    events_.pop_front();
+    try {
+      const step_time now{base::MonotonicUs(), base::WallMs()};
+      for (const replica_effect& effect : Step(state_, next, now)) {
+        Run(effect);
+      }
+    } catch (const std::exception& error) {
+      // Skipping an entry of the log would make this replica differ from the
+      // others, so it stops.
+      Fail(error.what());
+      return;
+    }
+  }
+  running_ = false;
+  MakeSnapshotIfDue();
+}
+
+void daemon::Run(const replica_effect& effect) {
+  struct visitor {
+    daemon& self;
+
+    void operator()(const send_to_links& send) const {
+      const std::string body = wire::Encode(send.message);
+      for (const net::link_id link : send.links) {
+        self.hub_.Send(link, body);
+      }
+    }
+    void operator()(const propose_command& proposal) const {
+      self.raft_.Post(raft::propose{proposal.proposal_id, proposal.payload});
+    }
+    void operator()(const confirm_leader& confirm) const {
+      self.raft_.Post(raft::confirm_leadership{confirm.confirm_id});
+    }
+    void operator()(const change_replica& change) const {
+      self.ChangeReplicas(change);
+    }
+    void operator()(const answer_timeline& request) const {
+      self.AnswerTimeline(request);
+    }
+    // No policy is linked yet; a wanted map comes as map_wanted.
+    void operator()(const consider_map&) const {}
+    void operator()(const note_event& note) const { self.Note(note.event); }
+  };
+  std::visit(visitor{*this}, effect);
+}
+
+void daemon::ChangeReplicas(const change_replica& change) {
+  raft::change_replicas request{.proposal_id = change.proposal_id};
+  if (const auto* add = std::get_if<wire::add_replica>(&change.change)) {
+    request.change = raft::replica_change::kAddLearner;
+    request.name = add->name;
+    request.address = add->address;
+    request.promote_when_ready = true;
+  } else {
+    request.change = raft::replica_change::kRemove;
+    request.name = std::get<wire::remove_replica>(change.change).name;
+  }
+  raft_.Post(std::move(request));
+}
+
+void daemon::AnswerTimeline(const answer_timeline& request) {
+  wire::admin_reply reply{.correlation = request.correlation,
+                          .result = wire::admin_result::kOk,
+                          .events = timeline_.Select(request.filter)};
+  hub_.Send(request.link, wire::Encode(std::move(reply)));
+}
+
+void daemon::Note(base::timeline_event event) {
+  event.hlc = clock_.Tick(base::WallMs());
+  event.process = settings_.process.name;
+  base::LogInfo(event.kind, {{"group", event.group},
+                             {"server", event.server},
+                             {"revision", event.revision},
+                             {"detail", event.detail}});
+  timeline_.Add(std::move(event));
+}
+
+void daemon::ReportReplicas() {
+  const raft::raft_state& raft = raft_.state();
+  const bool leads = raft.current_role == raft::role::kLeader;
+  replicas_seen seen;
+  for (const wire::replica& replica : raft::Replicas(raft)) {
+    replica_view view{.name = replica.name,
+                      .address = replica.address,
+                      .voter = replica.voter,
+                      .leader = replica.name == raft.leader_name};
+    if (replica.name == settings_.process.name) {
+      view.leader = leads;
+      view.match_index = raft.synced_index;
+    } else if (leads) {
+      const auto peer = raft.leader.peers.find(replica.name);
+      if (peer != raft.leader.peers.end()) {
+        view.match_index = peer->second.match_index;
+        view.silent_ms =
+            (base::MonotonicUs() - peer->second.last_reply_us) / 1'000;
+      }
+    }
+    seen.replicas.push_back(std::move(view));
+  }
+  Post(std::move(seen));
+}
+
+}  // namespace wisteriaroute::control
--- /dev/null
+++ b/src/control/daemon_log.cc
@@ -0,0 +1,98 @@
+#include <utility>
+
+#include "control/daemon.h"
+#include "libwisteriaroute/base/log.h"
+
+namespace wisteriaroute::control {
+
+// The daemon's side towards the replicated log.
+
+void daemon::HandleRaft(const raft::effect& effect) {
+  struct visitor {
+    daemon& self;
+
+    // The runner writes these.
+    void operator()(const raft::persist&) const {}
+    void operator()(const raft::send_message& send) const {
+      self.SendToReplica(send.to, wire::Encode(send.message));
+    }
+    void operator()(const raft::apply_entries& apply) const {
+      self.ApplyEntries(apply.entries);
+    }
+    void operator()(const raft::install_snapshot& snapshot) const {
+      self.Post(state_installed{snapshot.index, *snapshot.data});
+      self.snapshot_index_ = snapshot.index;
+      base::LogInfo("snapshot_installed", {{"index", snapshot.index}});
+    }
+    void operator()(const raft::proposal_result& result) const {
+      self.HandleProposal(result);
+    }
+    void operator()(const raft::read_confirmed& read) const {
+      self.Post(leader_confirmed{read.read_id, true});
+    }
+    void operator()(const raft::read_failed& read) const {
+      self.Post(leader_confirmed{read.read_id, false});
+    }
+    void operator()(const raft::role_changed& change) const {
+      self.HandleRole(change);
+    }
+    void operator()(const raft::replicas_changed& change) const {
+      self.DialReplicas(change.replicas);
+      base::LogInfo("replicas_changed",
+                    {{"count", std::uint64_t{change.replicas.size()}}});
+    }
+  };
+  std::visit(visitor{*this}, effect);
+}
+
+void daemon::ApplyEntries(const std::vector<wire::log_entry>& entries) {
+  for (const wire::log_entry& entry : entries) {
+    if (entry.kind == wire::entry_kind::kCommand) {
+      Post(entry_committed{entry.index, entry.payload});
+    }
+  }
+}
+
+void daemon::MakeSnapshotIfDue() {
+  // The reducer's own index: entries that wait in the queue aren't applied.
+  const std::uint64_t index = state_.applied_index;
+  if (index < snapshot_index_ +
+                  static_cast<std::uint64_t>(settings_.snapshot_entries)) {
+    return;
+  }
+  snapshot_index_ = index;
+  raft_.Post(raft::snapshot_made{
+      index, std::make_shared<const std::string>(EncodeState(state_.durable))});
+}
+
+void daemon::HandleRole(const raft::role_changed& change) {
+  if (change.new_role == raft::role::kLeader) {
+    state_.leader_name = settings_.process.name;
+    state_.leader_address = settings_.process.advertise;
+    Post(became_leader{change.term});
+    return;
+  }
+  if (change.leader_name != state_.leader_name && !change.leader_name.empty()) {
+    base::LogInfo("leader_known",
+                  {{"leader", change.leader_name}, {"term", change.term}});
+  }
+  Post(became_follower{change.leader_name, change.leader_address});
+}
+
+void daemon::HandleProposal(const raft::proposal_result& result) {
+  switch (result.status) {
+    case raft::proposal_status::kCommitted:
+      // A command was answered when its entry was applied; what still waits is
+      // a change of the replica set.
+      Post(replica_change_done{result.proposal_id});
+      break;
+    case raft::proposal_status::kDropped:
+      Post(proposal_failed{result.proposal_id, result.reason});
+      break;
+    case raft::proposal_status::kUnknown:
+      Post(proposal_failed{result.proposal_id, "the leader changed"});
+      break;
+  }
+}
+
+}  // namespace wisteriaroute::control
--- /dev/null
+++ b/src/control/raft_runner.cc
@@ -0,0 +1,90 @@
+#include "control/raft_runner.h"
+
+#include <utility>
+
+#include "libwisteriaroute/base/digest.h"
+#include "libwisteriaroute/base/log.h"
+
+namespace wisteriaroute::control {
+
+raft_runner::raft_runner(net::loop& event_loop,
+                         const control_settings& settings,
+                         bool bootstrap,
+                         raft_runner_callbacks callbacks)
+    : callbacks_(std::move(callbacks)),
+      store_(settings.data_dir),
+      state_(raft::MakeState(settings.process.name, Open(settings, bootstrap))),
+      writer_(event_loop.ev(),
+              store_,
+              {.on_persisted =
+                   [this](std::uint64_t sequence) {
+                     Post(raft::persisted{sequence});
+                   },
+               .on_failed =
+                   [this](const std::string& reason) {
+                     callbacks_.on_failed(reason);
+                   }}),
+      tick_(event_loop.ev(), [this] { Post(raft::tick{}); }) {}
+
+raft::stored_state raft_runner::Open(const control_settings& settings,
+                                     bool bootstrap) {
+  if (!store_.empty()) {
+    if (bootstrap) {
+      base::LogWarning("bootstrap_ignored",
+                       {{"reason", "the data directory isn't empty"}});
+    }
+    return store_.TakeContent();
+  }
+  raft::stored_state initial;
+  if (bootstrap) {
+    wire::replica_list voters;
+    for (const replica_address& replica : settings.replicas) {
+      voters.push_back({.name = replica.name,
+                        .address = replica.address,
+                        .identity = raft::kBootstrapIdentity,
+                        .voter = true});
+    }
+    initial = raft::MakeBootstrapped(voters);
+  } else {
+    initial = raft::MakeEmpty(base::RandomU64());
+  }
+  store_.Initialize(initial);
+  base::LogInfo("data_directory_created",
+                {{"path", settings.data_dir},
+                 {"voter", bootstrap ? "yes" : "not until it holds the log"}});
+  return initial;
+}
+
+void raft_runner::Start() {
+  Post(raft::random_seed{base::RandomU64()});
+  tick_.Start(raft::kTickPeriodUs, raft::kTickPeriodUs);
+}
+
+const raft::snapshot* raft_runner::stored_snapshot() const {
+  return state_.latest_snapshot.get();
+}
+
+void raft_runner::Post(raft::event event) {
+  queue_.push_back(std::move(event));
+  if (std::exchange(running_, true)) {
+    return;
+  }
+  while (!queue_.empty()) {
+    const raft::event next = std::move(queue_.front());
+    queue_.pop_front();
+    Handle(next);
+  }
+  running_ = false;
+}
+
+void raft_runner::Handle(const raft::event& event) {
+  for (raft::effect& effect : raft::Step(state_, event, base::MonotonicUs())) {
+    if (auto* batch = std::get_if<raft::persist>(&effect)) {
+      writer_.Submit(std::move(*batch));
+    } else {
+      callbacks_.on_effect(effect);
+    }
+  }
+}
+
+}  // namespace wisteriaroute::control
--- /dev/null
+++ b/src/control/raft_runner.h
@@ -0,0 +1,58 @@
+#ifndef CONTROL_RAFT_RUNNER_H_
+#define CONTROL_RAFT_RUNNER_H_
+
+#include <deque>
+#include <functional>
+#include <string>
+
+#include "libwisteriaroute/control/settings.h"
+#include "libwisteriaroute/net/loop.h"
+#include "libwisteriaroute/raft/raft.h"
+#include "libwisteriaroute/storage/log_store.h"
+#include "libwisteriaroute/storage/log_writer.h"
+
+namespace wisteriaroute::control {
+
+struct raft_runner_callbacks {
+  /** All effects but `persist`, in order. */
+  std::function<void(const raft::effect&)> on_effect;
+  /** The disk failed; the process must end. */
+  std::function<void(const std::string& reason)> on_failed;
+};
+
+/** Runs the consensus reducer on the loop, with the data directory. */
+class raft_runner {
+ public:
+  /** Opens the data directory. Throws if it is damaged. */
+  raft_runner(net::loop& event_loop,
+              const control_settings& settings,
+              bool bootstrap,
+              raft_runner_callbacks callbacks);
+
+  /** Begins elections. The snapshot, if any, was read by `stored_snapshot`. */
+  void Start();
+
+  /** Content to begin from; null without a snapshot. */
+  const raft::snapshot* stored_snapshot() const;
+
+  /** Handles an event after those that are in progress. */
+  void Post(raft::event event);
+
+  const raft::raft_state& state() const { return state_; }
+
+ private:
+  raft::stored_state Open(const control_settings& settings, bool bootstrap);
+  void Handle(const raft::event& event);
+
+  raft_runner_callbacks callbacks_;
+  storage::log_store store_;
+  raft::raft_state state_;
+  storage::log_writer writer_;
+  net::timer tick_;
+  std::deque<raft::event> queue_;
+  bool running_ = false;
+};
+
+}  // namespace wisteriaroute::control
+
+#endif  // CONTROL_RAFT_RUNNER_H_
--- a/src/libwisteriaroute/base/toml_reader.cc
+++ b/src/libwisteriaroute/base/toml_reader.cc
@@ -169,6 +169,29 @@
   return node->as_table();
 }
 
+std::vector<const toml::table*> toml_reader::Tables(std::string_view key) {
+  std::vector<const toml::table*> tables;
+  const toml::node* node = Find(key);
+  if (node == nullptr) {
+    return tables;
+  }
+  const toml::array* array = node->as_array();
+  if (array == nullptr) {
+    ReportType(key, "an array of tables");
+    return tables;
+  }
+  for (const toml::node& element : *array) {
+    if (const toml::table* table = element.as_table()) {
+      tables.push_back(table);
+    } else {
+      out_.push_back(
+          MakeFinding(file_, element.source(),
+                      "'" + std::string(key) + "' must hold tables only"));
+    }
+  }
+  return tables;
+}
+
 void toml_reader::ReportUnknownKeys() {
   for (const auto& [key, node] : table_) {
     if (known_.contains(key.str())) {
--- a/src/libwisteriaroute/base/toml_reader.h
+++ b/src/libwisteriaroute/base/toml_reader.h
@@ -40,6 +40,9 @@
   /** The sub-table, or null if it is absent or not a table. */
   const toml::table* Table(std::string_view key);
 
+  /** The tables of an array; elements that aren't tables are findings. */
+  std::vector<const toml::table*> Tables(std::string_view key);
+
   /** Reports each key that was not read, with the nearest known key. */
   void ReportUnknownKeys();
 
--- /dev/null
+++ b/src/libwisteriaroute/control/settings.h
@@ -0,0 +1,41 @@
+#ifndef LIBWISTERIAROUTE_CONTROL_SETTINGS_H_
+#define LIBWISTERIAROUTE_CONTROL_SETTINGS_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "libwisteriaroute/base/finding.h"
+#include "libwisteriaroute/base/process_settings.h"
+
+namespace wisteriaroute::control {
+
+struct replica_address {
+  std::string name;
+  /** `IP:port` of the replica's links. */
+  std::string address;
+
+  bool operator==(const replica_address&) const = default;
+};
+
+/** Settings of a control replica: `[process]` and `[control]`. */
+struct control_settings {
+  base::process_settings process;
+  std::string data_dir;
+  /** The replicas that a new cluster begins with, this one among them. */
+  std::vector<replica_address> replicas;
+  /** Log entries between two snapshots. */
+  std::int64_t snapshot_entries = 20'000;
+  /** Claims and publications that may wait for the log. */
+  std::int64_t max_pending_proposals = 20'000;
+};
+
+/** Reads the text of a settings file; faults are added to `out`. */
+control_settings ParseControlSettings(std::string_view text,
+                                      std::string_view file,
+                                      base::findings& out);
+
+}  // namespace wisteriaroute::control
+
+#endif  // LIBWISTERIAROUTE_CONTROL_SETTINGS_H_
