--- /dev/null
+++ b/src/libwisteriaroute/policy/expert_layer.cc
@@ -0,0 +1,159 @@
+#include "libwisteriaroute/policy/expert_layer.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace wisteriaroute::policy {
+
+namespace {
+
+// Relative improvement below which a move is rounding error.
+constexpr double kMinImprovement = 1e-9;
+
+}  // namespace
+
+expert_layer::expert_layer(std::span<const std::uint16_t> slots,
+                           std::uint32_t slots_per_rank,
+                           std::span<const double> share,
+                           std::span<const double> speed)
+    : slots_(slots.begin(), slots.end()),
+      slots_per_rank_(slots_per_rank),
+      ranks_(static_cast<std::uint32_t>(slots.size()) / slots_per_rank),
+      share_(share),
+      speed_(speed),
+      replicas_(share.size(), 0) {
+  for (const std::uint16_t expert : slots_) {
+    ++replicas_[expert];
+  }
+  order_.resize(ranks_);
+  std::iota(order_.begin(), order_.end(), 0);
+  RebuildTimes();
+}
+
+void expert_layer::RebuildTimes() {
+  time_.assign(ranks_, 0);
+  for (std::size_t i = 0; i < slots_.size(); ++i) {
+    time_[i / slots_per_rank_] += Part(slots_[i]);
+  }
+  for (std::uint32_t r = 0; r < ranks_; ++r) {
+    time_[r] /= speed_[r];
+  }
+  // Almost sorted after a move, so insertion sort is cheap.
+  for (std::size_t i = 1; i < order_.size(); ++i) {
+    for (std::size_t j = i; j > 0 && time_[order_[j]] < time_[order_[j - 1]];
+         --j) {
+      std::swap(order_[j], order_[j - 1]);
+    }
+  }
+  slowest_ = order_.back();
+}
+
+double expert_layer::MaxTime() const {
+  return time_[slowest_];
+}
+
+std::uint32_t expert_layer::SlowestRank() const {
+  return slowest_;
+}
+
+bool expert_layer::Holds(std::uint32_t rank, std::uint16_t expert) const {
+  const auto first = slots_.begin() + rank * slots_per_rank_;
+  const auto last = first + slots_per_rank_;
+  return std::find(first, last, expert) != last;
+}
+
+double expert_layer::Part(std::uint16_t expert) const {
+  return share_[expert] / replicas_[expert];
+}
+
+void expert_layer::ConsiderExchange(std::uint32_t slot,
+                                    std::uint32_t other_rank,
+                                    std::uint32_t other_slot,
+                                    move& best) const {
+  const std::uint16_t mine = slots_[slowest_ * slots_per_rank_ + slot];
+  const std::uint16_t theirs =
+      slots_[other_rank * slots_per_rank_ + other_slot];
+  const double difference = Part(mine) - Part(theirs);
+  if (difference <= 0 || Holds(other_rank, mine) || Holds(slowest_, theirs)) {
+    return;
+  }
+  const double touched =
+      std::max(time_[slowest_] - difference / speed_[slowest_],
+               time_[other_rank] + difference / speed_[other_rank]);
+  if (touched < best.touched_time) {
+    best = {slowest_, slot, other_rank, other_slot, false, touched};
+  }
+}
+
+// Gives the other rank a replica of one of the slowest rank's experts, in
+// place of an expert that has further replicas elsewhere.
+void expert_layer::ConsiderReplica(std::uint32_t slot,
+                                   std::uint32_t other_rank,
+                                   std::uint32_t other_slot,
+                                   move& best) const {
+  const std::uint16_t mine = slots_[slowest_ * slots_per_rank_ + slot];
+  const std::uint16_t theirs =
+      slots_[other_rank * slots_per_rank_ + other_slot];
+  if (replicas_[theirs] < 2 || theirs == mine || Holds(other_rank, mine)) {
+    return;
+  }
+  const double part = share_[mine] / (replicas_[mine] + 1);
+  const double relief = Part(mine) - part;
+  const double pushed = share_[theirs] / (replicas_[theirs] - 1) - Part(theirs);
+  double touched =
+      std::max(time_[slowest_] - relief / speed_[slowest_],
+               time_[other_rank] + (part - Part(theirs)) / speed_[other_rank]);
+  if (touched >= best.touched_time) {
+    return;
+  }
+  for (std::uint32_t r = 0; r < ranks_; ++r) {
+    if (r != other_rank && Holds(r, theirs)) {
+      touched = std::max(touched, time_[r] + pushed / speed_[r]);
+    }
+  }
+  if (touched < best.touched_time) {
+    best = {slowest_, slot, other_rank, other_slot, true, touched};
+  }
+}
+
+bool expert_layer::FindMove(move& best) const {
+  best = {};
+  best.touched_time = time_[slowest_] * (1 - kMinImprovement);
+  const double limit = best.touched_time;
+  for (const std::uint32_t r : order_) {
+    if (r == slowest_) {
+      continue;
+    }
+    // An exchange at best equalizes the two ranks. Ranks come fastest first,
+    // so the rest can't do better.
+    const double equalized =
+        (time_[slowest_] * speed_[slowest_] + time_[r] * speed_[r]) /
+        (speed_[slowest_] + speed_[r]);
+    if (equalized >= best.touched_time) {
+      break;
+    }
+    for (std::uint32_t slot = 0; slot < slots_per_rank_; ++slot) {
+      for (std::uint32_t other = 0; other < slots_per_rank_; ++other) {
+        ConsiderExchange(slot, r, other, best);
+        ConsiderReplica(slot, r, other, best);
+      }
+    }
+  }
+  return best.touched_time < limit;
+}
+
+void expert_layer::Apply(const move& chosen) {
+  std::uint16_t& mine = slots_[chosen.rank * slots_per_rank_ + chosen.slot];
+  std::uint16_t& theirs =
+      slots_[chosen.other_rank * slots_per_rank_ + chosen.other_slot];
+  if (chosen.replicate) {
+    --replicas_[theirs];
+    ++replicas_[mine];
+    theirs = mine;
+  } else {
+    std::swap(mine, theirs);
+  }
+  RebuildTimes();
+}
+
+}  // namespace wisteriaroute::policy
--- /dev/null
+++ b/src/libwisteriaroute/policy/expert_layer.h
@@ -0,0 +1,71 @@
+#ifndef LIBWISTERIAROUTE_POLICY_EXPERT_LAYER_H_
+#define LIBWISTERIAROUTE_POLICY_EXPERT_LAYER_H_
+
+#include <cstdint>
+#include <span>
+#include <vector>
+
+namespace wisteriaroute::policy {
+
+/**
+ * Placement of one layer's experts and the time that each rank needs. The
+ * tokens of an expert are divided evenly among its replicas.
+ */
+class expert_layer {
+ public:
+  /** `slots` holds rank after rank; `speed` is 1 for a healthy rank. */
+  expert_layer(std::span<const std::uint16_t> slots,
+               std::uint32_t slots_per_rank,
+               std::span<const double> share,
+               std::span<const double> speed);
+
+  /** An exchange or replacement of slot contents and what it does. */
+  struct move {
+    std::uint32_t rank = 0;
+    std::uint32_t slot = 0;
+    std::uint32_t other_rank = 0;
+    std::uint32_t other_slot = 0;
+    /** Replace the other slot's expert instead of exchanging both. */
+    bool replicate = false;
+    /** Time of the slowest rank that the move touches. */
+    double touched_time = 0;
+    std::uint32_t copies() const { return replicate ? 1 : 2; }
+  };
+
+  double MaxTime() const;
+  std::uint32_t SlowestRank() const;
+
+  /** The move that most relieves the slowest rank; false if none does. */
+  bool FindMove(move& best) const;
+  void Apply(const move& chosen);
+
+  std::span<const std::uint16_t> slots() const { return slots_; }
+
+ private:
+  bool Holds(std::uint32_t rank, std::uint16_t expert) const;
+  double Part(std::uint16_t expert) const;
+  void ConsiderExchange(std::uint32_t slot,
+                        std::uint32_t other_rank,
+                        std::uint32_t other_slot,
+                        move& best) const;
+  void ConsiderReplica(std::uint32_t slot,
+                       std::uint32_t other_rank,
+                       std::uint32_t other_slot,
+                       move& best) const;
+  void RebuildTimes();
+
+  std::vector<std::uint16_t> slots_;
+  std::uint32_t slots_per_rank_;
+  std::uint32_t ranks_;
+  std::span<const double> share_;
+  std::span<const double> speed_;
+  std::vector<std::uint32_t> replicas_;
+  std::vector<double> time_;
+  /** Ranks by time, fastest first. */
+  std::vector<std::uint32_t> order_;
+  std::uint32_t slowest_ = 0;
+};
+
+}  // namespace wisteriaroute::policy
+
+#endif  // LIBWISTERIAROUTE_POLICY_EXPERT_LAYER_H_
--- /dev/null
+++ b/src/libwisteriaroute/policy/expert_load.cc
@@ -0,0 +1,142 @@
+#include "libwisteriaroute/policy/expert_load.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <stdexcept>
+
+namespace wisteriaroute::policy {
+
+namespace {
+
+// Bounds of the weight of a new observation. The weight falls while residuals
+// look like noise, so that the estimate settles, and rises while successive
+// residuals agree in sign, which means that the estimate lags behind a drift.
+constexpr double kMinGain = 0.03;
+constexpr double kMaxGain = 0.5;
+constexpr double kInitialGain = 0.15;
+constexpr double kGainRise = 1.25;
+constexpr double kGainFall = 0.95;
+// Correlation of successive residuals above which a layer counts as drifting;
+// noise alone gives slightly negative values.
+constexpr double kDriftCorrelation = 0.08;
+// Weight after a shift of a layer's whole distribution was detected.
+constexpr double kShiftGain = 0.7;
+constexpr double kVarianceGain = 0.05;
+// Mean of the squared normalized residuals of a layer; 1 is expected from
+// noise alone, and drift within one interval stays below this.
+constexpr double kShiftThreshold = 4.0;
+constexpr std::uint64_t kWarmUpObservations = 6;
+
+struct layer_view {
+  std::span<double> share;
+  std::span<double> variance;
+  std::span<double> error_variance;
+  std::span<double> residual;
+  double& gain;
+};
+
+double NormalizedResidual(const layer_view& layer,
+                          std::span<const std::uint32_t> tokens,
+                          double total) {
+  double sum = 0;
+  for (std::size_t e = 0; e < tokens.size(); ++e) {
+    const double residual = tokens[e] / total - layer.share[e];
+    const double expected = layer.variance[e] + layer.error_variance[e];
+    sum += residual * residual / std::max(expected, 1e-12);
+  }
+  return sum / static_cast<double>(tokens.size());
+}
+
+// Mean product of this residual and the last one, in units of the variance.
+double ResidualCorrelation(const layer_view& layer,
+                           std::span<const std::uint32_t> tokens,
+                           double total) {
+  double sum = 0;
+  double scale = 0;
+  for (std::size_t e = 0; e < tokens.size(); ++e) {
+    sum += (tokens[e] / total - layer.share[e]) * layer.residual[e];
+    scale += layer.variance[e];
+  }
+  return scale > 0 ? sum / scale : 0;
+}
+
+double NextGain(const layer_view& layer,
+                std::span<const std::uint32_t> tokens,
+                double total,
+                std::uint64_t observations) {
+  if (observations < kWarmUpObservations) {
+    return 1.0 / static_cast<double>(observations + 1);
+  }
+  if (NormalizedResidual(layer, tokens, total) > kShiftThreshold) {
+    layer.gain = kInitialGain;
+    return kShiftGain;
+  }
+  const bool drifting =
+      ResidualCorrelation(layer, tokens, total) > kDriftCorrelation;
+  layer.gain = std::clamp(layer.gain * (drifting ? kGainRise : kGainFall),
+                          kMinGain, kMaxGain);
+  return layer.gain;
+}
+
+void UpdateLayer(const layer_view& layer,
+                 std::span<const std::uint32_t> tokens,
+                 std::uint64_t observations) {
+  const double total = std::accumulate(tokens.begin(), tokens.end(), 0.0);
+  if (total <= 0) {
+    return;
+  }
+  const double gain = NextGain(layer, tokens, total, observations);
+  const bool warming_up = observations < kWarmUpObservations;
+  // The estimate moves with the mean during warm-up, so residuals there
+  // understate the noise; equal weights make up for most of it.
+  const double variance_gain =
+      warming_up
+          ? 1.0 / static_cast<double>(std::max<std::uint64_t>(observations, 1))
+          : kVarianceGain;
+  for (std::size_t e = 0; e < tokens.size(); ++e) {
+    const double residual = tokens[e] / total - layer.share[e];
+    if (observations == 0) {
+      layer.variance[e] = 0;
+    } else if (gain != kShiftGain) {
+      layer.variance[e] +=
+          variance_gain * (residual * residual - layer.variance[e]);
+    }
+    layer.share[e] += gain * residual;
+    layer.residual[e] = residual;
+    layer.error_variance[e] =
+        (1 - gain) * (1 - gain) * layer.error_variance[e] +
+        gain * gain * layer.variance[e];
+  }
+}
+
+}  // namespace
+
+expert_load MakeExpertLoad(std::uint32_t layers, std::uint32_t experts) {
+  const std::size_t size = static_cast<std::size_t>(layers) * experts;
+  expert_load load{.layers = layers, .experts = experts};
+  load.share.assign(size, 1.0 / experts);
+  load.variance.assign(size, 0);
+  load.error_variance.assign(size, 0);
+  load.residual.assign(size, 0);
+  load.gain.assign(layers, kInitialGain);
+  return load;
+}
+
+void Observe(expert_load& load, std::span<const std::uint32_t> tokens) {
+  if (tokens.size() != load.share.size()) {
+    throw std::invalid_argument("expert tokens don't match the group's size");
+  }
+  for (std::uint32_t l = 0; l < load.layers; ++l) {
+    const std::size_t first = static_cast<std::size_t>(l) * load.experts;
+    const layer_view layer{
+        std::span(load.share).subspan(first, load.experts),
+        std::span(load.variance).subspan(first, load.experts),
+        std::span(load.error_variance).subspan(first, load.experts),
+        std::span(load.residual).subspan(first, load.experts), load.gain[l]};
+    UpdateLayer(layer, tokens.subspan(first, load.experts), load.observations);
+  }
+  ++load.observations;
+}
+
+}  // namespace wisteriaroute::policy
--- /dev/null
+++ b/src/libwisteriaroute/policy/expert_load.h
@@ -0,0 +1,38 @@
+#ifndef LIBWISTERIAROUTE_POLICY_EXPERT_LOAD_H_
+#define LIBWISTERIAROUTE_POLICY_EXPERT_LOAD_H_
+
+#include <cstdint>
+#include <span>
+#include <vector>
+
+namespace wisteriaroute::policy {
+
+/** Popularity of the experts of one group, per layer, as shares of 1. */
+struct expert_load {
+  std::uint32_t layers = 0;
+  std::uint32_t experts = 0;
+  /** Index: layer * experts + expert. Each layer adds up to 1. */
+  std::vector<double> share;
+  /** Variance of one observation of each share. */
+  std::vector<double> variance;
+  /** Variance of the estimate of each share. */
+  std::vector<double> error_variance;
+  /** Residuals of the last observation. */
+  std::vector<double> residual;
+  /** Per layer: weight of the next observation. */
+  std::vector<double> gain;
+  std::uint64_t observations = 0;
+};
+
+/** An estimate without observations: all experts are equally popular. */
+expert_load MakeExpertLoad(std::uint32_t layers, std::uint32_t experts);
+
+/**
+ * Takes up the tokens that each expert got in one interval. Layers without
+ * tokens are left as they are. Throws std::invalid_argument on a wrong size.
+ */
+void Observe(expert_load& load, std::span<const std::uint32_t> tokens);
+
+}  // namespace wisteriaroute::policy
+
+#endif  // LIBWISTERIAROUTE_POLICY_EXPERT_LOAD_H_
