wrctl: subcommands, help, and a client that follows the leader

check and key-digest work offline; the others send administrative requests over a link, follow not_leader, send again after lost links and undecided answers, and end within a time limit. Exit statuses: 0, 1 findings or not reached, 2 usage, 3 refused, 4 unreachable.

Not run against control, which doesn't exist yet.

--- /dev/null
+++ b/src/wrctl/admin_client.cc
@@ -0,0 +1,280 @@
+#include "wrctl/admin_client.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "libwisteriaroute/base/digest.h"
+#include "wrctl/command_line.h"
+#include "wrctl/exit_status.h"
+
+namespace wisteriaroute::wrctl {
+
+namespace {
+
+constexpr base::time_us kTickUs = 20'000;
+// Longer than a normal leader change (0.6 to 1.0 s) with its repetition, and
+// short enough to reach a second replica within the default limit of 10 s.
+constexpr base::time_us kAnswerLimitUs = 3'000'000;
+constexpr base::time_us kRetryDelayUs = 150'000;
+
+net::link_context MakeContext(net::loop& event_loop,
+                              base::hybrid_clock& clock,
+                              const std::string& cluster_key) {
+  const std::uint64_t run = base::RandomU64();
+  return {.event_loop = &event_loop,
+          .self = {.name = "wrctl-" + std::to_string(run),
+                   .role = "wrctl",
+                   .incarnation = run},
+          .cluster_key = cluster_key,
+          .clock = &clock};
+}
+
+}  // namespace
+
+admin_client::admin_client(const client_settings& settings)
+    : hub_(
+          MakeContext(loop_, clock_, settings.cluster_key),
+          {.on_up = [this](net::link_id link,
+                           net::dial_id dial,
+                           const net::peer_identity&) { HandleUp(link, dial); },
+           .on_message =
+               [this](net::link_id link, std::string_view body) {
+                 HandleMessage(link, body);
+               },
+           .on_down = [this](net::link_id link,
+                             std::string_view) { HandleDown(link); }}) {
+  for (const std::string& address : settings.controls) {
+    DialOnce(address);
+  }
+}
+
+net::dial_id admin_client::DialOnce(const std::string& address) {
+  for (const auto& [dial, known] : targets_) {
+    if (known.address == address) {
+      return dial;
+    }
+  }
+  const net::dial_id dial = hub_.Dial(address);
+  targets_[dial].address = address;
+  return dial;
+}
+
+wire::admin_reply admin_client::Call(wire::admin_call call,
+                                     base::time_us until_us) {
+  broadcast_ = false;
+  request_ = wire::Encode(wire::admin_request{.correlation = ++correlation_,
+                                              .call = std::move(call)});
+  ForgetAsked();
+  last_refusal_.clear();
+  RunUntil(until_us);
+  if (!done_) {
+    throw command_failure(kUnreachable, DescribeSilence());
+  }
+  if (reply_.result == wire::admin_result::kRefused) {
+    throw command_failure(kRefused,
+                          "refused (" + reply_.code + "): " + reply_.message);
+  }
+  return std::move(reply_);
+}
+
+std::vector<process_answer> admin_client::CallEach(
+    std::span<const std::string> addresses,
+    const wire::admin_call& call,
+    base::time_us until_us) {
+  broadcast_ = true;
+  request_ = wire::Encode(
+      wire::admin_request{.correlation = ++correlation_, .call = call});
+  answers_.clear();
+  for (const std::string& address : addresses) {
+    const net::dial_id dial = DialOnce(address);
+    answers_[dial].address = address;
+    const net::link_id link = targets_[dial].link;
+    if (link != 0) {
+      hub_.Send(link, request_);
+    }
+  }
+  if (!answers_.empty()) {
+    RunUntil(until_us);
+  }
+  std::vector<process_answer> answers;
+  for (auto& [dial, answer] : answers_) {
+    answers.push_back(std::move(answer));
+  }
+  return answers;
+}
+
+void admin_client::RunUntil(base::time_us until_us) {
+  done_ = false;
+  net::timer tick(loop_.ev(), [&] {
+    Advance();
+    if (done_ || base::MonotonicUs() >= until_us) {
+      loop_.Stop();
+    }
+  });
+  tick.Start(0, kTickUs);
+  loop_.Run();
+}
+
+void admin_client::ForgetAsked() {
+  asked_ = 0;
+  next_try_us_ = 0;
+}
+
+void admin_client::Advance() {
+  const base::time_us now_us = base::MonotonicUs();
+  if (asked_ != 0 && now_us > asked_at_us_ + kAnswerLimitUs) {
+    last_refusal_ = targets_[asked_].address + " doesn't answer";
+    if (preferred_ == asked_) {
+      preferred_ = 0;
+    }
+    ForgetAsked();
+  }
+  if (broadcast_ || done_ || asked_ != 0 || now_us < next_try_us_) {
+    return;
+  }
+  auto next = targets_.find(preferred_);
+  if (next == targets_.end() || next->second.link == 0) {
+    // The next one that is up after the one that was asked last.
+    next = targets_.upper_bound(last_asked_);
+    for (std::size_t i = 0; i < targets_.size(); ++i, ++next) {
+      if (next == targets_.end()) {
+        next = targets_.begin();
+      }
+      if (next->second.link != 0) {
+        break;
+      }
+    }
+    if (next == targets_.end()) {
+      next = targets_.begin();
+    }
+  }
+  if (next->second.link == 0) {
+    return;
+  }
+  asked_ = last_asked_ = next->first;
+  asked_at_us_ = now_us;
+  hub_.Send(next->second.link, request_);
+}
+
+void admin_client::HandleUp(net::link_id link, net::dial_id dial) {
+  target& peer = targets_[dial];
+  peer.link = link;
+  peer.was_up = true;
+  if (broadcast_ && answers_.contains(dial)) {
+    hub_.Send(link, request_);
+    return;
+  }
+  if (dial == preferred_) {
+    next_try_us_ = 0;
+  }
+  Advance();
+}
+
+void admin_client::HandleDown(net::link_id link) {
+  for (auto& [dial, peer] : targets_) {
+    if (peer.link == link) {
+      peer.link = 0;
+      if (dial == asked_) {
+        last_refusal_ = "the link to " + peer.address + " was lost";
+        ForgetAsked();
+      }
+    }
+  }
+}
+
+void admin_client::HandleMessage(net::link_id link, std::string_view body) {
+  wire::control_message message;
+  try {
+    message = wire::DecodeControl(body);
+  } catch (const wire::malformed_message& error) {
+    hub_.Close(link, error.what());
+    return;
+  }
+  if (auto* reply = std::get_if<wire::admin_reply>(&message)) {
+    HandleReply(link, std::move(*reply));
+  } else if (const auto* other = std::get_if<wire::not_leader>(&message)) {
+    if (asked_ != 0 && targets_[asked_].link == link) {
+      FollowLeader(*other);
+    }
+  }
+}
+
+void admin_client::HandleReply(net::link_id link, wire::admin_reply reply) {
+  if (reply.correlation != correlation_) {
+    return;
+  }
+  if (broadcast_) {
+    for (auto& [dial, answer] : answers_) {
+      if (targets_[dial].link == link) {
+        answer.answered = true;
+        answer.reply = std::move(reply);
+        break;
+      }
+    }
+    done_ = std::ranges::all_of(
+        answers_, [](const auto& each) { return each.second.answered; });
+    return;
+  }
+  if (reply.result == wire::admin_result::kOk ||
+      reply.result == wire::admin_result::kRefused) {
+    reply_ = std::move(reply);
+    done_ = true;
+    loop_.Stop();
+    return;
+  }
+  if (asked_ != 0 && targets_[asked_].link == link) {
+    last_refusal_ = targets_[asked_].address + " is not the leader";
+    if (reply.result == wire::admin_result::kUnavailable) {
+      last_refusal_ =
+          targets_[asked_].address + " can't decide now: " + reply.message;
+    }
+    if (preferred_ == asked_) {
+      preferred_ = 0;
+    }
+    asked_ = 0;
+    next_try_us_ = base::MonotonicUs() + kRetryDelayUs;
+  }
+}
+
+void admin_client::FollowLeader(const wire::not_leader& message) {
+  last_refusal_ = targets_[asked_].address + " is not the leader";
+  preferred_ = 0;
+  if (message.leader_address.empty()) {
+    last_refusal_ += ", and knows of none";
+  } else {
+    try {
+      preferred_ = DialOnce(message.leader_address);
+    } catch (const std::invalid_argument&) {
+      last_refusal_ += ", and names a faulty address";
+    }
+  }
+  const bool ready =
+      preferred_ != 0 && preferred_ != asked_ && targets_[preferred_].link != 0;
+  asked_ = 0;
+  next_try_us_ = base::MonotonicUs() + (ready ? 0 : kRetryDelayUs);
+}
+
+std::string admin_client::DescribeSilence() const {
+  std::string message = "control can't be reached within the time limit:";
+  for (const auto& [dial, peer] : targets_) {
+    message += "\n  " + peer.address;
+    if (peer.link != 0) {
+      message += " is connected";
+    } else if (peer.was_up) {
+      message += " was connected and is lost";
+    } else {
+      message += " doesn't accept the connection (address or cluster key?)";
+    }
+  }
+  if (!last_refusal_.empty()) {
+    message += "\n  last: " + last_refusal_;
+  }
+  return message;
+}
+
+base::time_us TimeLimit(double fallback_s) {
+  const double seconds = FLAGS_timeout_s > 0 ? FLAGS_timeout_s : fallback_s;
+  return base::MonotonicUs() + static_cast<base::time_us>(seconds * 1e6);
+}
+
+}  // namespace wisteriaroute::wrctl
--- /dev/null
+++ b/src/wrctl/command_line.h
@@ -0,0 +1,60 @@
+#ifndef WRCTL_COMMAND_LINE_H_
+#define WRCTL_COMMAND_LINE_H_
+
+#include <gflags/gflags.h>
+
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+DECLARE_string(controls);
+DECLARE_string(cluster_key_file);
+DECLARE_string(settings);
+DECLARE_string(output);
+DECLARE_double(timeout_s);
+DECLARE_string(base);
+DECLARE_string(operation_id);
+DECLARE_bool(wait);
+DECLARE_string(request);
+DECLARE_string(group);
+DECLARE_string(server);
+DECLARE_uint64(revision);
+DECLARE_uint32(limit);
+
+namespace wisteriaroute::wrctl {
+
+using argument_list = std::vector<std::string>;
+
+/** A subcommand. Its name may have two words, for instance `members add`. */
+struct command {
+  std::string_view name;
+  /** Names of its arguments, for instance `NAME ADDRESS`. */
+  std::string_view arguments;
+  std::string_view summary;
+  std::string_view details;
+  /** Flags that it takes, besides those of every command. */
+  std::vector<std::string_view> flags;
+  /** Whether it takes the flags for reaching control. */
+  bool connects = true;
+  int (*run)(const argument_list& arguments) = nullptr;
+};
+
+/** What the words of a command line ask for. */
+struct parsed_line {
+  const command* selected = nullptr;
+  bool help = false;
+  argument_list arguments;
+};
+
+/** Sets the flags. Throws command_failure for a usage error. */
+parsed_line ParseCommandLine(std::span<const std::string_view> words,
+                             std::span<const command> commands);
+
+/** Help on one command, or on all of them if `selected` is null. */
+std::string HelpText(const command* selected,
+                     std::span<const command> commands);
+
+}  // namespace wisteriaroute::wrctl
+
+#endif  // WRCTL_COMMAND_LINE_H_
--- /dev/null
+++ b/src/wrctl/leader_commands.cc
@@ -0,0 +1,116 @@
+#include <algorithm>
+#include <charconv>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+#include "libwisteriaroute/net/address.h"
+#include "wrctl/admin_client.h"
+#include "wrctl/commands.h"
+#include "wrctl/exit_status.h"
+#include "wrctl/report.h"
+
+namespace wisteriaroute::wrctl {
+
+namespace {
+
+constexpr double kDefaultLimitS = 10;
+constexpr std::array<std::string_view, 12> kColumns = {
+    "revision",     "name",    "group",       "role",
+    "fingerprint",  "state",   "time_ms",     "since_ms",
+    "operation_id", "address", "data_center", "healthy"};
+
+wire::admin_reply Ask(wire::admin_call call) {
+  admin_client client(ReadClientSettings());
+  return client.Call(std::move(call), TimeLimit(kDefaultLimitS));
+}
+
+int Read(wire::admin_call call) {
+  PrintReport(ParseAnswer(Ask(std::move(call)).json), kColumns);
+  return kOk;
+}
+
+/** Prints what control says of a change, or `done`. */
+int Change(wire::admin_call call, const std::string& done) {
+  const wire::admin_reply reply = Ask(std::move(call));
+  if (FLAGS_output == "json") {
+    std::cout << ParseAnswer(reply.json.empty() ? "{}" : reply.json).dump(2)
+              << "\n";
+  } else {
+    std::cout << (reply.message.empty() ? done : Printable(reply.message))
+              << "\n";
+  }
+  return kOk;
+}
+
+base::digest128 ParseFingerprint(const std::string& text) {
+  constexpr std::size_t kDigits = 16;
+  base::digest128 digest;
+  const auto read = [&](std::size_t at, std::uint64_t& part) {
+    const char* end = text.data() + at + kDigits;
+    const auto [stop, error] = std::from_chars(text.data() + at, end, part, 16);
+    return error == std::errc() && stop == end;
+  };
+  if (text.size() != 2 * kDigits || !read(0, digest.high) ||
+      !read(kDigits, digest.low)) {
+    throw command_failure(kUsage,
+                          "a fingerprint has 32 hexadecimal digits (see wrctl "
+                          "quarantine list)");
+  }
+  return digest;
+}
+
+}  // namespace
+
+int RunHistory(const argument_list&) {
+  return Read(wire::get_history{});
+}
+
+int RunGroups(const argument_list&) {
+  return Read(wire::get_groups{});
+}
+
+int RunMembers(const argument_list&) {
+  return Read(wire::get_members{});
+}
+
+int RunQuarantineList(const argument_list&) {
+  return Read(wire::get_quarantine{});
+}
+
+int RunQuarantineRelease(const argument_list& arguments) {
+  return Change(
+      wire::release_quarantine{.fingerprint = ParseFingerprint(arguments[0])},
+      "released " + arguments[0]);
+}
+
+int RunDrain(const argument_list& arguments) {
+  return Change(wire::drain_request{.name = arguments[0], .drained = true},
+                "draining " + arguments[0]);
+}
+
+int RunUndrain(const argument_list& arguments) {
+  return Change(wire::drain_request{.name = arguments[0], .drained = false},
+                arguments[0] + " takes new work again");
+}
+
+int RunRebalance(const argument_list& arguments) {
+  return Change(wire::rebalance_request{.group = arguments[0]},
+                "asked for a new expert map of " + arguments[0]);
+}
+
+int RunMembersAdd(const argument_list& arguments) {
+  if (!net::IsAddress(arguments[1])) {
+    throw command_failure(
+        kUsage, "'" + arguments[1] + "' is not an address; write IP:port");
+  }
+  return Change(
+      wire::add_replica{.name = arguments[0], .address = arguments[1]},
+      "added control replica " + arguments[0]);
+}
+
+int RunMembersRemove(const argument_list& arguments) {
+  return Change(wire::remove_replica{.name = arguments[0]},
+                "removed control replica " + arguments[0]);
+}
+
+}  // namespace wisteriaroute::wrctl
--- /dev/null
+++ b/src/wrctl/local_set.h
@@ -0,0 +1,24 @@
+#ifndef WRCTL_LOCAL_SET_H_
+#define WRCTL_LOCAL_SET_H_
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "libwisteriaroute/config/parse.h"
+
+namespace wisteriaroute::wrctl {
+
+/** Reads and checks a directory. Throws command_failure if it can't be read. */
+config::parsed_set ReadLocalSet(const std::string& directory);
+
+/** As ReadLocalSet; prints the findings and throws if there are any. */
+config::parsed_set ReadCleanSet(const std::string& directory);
+
+/** Prints findings on standard error, one a line. */
+void PrintFindings(const base::findings& findings);
+
+nlohmann::json FindingsAsJson(const base::findings& findings);
+
+}  // namespace wisteriaroute::wrctl
+
+#endif  // WRCTL_LOCAL_SET_H_
--- /dev/null
+++ b/src/wrctl/main.cc
@@ -0,0 +1,123 @@
+#include <array>
+#include <exception>
+#include <iostream>
+#include <string_view>
+#include <vector>
+
+#include "wrctl/command_line.h"
+#include "wrctl/commands.h"
+#include "wrctl/exit_status.h"
+
+namespace wisteriaroute::wrctl {
+namespace {
+
+const std::array<command, 16>& Commands() {
+  static const std::array<command, 16> commands = {{
+      {.name = "check",
+       .arguments = "DIR",
+       .summary = "Checks a directory of named objects, offline",
+       .details = "Reads all *.toml files below DIR as one set and reports "
+                  "every finding as\nfile:line:column: message. Exit status: "
+                  "0 clean, 1 findings, 2 unreadable.",
+       .connects = false,
+       .run = &RunCheck},
+      {.name = "diff",
+       .arguments = "DIR",
+       .summary = "Shows what publishing DIR would change",
+       .run = &RunDiff},
+      {.name = "publish",
+       .arguments = "DIR",
+       .summary = "Publishes DIR as the whole set of named objects",
+       .details =
+           "Needs --base: the revision that you looked at. If another revision "
+           "is the newest\nby then, control refuses with stale_base and "
+           "nothing changes. Sending the same\nset again with the same base "
+           "and operation id gives the first answer again.",
+       .flags = {"base", "operation_id"},
+       .run = &RunPublish},
+      {.name = "status",
+       .summary = "Shows each process with the revision it has in force",
+       .details = "With --wait it returns when the newest revision is in force "
+                  "everywhere (status 0),\nor at the time limit (status 1).",
+       .flags = {"wait"},
+       .run = &RunStatus},
+      {.name = "history",
+       .summary = "Lists the accepted revisions",
+       .run = &RunHistory},
+      {.name = "drain",
+       .arguments = "NAME",
+       .summary = "Takes a backend server out of rotation, by its agent's name",
+       .details = "New work stops within 3 s; requests in progress finish.",
+       .run = &RunDrain},
+      {.name = "undrain",
+       .arguments = "NAME",
+       .summary = "Puts a backend server back into rotation",
+       .run = &RunUndrain},
+      {.name = "groups",
+       .summary = "Shows the model groups with their expert maps",
+       .run = &RunGroups},
+      {.name = "rebalance",
+       .arguments = "GROUP",
+       .summary = "Asks for a new expert map of a group now",
+       .run = &RunRebalance},
+      {.name = "quarantine list",
+       .summary = "Lists suspects and quarantined requests",
+       .run = &RunQuarantineList},
+      {.name = "quarantine release",
+       .arguments = "FINGERPRINT",
+       .summary = "Lets a quarantined request run again",
+       .run = &RunQuarantineRelease},
+      {.name = "members",
+       .summary = "Lists control replicas, entries and agents",
+       .run = &RunMembers},
+      {.name = "members add",
+       .arguments = "NAME ADDRESS",
+       .summary = "Adds a control replica",
+       .details = "Start the new replica with an empty data directory first. "
+                  "It votes once it holds\nthe log.",
+       .run = &RunMembersAdd},
+      {.name = "members remove",
+       .arguments = "NAME",
+       .summary = "Removes a control replica",
+       .run = &RunMembersRemove},
+      {.name = "timeline",
+       .summary = "Merges the events of all processes in causal order",
+       .details = "Exit status 1 if a listed process didn't answer; the rest "
+                  "is printed.",
+       .flags = {"request", "group", "server", "revision", "limit"},
+       .run = &RunTimeline},
+      {.name = "key-digest",
+       .summary = "Reads a bearer key from standard input, prints its digest",
+       .details = "The digest goes into key_digests of a workspace.",
+       .connects = false,
+       .run = &RunKeyDigest},
+  }};
+  return commands;
+}
+
+int Run(const std::vector<std::string_view>& words) {
+  try {
+    const parsed_line line = ParseCommandLine(words, Commands());
+    if (line.help) {
+      std::cout << HelpText(line.selected, Commands());
+      return kOk;
+    }
+    const int status = line.selected->run(line.arguments);
+    std::cout << std::flush;
+    return status;
+  } catch (const command_failure& failure) {
+    std::cerr << "wrctl: " << failure.what() << "\n";
+    return failure.status();
+  } catch (const std::exception& error) {
+    std::cerr << "wrctl: " << error.what() << "\n";
+    return kUsage;
+  }
+}
+
+}  // namespace
+}  // namespace wisteriaroute::wrctl
+
+int main(int argc, char** argv) {
+  const std::vector<std::string_view> words(argv + 1, argv + argc);
+  return wisteriaroute::wrctl::Run(words);
+}
--- /dev/null
+++ b/src/wrctl/report.cc
@@ -0,0 +1,169 @@
+#include "wrctl/report.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <ctime>
+#include <iostream>
+
+#include "wrctl/command_line.h"
+#include "wrctl/exit_status.h"
+
+namespace wisteriaroute::wrctl {
+
+namespace {
+
+std::string Cell(std::string_view key, const nlohmann::json& value) {
+  if (value.is_null()) {
+    return "-";
+  }
+  if (value.is_string()) {
+    return Printable(value.get_ref<const std::string&>());
+  }
+  if (value.is_boolean()) {
+    return value.get<bool>() ? "yes" : "no";
+  }
+  if (value.is_number_integer() && (key == "time_ms" || key == "since_ms")) {
+    return FormatTime(value.get<std::int64_t>());
+  }
+  if (value.is_array()) {
+    std::string text;
+    for (const nlohmann::json& element : value) {
+      text += (text.empty() ? "" : ",") + Cell("", element);
+    }
+    return text.empty() ? "-" : text;
+  }
+  return value.dump();
+}
+
+bool IsTable(const nlohmann::json& value) {
+  return value.is_array() && !value.empty() &&
+         std::ranges::all_of(
+             value, [](const auto& element) { return element.is_object(); });
+}
+
+table_row Columns(const nlohmann::json& table,
+                  std::span<const std::string_view> preferred) {
+  table_row columns;
+  const auto add = [&](const std::string& key) {
+    if (std::ranges::find(columns, key) == columns.end()) {
+      columns.push_back(key);
+    }
+  };
+  for (const std::string_view key : preferred) {
+    const bool used = std::ranges::any_of(
+        table, [&](const auto& row) { return row.contains(std::string(key)); });
+    if (used) {
+      add(std::string(key));
+    }
+  }
+  for (const nlohmann::json& row : table) {
+    for (auto item = row.begin(); item != row.end(); ++item) {
+      add(item.key());
+    }
+  }
+  return columns;
+}
+
+std::string FormatRows(const nlohmann::json& table,
+                       std::span<const std::string_view> preferred) {
+  std::vector<table_row> rows = {Columns(table, preferred)};
+  for (const nlohmann::json& row : table) {
+    table_row cells;
+    for (const std::string& column : rows.front()) {
+      cells.push_back(row.contains(column) ? Cell(column, row[column]) : "-");
+    }
+    rows.push_back(std::move(cells));
+  }
+  return FormatTable(rows);
+}
+
+}  // namespace
+
+std::string FormatTable(const std::vector<table_row>& rows) {
+  std::vector<std::size_t> widths;
+  for (const table_row& row : rows) {
+    widths.resize(std::max(widths.size(), row.size()));
+    for (std::size_t i = 0; i < row.size(); ++i) {
+      widths[i] = std::max(widths[i], row[i].size());
+    }
+  }
+  std::string text;
+  for (const table_row& row : rows) {
+    std::string line;
+    for (std::size_t i = 0; i < row.size(); ++i) {
+      line += row[i];
+      if (i + 1 < row.size()) {
+        line.append(widths[i] - row[i].size() + 2, ' ');
+      }
+    }
+    text += line + "\n";
+  }
+  return text;
+}
+
+std::string FormatReport(const nlohmann::json& report,
+                         std::span<const std::string_view> columns) {
+  if (IsTable(report)) {
+    return FormatRows(report, columns);
+  }
+  if (!report.is_object()) {
+    return Cell("", report) + "\n";
+  }
+  std::string values;
+  std::string tables;
+  for (auto item = report.begin(); item != report.end(); ++item) {
+    if (IsTable(*item)) {
+      tables += "\n" + item.key() + ":\n" + FormatRows(*item, columns);
+    } else {
+      values += item.key() + ": " + Cell(item.key(), *item) + "\n";
+    }
+  }
+  return values.empty() ? tables.substr(std::min<std::size_t>(1, tables.size()))
+                        : values + tables;
+}
+
+void PrintReport(const nlohmann::json& report,
+                 std::span<const std::string_view> columns) {
+  if (FLAGS_output == "json") {
+    std::cout << report.dump(2, ' ', false,
+                             nlohmann::json::error_handler_t::replace)
+              << "\n";
+  } else {
+    std::cout << FormatReport(report, columns);
+  }
+}
+
+nlohmann::json ParseAnswer(std::string_view text) {
+  nlohmann::json answer = nlohmann::json::parse(text, nullptr, false);
+  if (answer.is_discarded()) {
+    throw command_failure(kUnreachable, "control's answer is not JSON");
+  }
+  return answer;
+}
+
+std::string FormatTime(std::int64_t unix_ms) {
+  const std::time_t seconds = unix_ms / 1'000;
+  std::tm fields{};
+  if (unix_ms < 0 || gmtime_r(&seconds, &fields) == nullptr) {
+    return std::to_string(unix_ms);
+  }
+  std::array<char, 40> buffer{};
+  const std::size_t length =
+      std::strftime(buffer.data(), buffer.size(), "%Y-%m-%dT%H:%M:%S", &fields);
+  std::array<char, 8> fraction{};
+  std::snprintf(fraction.data(), fraction.size(), ".%03dZ",
+                static_cast<int>(unix_ms % 1'000));
+  return std::string(buffer.data(), length) + fraction.data();
+}
+
+std::string Printable(std::string_view text) {
+  std::string result(text);
+  std::ranges::replace_if(
+      result,
+      [](char c) { return static_cast<unsigned char>(c) < 0x20 || c == 0x7f; },
+      ' ');
+  return result;
+}
+
+}  // namespace wisteriaroute::wrctl
--- /dev/null
+++ b/src/wrctl/status_command.cc
@@ -0,0 +1,89 @@
+#include <unistd.h>
+
+#include <chrono>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include "wrctl/admin_client.h"
+#include "wrctl/commands.h"
+#include "wrctl/exit_status.h"
+#include "wrctl/report.h"
+
+namespace wisteriaroute::wrctl {
+
+namespace {
+
+constexpr double kDefaultLimitS = 10;
+constexpr double kDefaultWaitS = 60;
+constexpr std::chrono::milliseconds kPollPeriod{200};
+
+constexpr std::array<std::string_view, 6> kColumns = {
+    "name", "role", "data_center", "revision", "ready", "missing"};
+
+bool InForceEverywhere(const nlohmann::json& status) {
+  return status.value("in_force_everywhere", false);
+}
+
+/** Replaces the progress line on a terminal; prints nothing elsewhere. */
+void ShowProgress(const nlohmann::json& status) {
+  if (isatty(STDERR_FILENO) == 0) {
+    return;
+  }
+  const std::uint64_t revision = status.value("revision", std::uint64_t{0});
+  std::size_t total = 0;
+  std::size_t reached = 0;
+  std::string waiting_for;
+  for (const nlohmann::json& process :
+       status.value("members", nlohmann::json::array())) {
+    ++total;
+    if (process.value("revision", std::uint64_t{0}) >= revision) {
+      ++reached;
+    } else if (waiting_for.empty()) {
+      waiting_for = "; waiting for " + process.value("name", std::string());
+    }
+  }
+  std::cerr << "\r\033[Krevision " << revision << " in force in " << reached
+            << " of " << total << " processes" << waiting_for << std::flush;
+}
+
+nlohmann::json ReadStatus(admin_client& client, base::time_us until_us) {
+  return ParseAnswer(client.Call(wire::get_status{}, until_us).json);
+}
+
+nlohmann::json WaitForStatus(admin_client& client, base::time_us until_us) {
+  while (true) {
+    nlohmann::json status = ReadStatus(client, until_us);
+    ShowProgress(status);
+    const bool last =
+        base::MonotonicUs() + std::chrono::microseconds(kPollPeriod).count() >=
+        until_us;
+    if (InForceEverywhere(status) || last) {
+      if (isatty(STDERR_FILENO) != 0) {
+        std::cerr << "\n";
+      }
+      return status;
+    }
+    std::this_thread::sleep_for(kPollPeriod);
+  }
+}
+
+}  // namespace
+
+int RunStatus(const argument_list&) {
+  admin_client client(ReadClientSettings());
+  if (!FLAGS_wait) {
+    PrintReport(ReadStatus(client, TimeLimit(kDefaultLimitS)), kColumns);
+    return kOk;
+  }
+  const nlohmann::json status = WaitForStatus(client, TimeLimit(kDefaultWaitS));
+  PrintReport(status, kColumns);
+  if (InForceEverywhere(status)) {
+    return kOk;
+  }
+  std::cerr << "wrctl: the revision is not in force everywhere within the time "
+               "limit\n";
+  return kFindings;
+}
+
+}  // namespace wisteriaroute::wrctl
