wrctl: read control's answers as control writes them

not_leader carries the leader's address in its message; status lists processes with what each one lacks; groups show their ranks as a table. wrctl_test passes.

--- a/src/wrctl/admin_client.cc
+++ b/src/wrctl/admin_client.cc
@@ -222,18 +222,20 @@
     loop_.Stop();
     return;
   }
-  if (asked_ != 0 && targets_[asked_].link == link) {
-    last_refusal_ = targets_[asked_].address + " is not the leader";
-    if (reply.result == wire::admin_result::kUnavailable) {
-      last_refusal_ =
-          targets_[asked_].address + " can't decide now: " + reply.message;
-    }
-    if (preferred_ == asked_) {
-      preferred_ = 0;
-    }
-    asked_ = 0;
-    next_try_us_ = base::MonotonicUs() + kRetryDelayUs;
+  if (asked_ == 0 || targets_[asked_].link != link) {
+    return;
+  }
+  if (reply.result == wire::admin_result::kNotLeader) {
+    // The message is the leader's address, if the replica knows it.
+    FollowLeader({.leader_address = reply.message});
+    return;
   }
+  // The same replica is asked again: it is the leader, and waits for a quorum.
+  last_refusal_ =
+      targets_[asked_].address + " can't decide now: " + reply.message;
+  preferred_ = asked_;
+  asked_ = 0;
+  next_try_us_ = base::MonotonicUs() + kRetryDelayUs;
 }
 
 void admin_client::FollowLeader(const wire::not_leader& message) {
--- a/src/wrctl/report.cc
+++ b/src/wrctl/report.cc
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <ctime>
 #include <iostream>
+#include <set>
 
 #include "wrctl/command_line.h"
 #include "wrctl/exit_status.h"
@@ -13,17 +14,22 @@
 
 namespace {
 
+/** Keys whose values are Unix milliseconds. */
+const std::set<std::string_view> kUnixTimes = {"time_ms", "since_ms",
+                                               "log_time_ms"};
+
 std::string Cell(std::string_view key, const nlohmann::json& value) {
   if (value.is_null()) {
     return "-";
   }
   if (value.is_string()) {
-    return Printable(value.get_ref<const std::string&>());
+    const std::string text = Printable(value.get_ref<const std::string&>());
+    return text.empty() ? "-" : text;
   }
   if (value.is_boolean()) {
     return value.get<bool>() ? "yes" : "no";
   }
-  if (value.is_number_integer() && (key == "time_ms" || key == "since_ms")) {
+  if (value.is_number_integer() && kUnixTimes.contains(key)) {
     return FormatTime(value.get<std::int64_t>());
   }
   if (value.is_array()) {
@@ -33,6 +39,14 @@
     }
     return text.empty() ? "-" : text;
   }
+  if (value.is_object()) {
+    std::string text;
+    for (auto item = value.begin(); item != value.end(); ++item) {
+      text += (text.empty() ? "" : " ") + item.key() + "=" +
+              Cell(item.key(), *item);
+    }
+    return text.empty() ? "-" : text;
+  }
   return value.dump();
 }
 
@@ -42,6 +56,14 @@
              value, [](const auto& element) { return element.is_object(); });
 }
 
+/** Whether rows hold tables themselves; they are shown one by one. */
+bool HasInnerTables(const nlohmann::json& value) {
+  return IsTable(value) &&
+         std::ranges::any_of(value, [](const nlohmann::json& row) {
+           return std::ranges::any_of(row, &IsTable);
+         });
+}
+
 table_row Columns(const nlohmann::json& table,
                   std::span<const std::string_view> preferred) {
   table_row columns;
@@ -113,7 +135,11 @@
   std::string values;
   std::string tables;
   for (auto item = report.begin(); item != report.end(); ++item) {
-    if (IsTable(*item)) {
+    if (HasInnerTables(*item)) {
+      for (const nlohmann::json& row : *item) {
+        tables += "\n" + FormatReport(row, columns);
+      }
+    } else if (IsTable(*item)) {
       tables += "\n" + item.key() + ":\n" + FormatRows(*item, columns);
     } else {
       values += item.key() + ": " + Cell(item.key(), *item) + "\n";
--- a/src/wrctl/status_command.cc
+++ b/src/wrctl/status_command.cc
@@ -35,7 +35,7 @@
   std::size_t reached = 0;
   std::string waiting_for;
   for (const nlohmann::json& process :
-       status.value("members", nlohmann::json::array())) {
+       status.value("processes", nlohmann::json::array())) {
     ++total;
     if (process.value("revision", std::uint64_t{0}) >= revision) {
       ++reached;
@@ -47,8 +47,32 @@
             << " of " << total << " processes" << waiting_for << std::flush;
 }
 
+/** What keeps a process from serving the newest revision. */
+std::string Missing(const nlohmann::json& process, std::uint64_t newest) {
+  std::string text;
+  const auto add = [&](bool missing, const std::string& what) {
+    if (missing) {
+      text += (text.empty() ? "" : ", ") + what;
+    }
+  };
+  const std::uint64_t held = process.value("revision", std::uint64_t{0});
+  add(!process.value("connected", true), "connection");
+  add(held < newest, "revision " + std::to_string(newest));
+  add(!process.value("ready", true), "readiness");
+  add(process.value("leaving", false), "leaving");
+  return text;
+}
+
 nlohmann::json ReadStatus(admin_client& client, base::time_us until_us) {
-  return ParseAnswer(client.Call(wire::get_status{}, until_us).json);
+  nlohmann::json status =
+      ParseAnswer(client.Call(wire::get_status{}, until_us).json);
+  const std::uint64_t newest = status.value("revision", std::uint64_t{0});
+  if (status.contains("processes")) {
+    for (nlohmann::json& process : status["processes"]) {
+      process["missing"] = Missing(process, newest);
+    }
+  }
+  return status;
 }
 
 nlohmann::json WaitForStatus(admin_client& client, base::time_us until_us) {
--- a/tests/process/wrctl_test.cc
+++ b/tests/process/wrctl_test.cc
@@ -220,10 +220,13 @@
     scripted_control leader(event_loop, [](const wire::admin_request& request) {
       return Ok(request, R"({"revision":3,"in_force_everywhere":true})");
     });
-    scripted_control follower(event_loop, [&](const wire::admin_request&) {
-      return wire::not_leader{.leader_name = "leader",
-                              .leader_address = leader.address()};
-    });
+    scripted_control follower(
+        event_loop, [&](const wire::admin_request& request) {
+          return wire::admin_reply{.correlation = request.correlation,
+                                   .result = wire::admin_result::kNotLeader,
+                                   .code = "not_leader",
+                                   .message = leader.address()};
+        });
     const command_result result =
         ExecuteWith(event_loop, "status" + flags(follower));
     CHECK(result.status == 0);
