--- a/src/wrctl/report.cc
+++ b/src/wrctl/report.cc
@@ -5,7 +5,6 @@
 #include <cstdio>
 #include <ctime>
 #include <iostream>
-#include <set>
 
 #include "wrctl/command_line.h"
 #include "wrctl/exit_status.h"
@@ -15,8 +14,8 @@
 namespace {
 
 /** Keys whose values are Unix milliseconds. */
-const std::set<std::string_view> kUnixTimes = {"time_ms", "since_ms",
-                                               "log_time_ms"};
+constexpr std::array<std::string_view, 3> kUnixTimes = {"time_ms", "since_ms",
+                                                        "log_time_ms"};
 
 std::string Cell(std::string_view key, const nlohmann::json& value) {
   if (value.is_null()) {
@@ -29,7 +28,8 @@
   if (value.is_boolean()) {
     return value.get<bool>() ? "yes" : "no";
   }
-  if (value.is_number_integer() && kUnixTimes.contains(key)) {
+  if (value.is_number_integer() &&
+      std::ranges::find(kUnixTimes, key) != kUnixTimes.end()) {
     return FormatTime(value.get<std::int64_t>());
   }
   if (value.is_array()) {
