wire: build with the installed Cap'n Proto

Cap'n Proto 0.9.2's list iterators aren't standard iterators, so std::vector::assign didn't accept them and the library didn't compile. Copy the lists in a loop.

--- a/src/libwisteriaroute/wire/work_messages.cc
+++ b/src/libwisteriaroute/wire/work_messages.cc
@@ -134,8 +134,12 @@
 
 cache_hint ReadFields(proto::CacheHint::Reader from) {
   cache_hint result{.sequence = from.getSequence(), .reset = from.getReset()};
-  result.added.assign(from.getAdded().begin(), from.getAdded().end());
-  result.removed.assign(from.getRemoved().begin(), from.getRemoved().end());
+  for (const std::uint64_t block : from.getAdded()) {
+    result.added.push_back(block);
+  }
+  for (const std::uint64_t block : from.getRemoved()) {
+    result.removed.push_back(block);
+  }
   return result;
 }
 
