--- /dev/null
+++ b/src/standin/plain_service.h
@@ -0,0 +1,36 @@
+#ifndef STANDIN_PLAIN_SERVICE_H_
+#define STANDIN_PLAIN_SERVICE_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+namespace wisteriaroute::standin {
+
+struct booking {
+  std::uint64_t number = 0;
+  std::string key;
+  std::string attempt_id;
+  std::string body;
+};
+
+/** A service whose `POST /bookings` must not be executed twice. */
+class plain_service {
+ public:
+  const booking& Book(std::string key,
+                      std::string attempt_id,
+                      std::string body);
+
+  /** All executed bookings, with counts per key, per body and per attempt. */
+  nlohmann::json List() const;
+
+ private:
+  std::vector<booking> bookings_;
+};
+
+}  // namespace wisteriaroute::standin
+
+#endif  // STANDIN_PLAIN_SERVICE_H_
--- /dev/null
+++ b/src/standin/prefix_cache.h
@@ -0,0 +1,50 @@
+#ifndef STANDIN_PREFIX_CACHE_H_
+#define STANDIN_PREFIX_CACHE_H_
+
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <unordered_map>
+#include <vector>
+
+#include "libwisteriaroute/base/clock.h"
+
+namespace wisteriaroute::standin {
+
+/** One change of the cache, with a number that counts from 1. */
+struct cache_event {
+  std::uint64_t sequence = 0;
+  base::time_us at_us = 0;
+  bool added = false;
+  std::uint64_t block = 0;
+};
+
+/** Prefix blocks in limited memory; the least recently used is evicted. */
+class prefix_cache {
+ public:
+  explicit prefix_cache(std::size_t capacity) : capacity_(capacity) {}
+
+  /** Leading blocks that are cached; marks them as used. */
+  std::size_t Match(const std::vector<std::uint64_t>& blocks);
+  void Insert(const std::vector<std::uint64_t>& blocks, base::time_us now_us);
+
+  /** Events after `sequence` that are at least `lag_us` old. */
+  std::vector<cache_event> Events(std::uint64_t sequence,
+                                  base::time_us now_us,
+                                  base::time_us lag_us) const;
+
+  std::size_t size() const { return places_.size(); }
+
+ private:
+  void Record(bool added, std::uint64_t block, base::time_us now_us);
+
+  std::size_t capacity_;
+  std::list<std::uint64_t> order_;
+  std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> places_;
+  std::deque<cache_event> events_;
+  std::uint64_t next_sequence_ = 1;
+};
+
+}  // namespace wisteriaroute::standin
+
+#endif  // STANDIN_PREFIX_CACHE_H_
--- /dev/null
+++ b/src/standin/rank.h
@@ -0,0 +1,94 @@
+#ifndef STANDIN_RANK_H_
+#define STANDIN_RANK_H_
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+
+#include <nlohmann/json.hpp>
+
+#include "libwisteriaroute/base/clock.h"
+
+namespace wisteriaroute::standin {
+
+struct rank_settings {
+  std::string group;
+  std::uint32_t rank = 0;
+  base::time_us step_time_us = 5'000;
+  /** Bytes that staging one expert's slot copies, and the store's rate. */
+  std::uint64_t slot_bytes = 1'000'000;
+  std::uint64_t store_bytes_per_s = 500'000'000;
+  bool checks_fencing = true;
+};
+
+/** One answer to an order. */
+struct order_answer {
+  unsigned status = 200;
+  nlohmann::json body;
+};
+
+/**
+ * A rank of a model group: step counter, expert map, staged map and the armed
+ * step at which it waits for a decision.
+ */
+class rank {
+ public:
+  explicit rank(rank_settings settings, base::time_us now_us);
+
+  order_answer Apply(const nlohmann::json& order, base::time_us now_us);
+  void Advance(base::time_us now_us);
+
+  /** `GET /group`. */
+  nlohmann::json Report() const;
+
+  /** Whether the rank waits at an armed step. */
+  bool waiting() const;
+
+ private:
+  struct epoch_start {
+    std::uint64_t step = 0;
+    std::uint64_t generation = 0;
+    std::uint64_t epoch = 0;
+    std::uint64_t map_digest = 0;
+  };
+  struct staged_map {
+    std::uint64_t epoch = 0;
+    std::uint64_t map_digest = 0;
+    base::time_us ready_us = 0;
+    bool ready = false;
+  };
+  struct armed_step {
+    std::uint64_t epoch = 0;
+    std::uint64_t step = 0;
+    /** Empty until the decision is known. */
+    std::optional<bool> commit;
+  };
+
+  bool Fenced(const nlohmann::json& order);
+  order_answer Answer(unsigned status, std::string_view result) const;
+  order_answer Stage(const nlohmann::json& order, base::time_us now_us);
+  order_answer Arm(const nlohmann::json& order);
+  order_answer Decide(const nlohmann::json& order);
+  order_answer Form(const nlohmann::json& order, base::time_us now_us);
+  void BeginEpoch(std::uint64_t epoch, std::uint64_t map_digest);
+
+  rank_settings settings_;
+  std::uint64_t generation_ = 0;
+  std::uint64_t step_ = 0;
+  base::time_us next_step_us_ = 0;
+  std::uint64_t staged_epoch_ = 0;
+  std::optional<staged_map> staging_;
+  std::optional<armed_step> armed_;
+  std::deque<epoch_start> history_;
+  std::pair<std::uint64_t, std::uint64_t> highest_{0, 0};
+  std::uint64_t orders_applied_ = 0;
+  std::uint64_t orders_refused_ = 0;
+  std::uint64_t stale_applied_ = 0;
+  nlohmann::json models_ = nlohmann::json::array();
+  std::string role_ = "mixed";
+};
+
+}  // namespace wisteriaroute::standin
+
+#endif  // STANDIN_RANK_H_
--- /dev/null
+++ b/src/standin/server.h
@@ -0,0 +1,101 @@
+#ifndef STANDIN_SERVER_H_
+#define STANDIN_SERVER_H_
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+
+#include <nlohmann/json.hpp>
+
+#include "libwisteriaroute/net/http_server.h"
+#include "libwisteriaroute/net/loop.h"
+#include "standin/engine.h"
+#include "standin/plain_service.h"
+#include "standin/rank.h"
+
+namespace wisteriaroute::standin {
+
+struct server_settings {
+  bool plain = false;
+  std::string model = "standin";
+  engine_settings engine;
+  /** Used if `rank.group` isn't empty, or for orders without a group. */
+  rank_settings rank;
+  base::time_us load_lag_us = 200'000;
+  base::time_us cache_lag_us = 500'000;
+  /** Every such cache event is never shown; 0: none is lost. */
+  std::uint64_t cache_gap_every = 0;
+  /** How long one booking takes. */
+  base::time_us booking_time_us = 0;
+  std::string crash_marker;
+};
+
+/** What `POST /faults` has asked for. */
+struct fault_state {
+  std::string crash_marker;
+  base::time_us delay_us = 0;
+  /** Requests whose connection is cut before they are executed. */
+  std::uint64_t drop_before = 0;
+  /** Requests whose connection is cut after they are executed. */
+  std::uint64_t drop_after = 0;
+  /** Streams that send bytes that aren't server-sent events of the protocol. */
+  std::uint64_t malformed_streams = 0;
+  /** Streams that go silent after three tokens. */
+  std::uint64_t silent_streams = 0;
+};
+
+/** The stand-in's HTTP interface, in one of its two modes. */
+class server {
+ public:
+  server(net::loop& event_loop, server_settings settings);
+
+  /** Returns the address that is listened on. */
+  std::string Listen(std::string_view address);
+
+ private:
+  struct stream {
+    generation_request request;
+    std::string text;
+    bool malformed = false;
+    bool silent = false;
+    std::uint64_t sent = 0;
+  };
+
+  void Handle(net::exchange_id id, const net::http_server_request& request);
+  void Dispatch(net::exchange_id id, const net::http_server_request& request);
+  bool DispatchEngine(net::exchange_id id,
+                      const net::http_server_request& request);
+  void Generate(net::exchange_id id,
+                const net::http_server_request& request,
+                const nlohmann::json& body);
+  void SendToken(generation_id id,
+                 std::uint64_t index,
+                 const std::string& text);
+  void SendEnd(generation_id id, const nlohmann::json& usage);
+  void Abandon(net::exchange_id id);
+  void Reply(net::exchange_id id, unsigned status, const nlohmann::json& body);
+  void Drop(net::exchange_id id);
+  void SetFaults(net::exchange_id id, const nlohmann::json& body);
+  nlohmann::json Load() const;
+  nlohmann::json CacheEvents(std::string_view query);
+  void Tick();
+
+  net::loop& event_loop_;
+  server_settings settings_;
+  fault_state faults_;
+  /** Random number of this run, shown by `/health`. */
+  std::string instance_;
+  engine engine_;
+  rank rank_;
+  plain_service plain_;
+  std::map<net::exchange_id, stream> streams_;
+  std::deque<engine_load> loads_;
+  base::time_us next_step_us_ = 0;
+  net::timer tick_;
+  net::http_server http_;
+};
+
+}  // namespace wisteriaroute::standin
+
+#endif  // STANDIN_SERVER_H_
