--- a/src/libwisteriaroute/wire/work_messages.cc
+++ b/src/libwisteriaroute/wire/work_messages.cc
@@ -134,12 +134,8 @@
 
 cache_hint ReadFields(proto::CacheHint::Reader from) {
   cache_hint result{.sequence = from.getSequence(), .reset = from.getReset()};
-  for (const std::uint64_t block : from.getAdded()) {
-    result.added.push_back(block);
-  }
-  for (const std::uint64_t block : from.getRemoved()) {
-    result.removed.push_back(block);
-  }
+  result.added = ReadNumbers<std::uint64_t>(from.getAdded());
+  result.removed = ReadNumbers<std::uint64_t>(from.getRemoved());
   return result;
 }
 
