net: one connection per HTTP request unless repeats are harmless

curl sends a request a second time, without telling, when an idle connection that it reused turns out to be closed. A booking could then be executed twice, and a refused second connection would look as if nothing had been sent. Connections are reused only where the caller asks for it. A transfer may now also be cancelled inside its own callback, whose captures used to be destroyed while they were in use, and paths are sent as given (no /../ folding).

--- a/src/libwisteriaroute/net/http_client.cc
+++ b/src/libwisteriaroute/net/http_client.cc
@@ -37,6 +37,7 @@
   curl_slist* header_list = nullptr;
   http_headers response_headers;
   bool head_reported = false;
+  bool cancelled = false;
 
   ~transfer() {
     curl_easy_cleanup(easy);
@@ -50,7 +51,7 @@
     head_reported = true;
     long status = 0;
     curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
-    if (callbacks.on_head) {
+    if (callbacks.on_head && !cancelled) {
       callbacks.on_head(static_cast<unsigned>(status), response_headers);
     }
   }
@@ -112,6 +113,11 @@
   curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, wanted.method.c_str());
   curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(easy, CURLOPT_PROXY, "");
+  curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+  if (!wanted.reuse_connection) {
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+  }
   curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                    static_cast<long>(wanted.connect_timeout_ms));
   curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
@@ -132,7 +138,8 @@
   if (node.empty()) {
     return;
   }
-  node.mapped()->callbacks = {};
+  // The caller may run in one of the callbacks, so they must live on.
+  node.mapped()->cancelled = true;
   // curl forbids removing a transfer inside one of its callbacks.
   event_loop_.Defer(
       [this, dead = std::shared_ptr<transfer>(std::move(node.mapped()))] {
@@ -209,7 +216,7 @@
                                     void* context) {
   auto& target = *static_cast<transfer*>(context);
   target.ReportHead();
-  if (target.callbacks.on_data) {
+  if (target.callbacks.on_data && !target.cancelled) {
     target.callbacks.on_data({data, size * count});
   }
   return size * count;
@@ -247,8 +254,10 @@
   result.status = static_cast<unsigned>(status);
   curl_off_t connect_us = 0;
   curl_easy_getinfo(target->easy, CURLINFO_CONNECT_TIME_T, &connect_us);
-  result.never_sent = code == CURLE_COULDNT_CONNECT ||
-                      (code == CURLE_OPERATION_TIMEDOUT && connect_us == 0);
+  const bool no_connection =
+      code == CURLE_COULDNT_CONNECT ||
+      (code == CURLE_OPERATION_TIMEDOUT && connect_us == 0);
+  result.never_sent = no_connection && !target->request.reuse_connection;
   if (!result.ok) {
     result.error = curl_easy_strerror(code);
   } else {
--- a/src/libwisteriaroute/net/http_client.h
+++ b/src/libwisteriaroute/net/http_client.h
@@ -30,13 +30,22 @@
   std::int64_t connect_timeout_ms = 1'000;
   /** Limit of the whole transfer; 0: none. */
   std::int64_t timeout_ms = 0;
+  /**
+   * Whether an idle connection may be used. curl then sends the request a
+   * second time if that connection turns out to be closed, so it is only for
+   * requests that may be repeated.
+   */
+  bool reuse_connection = false;
 };
 
 struct http_client_result {
   /** Whether a whole response was received. */
   bool ok = false;
   unsigned status = 0;
-  /** Whether the connection was refused or never made: nothing was sent. */
+  /**
+   * Whether the connection was refused or never made: nothing was sent. Never
+   * set for a request that may reuse a connection.
+   */
   bool never_sent = false;
   std::string error;
 };
