agent: reducer, engine client and daemon, not tested yet

Attempts with windows and incarnations, fencing, health, load and group reports; effects are carried out by the daemon on one loop.

--- /dev/null
+++ b/src/libwisteriaroute/agent/agent.cc
@@ -0,0 +1,138 @@
+#include "libwisteriaroute/agent/agent.h"
+
+#include <algorithm>
+
+#include "libwisteriaroute/agent/step_context.h"
+
+namespace wisteriaroute::agent {
+
+namespace {
+
+void Handle(step_context& context, const entry_up& event) {
+  context.state.reports.entries.insert(event.link);
+  GreetEntry(context, event.link);
+}
+
+void Handle(step_context& context, const entry_down& event) {
+  HandleEntryDown(context, event.link);
+}
+
+void Handle(step_context& context, const entry_received& event) {
+  HandleWork(context, event.link, event.message);
+}
+
+void Handle(step_context& context, const lease_extended& event) {
+  agent_state& state = context.state;
+  state.lease_until_us = std::max(state.lease_until_us, event.until_us);
+  state.orders.highest = std::max(state.orders.highest, event.fencing);
+  state.orders.number_known = true;
+}
+
+void HandleConfig(agent_state& state, const wire::config_update& update) {
+  // A delta for another base is ignored; the leader sees the revision in the
+  // next heartbeat and sends what is missing.
+  const bool applies =
+      update.base_revision == 0 || update.base_revision == state.revision;
+  if (applies && update.revision > state.revision) {
+    state.revision = update.revision;
+  }
+}
+
+void Handle(step_context& context, const control_received& event) {
+  agent_state& state = context.state;
+  if (const auto* order = std::get_if<wire::order>(&event.message)) {
+    HandleOrder(context, *order);
+  } else if (const auto* config =
+                 std::get_if<wire::config_update>(&event.message)) {
+    HandleConfig(state, *config);
+  } else if (const auto* members =
+                 std::get_if<wire::member_update>(&event.message)) {
+    const bool drained =
+        std::ranges::count(members->drained, state.options.name) > 0;
+    if (drained != state.drained) {
+      state.drained = drained;
+      context.Emit(record_event{.kind = drained ? "drained" : "undrained",
+                                .state_change = true});
+    }
+  }
+}
+
+void Handle(step_context& context, const session_opened&) {
+  context.state.reports.member_sent = false;
+}
+
+void Handle(step_context& context, const stop_requested&) {
+  agent_state& state = context.state;
+  if (!state.stopping) {
+    state.stopping = true;
+    state.stop_until_us = context.now_us + state.options.stop_limit_us;
+    context.Emit(record_event{.kind = "leaving", .state_change = true});
+  }
+}
+
+void CheckStop(step_context& context) {
+  agent_state& state = context.state;
+  if (!state.stopping || state.stopped) {
+    return;
+  }
+  if (context.now_us >= state.stop_until_us) {
+    const std::set<wire::attempt_id> left = state.running;
+    for (const wire::attempt_id& id : left) {
+      const wire::outcome ran = RanSoFar(state.attempts.at(id));
+      context.Emit(cancel_call{id});
+      EndFailed(context, id, wire::failure_reason::kCancelled, ran);
+    }
+    while (!state.queue.empty()) {
+      EndNeverRun(context, state.queue.begin()->second,
+                  wire::refusal_reason::kLeaving);
+    }
+  }
+  if (state.running.empty() && state.queue.empty()) {
+    state.stopped = true;
+    context.Emit(stop_process{});
+  }
+}
+
+void Handle(step_context& context, const tick&) {
+  if (context.now_us >= context.state.window_until_us ||
+      context.state.ids_in_window >= context.state.options.window_ids) {
+    BeginWindow(context);
+  }
+  CheckHealth(context);
+  CheckAttempts(context);
+  CheckGroup(context);
+  CheckReports(context);
+}
+
+}  // namespace
+
+agent_state StartAgent(agent_options options,
+                       std::uint64_t seed,
+                       base::time_us now_us) {
+  agent_state state;
+  state.options = std::move(options);
+  state.random = seed;
+  state.reports.models = state.options.models;
+  ChangeIncarnation(state);
+  state.window_until_us = now_us + state.options.window_us;
+  state.health.last_ok_us = now_us;
+  return state;
+}
+
+bool Accepting(const agent_state& state, base::time_us now_us) {
+  return state.health.healthy && !state.stopping && !state.drained &&
+         now_us < state.lease_until_us;
+}
+
+std::vector<agent_effect> Step(agent_state& state,
+                               const agent_event& event,
+                               base::time_us now_us) {
+  step_context context{.state = state, .now_us = now_us, .effects = {}};
+  std::visit([&](const auto& alternative) { Handle(context, alternative); },
+             event);
+  CheckStop(context);
+  ReportState(context);
+  return std::move(context.effects);
+}
+
+}  // namespace wisteriaroute::agent
--- /dev/null
+++ b/src/libwisteriaroute/agent/attempts.cc
@@ -0,0 +1,274 @@
+#include <algorithm>
+
+#include "libwisteriaroute/agent/step_context.h"
+
+namespace wisteriaroute::agent {
+
+namespace {
+
+// Slots of a backend server that doesn't report any.
+constexpr std::size_t kDefaultSlots = 64;
+// A stream that was opened again isn't cut before this: the whole group may
+// wait for a decision on its expert map.
+constexpr base::time_us kSilentAgainUs = 15'000'000;
+
+// Windows that are known to have had starts, beyond those whose attempts are
+// remembered.
+constexpr std::size_t kKnownStarts = 256;
+
+bool Started(const attempt& target) {
+  return target.stage == attempt_stage::kRunning ||
+         target.stage == attempt_stage::kBroken;
+}
+
+bool Generation(const attempt_body& body) {
+  return body.work != nullptr && body.work->kind != wire::work_kind::kPlain;
+}
+
+void RemoveFromQueue(agent_state& state, const wire::attempt_id& id) {
+  std::erase_if(state.queue,
+                [&id](const auto& entry) { return entry.second == id; });
+}
+
+/** The request isn't needed any more; the response may be. */
+void EndWork(step_context& context, const wire::attempt_id& id) {
+  agent_state& state = context.state;
+  attempt& target = state.attempts.at(id);
+  state.running.erase(id);
+  if (target.stage == attempt_stage::kQueued) {
+    RemoveFromQueue(state, id);
+  }
+  RememberUntil(state, id, target, state.window);
+}
+
+void DropBody(agent_state& state, attempt& target) {
+  if (target.body != nullptr) {
+    state.kept_bytes -= target.body->response.bytes;
+    target.body.reset();
+  }
+}
+
+/** Returns whether the stream was silent for too long and what follows. */
+void CheckSilence(step_context& context,
+                  const wire::attempt_id& id,
+                  attempt& target) {
+  attempt_body& body = *target.body;
+  const base::time_us silent_us = context.now_us - body.last_data_us;
+  // Before its first token a request may wait in the engine's queue.
+  const bool streams = body.response.end_offset > body.work->resume_offset;
+  if (!Generation(body) || !streams ||
+      target.stage != attempt_stage::kRunning) {
+    return;
+  }
+  if (body.resumed == 0 && silent_us >= context.state.options.silent_us) {
+    ++body.resumed;
+    body.last_data_us = context.now_us;
+    context.Count("agent_streams_resumed_total");
+    context.Emit(cancel_call{id});
+    context.Emit(start_call{.work = body.work,
+                            .resume_from = body.response.end_offset,
+                            .again = true});
+  } else if (body.resumed > 0 && silent_us >= kSilentAgainUs) {
+    context.Emit(cancel_call{id});
+    EndFailed(context, id, wire::failure_reason::kTimeout, wire::outcome::kRan);
+  }
+}
+
+void CheckStarted(step_context& context, const wire::attempt_id& id) {
+  const agent_options& options = context.state.options;
+  attempt& target = context.state.attempts.at(id);
+  const attempt_body& body = *target.body;
+  const bool orphaned =
+      body.subscribers.empty() &&
+      context.now_us - body.orphan_since_us >= options.orphan_us;
+  const bool late = body.deadline_us != 0 && context.now_us >= body.deadline_us;
+  // A claimed call isn't cut for its caller's sake: its outcome is recorded.
+  const bool cut = !target.claimed && (orphaned || late);
+  const bool timed_out =
+      context.now_us - body.started_us >= options.call_timeout_us &&
+      context.now_us - body.last_data_us >= options.call_timeout_us;
+  if (cut || timed_out) {
+    const wire::outcome ran = RanSoFar(target);
+    context.Emit(cancel_call{id});
+    EndFailed(context, id,
+              late || timed_out ? wire::failure_reason::kTimeout
+                                : wire::failure_reason::kCancelled,
+              ran);
+    return;
+  }
+  CheckSilence(context, id, target);
+}
+
+void CheckQueued(step_context& context, const wire::attempt_id& id) {
+  const attempt_body& body = *context.state.attempts.at(id).body;
+  if (body.deadline_us != 0 && context.now_us >= body.deadline_us) {
+    EndNeverRun(context, id, wire::refusal_reason::kDeadline);
+  } else if (body.subscribers.empty() &&
+             context.now_us - body.orphan_since_us >=
+                 context.state.options.orphan_us) {
+    EndNeverRun(context, id, wire::refusal_reason::kCancelled);
+  }
+}
+
+void Forget(agent_state& state, std::uint64_t window) {
+  for (const wire::attempt_id& id : state.ids_by_window[window]) {
+    const auto it = state.attempts.find(id);
+    if (it == state.attempts.end() || it->second.kept_window != window) {
+      continue;
+    }
+    attempt& target = it->second;
+    if (Started(target) || target.stage == attempt_stage::kQueued) {
+      continue;  // Remembered anew when it ends.
+    }
+    DropBody(state, target);
+    state.attempts.erase(it);
+  }
+  state.ids_by_window.erase(window);
+}
+
+}  // namespace
+
+std::size_t SlotCount(const agent_state& state) {
+  if (state.options.slots > 0) {
+    return state.options.slots;
+  }
+  return state.reports.engine_load.slots > 0 ? state.reports.engine_load.slots
+                                             : kDefaultSlots;
+}
+
+wire::outcome RanSoFar(const attempt& target) {
+  return target.body != nullptr && target.body->response.head
+             ? wire::outcome::kRan
+             : wire::outcome::kUnknown;
+}
+
+void RememberUntil(agent_state& state,
+                   const wire::attempt_id& id,
+                   attempt& target,
+                   std::uint64_t window) {
+  if (target.kept_window != window) {
+    target.kept_window = window;
+    state.ids_by_window[window].push_back(id);
+    ++state.ids_in_window;
+  }
+}
+
+void BeginWindow(step_context& context) {
+  agent_state& state = context.state;
+  ++state.window;
+  state.window_until_us = context.now_us + state.options.window_us;
+  state.ids_in_window = 0;
+  while (!state.ids_by_window.empty() &&
+         state.ids_by_window.begin()->first + 1 < state.window) {
+    Forget(state, state.ids_by_window.begin()->first);
+  }
+  while (state.started_windows.size() > kKnownStarts) {
+    state.first_known_window = *state.started_windows.begin() + 1;
+    state.started_windows.erase(state.started_windows.begin());
+  }
+  std::erase_if(state.ended, [&state](const wire::attempt_id& id) {
+    const auto it = state.attempts.find(id);
+    return it == state.attempts.end() || it->second.body == nullptr;
+  });
+}
+
+void Publish(step_context& context,
+             const attempt& target,
+             const wire::work_message& message) {
+  for (const subscriber& each : target.body->subscribers) {
+    context.Send(each.link, message);
+  }
+}
+
+void StartQueued(step_context& context) {
+  agent_state& state = context.state;
+  while (!state.queue.empty() && state.running.size() < SlotCount(state) &&
+         state.health.healthy) {
+    const wire::attempt_id id = state.queue.begin()->second;
+    state.queue.erase(state.queue.begin());
+    attempt& target = state.attempts.at(id);
+    target.stage = attempt_stage::kRunning;
+    target.body->started_us = context.now_us;
+    target.body->last_data_us = context.now_us;
+    state.running.insert(id);
+    state.started_windows.insert(target.body->work->window);
+    context.Emit(record_event{.kind = "attempt_started",
+                              .request_id = target.body->work->request_id,
+                              .detail = base::ToString(id)});
+    context.Emit(start_call{.work = target.body->work,
+                            .resume_from = target.body->work->resume_offset});
+  }
+}
+
+void EndNeverRun(step_context& context,
+                 const wire::attempt_id& id,
+                 wire::refusal_reason reason) {
+  attempt& target = context.state.attempts.at(id);
+  EndWork(context, id);
+  target.stage = attempt_stage::kNeverRuns;
+  target.refusal = reason;
+  context.Count("agent_attempts_refused_total");
+  Publish(context, target, wire::refused{.attempt = id, .reason = reason});
+  DropBody(context.state, target);
+  StartQueued(context);
+}
+
+void EndFailed(step_context& context,
+               const wire::attempt_id& id,
+               wire::failure_reason reason,
+               wire::outcome ran,
+               const std::vector<base::digest128>& ran_beside) {
+  attempt& target = context.state.attempts.at(id);
+  EndWork(context, id);
+  target.stage = attempt_stage::kFailed;
+  target.failure = reason;
+  target.ran = ran;
+  context.Count("agent_attempts_failed_total");
+  context.Emit(record_event{.kind = "attempt_failed",
+                            .request_id = target.body->work->request_id,
+                            .detail = base::ToString(id)});
+  Publish(context, target,
+          wire::failed{.attempt = id,
+                       .reason = reason,
+                       .ran = ran,
+                       .ran_beside = ran_beside});
+  DropBody(context.state, target);
+  StartQueued(context);
+}
+
+void CheckAttempts(step_context& context) {
+  const std::set<wire::attempt_id> started = context.state.running;
+  for (const wire::attempt_id& id : started) {
+    if (context.state.running.contains(id)) {
+      CheckStarted(context, id);
+    }
+  }
+  const auto queued = context.state.queue;
+  for (const auto& [place, id] : queued) {
+    if (context.state.queue.contains(place)) {
+      CheckQueued(context, id);
+    }
+  }
+}
+
+void LimitKeptBytes(step_context& context, attempt* growing) {
+  agent_state& state = context.state;
+  while (state.kept_bytes > state.options.kept_bytes && !state.ended.empty()) {
+    const auto it = state.attempts.find(state.ended.front());
+    state.ended.pop_front();
+    if (it != state.attempts.end()) {
+      DropBody(state, it->second);
+    }
+  }
+  if (growing == nullptr || growing->body == nullptr) {
+    return;
+  }
+  kept_response& response = growing->body->response;
+  state.kept_bytes -= response.bytes;
+  while (state.kept_bytes + response.bytes > state.options.kept_bytes &&
+         DropOldest(response)) {
+  }
+  state.kept_bytes += response.bytes;
+}
+
+}  // namespace wisteriaroute::agent
--- /dev/null
+++ b/src/libwisteriaroute/agent/calls.cc
@@ -0,0 +1,118 @@
+#include "libwisteriaroute/agent/step_context.h"
+
+namespace wisteriaroute::agent {
+
+namespace {
+
+constexpr std::uint16_t kFirstServerError = 500;
+
+/** The running attempt of a call, or null if it has ended. */
+attempt* FindRunning(agent_state& state, const wire::attempt_id& id) {
+  const auto it = state.attempts.find(id);
+  return it != state.attempts.end() &&
+                 it->second.stage == attempt_stage::kRunning
+             ? &it->second
+             : nullptr;
+}
+
+bool Generation(const attempt& target) {
+  return target.body->work->kind != wire::work_kind::kPlain;
+}
+
+}  // namespace
+
+void Handle(step_context& context, const call_head& event) {
+  attempt* target = FindRunning(context.state, event.attempt);
+  if (target == nullptr || target->body->response.head) {
+    return;
+  }
+  target->body->last_data_us = context.now_us;
+  if (Generation(*target) && event.status >= kFirstServerError) {
+    context.Emit(cancel_call{event.attempt});
+    EndFailed(context, event.attempt, wire::failure_reason::kBackendError,
+              wire::outcome::kUnknown);
+    return;
+  }
+  kept_response& response = target->body->response;
+  context.state.kept_bytes -= response.bytes;
+  SetHead(response, {.attempt = event.attempt,
+                     .status = event.status,
+                     .headers = event.headers});
+  context.state.kept_bytes += response.bytes;
+  Publish(context, *target, *response.head);
+}
+
+void Handle(step_context& context, const call_data& event) {
+  attempt* target = FindRunning(context.state, event.attempt);
+  if (target == nullptr || event.data.empty()) {
+    return;
+  }
+  attempt_body& body = *target->body;
+  body.last_data_us = context.now_us;
+  Publish(context, *target,
+          wire::chunk{.attempt = event.attempt,
+                      .offset = body.response.end_offset,
+                      .token_count = event.token_count,
+                      .data = event.data});
+  context.state.kept_bytes -= body.response.bytes;
+  Append(body.response, event.token_count, event.data,
+         context.state.options.tail_bytes);
+  context.state.kept_bytes += body.response.bytes;
+  if (context.state.kept_bytes > context.state.options.kept_bytes) {
+    LimitKeptBytes(context, target);
+  }
+}
+
+void Handle(step_context& context, const call_finished& event) {
+  agent_state& state = context.state;
+  attempt* target = FindRunning(state, event.attempt);
+  if (target == nullptr) {
+    return;
+  }
+  state.running.erase(event.attempt);
+  target->stage = attempt_stage::kFinished;
+  target->ran = wire::outcome::kRan;
+  attempt_body& body = *target->body;
+  body.response.finish =
+      wire::finish{.attempt = event.attempt,
+                   .end_offset = body.response.end_offset,
+                   .reason = event.reason,
+                   .prompt_tokens = event.prompt_tokens,
+                   .completion_tokens = event.completion_tokens,
+                   .cached_tokens = event.cached_tokens};
+  Publish(context, *target, *body.response.finish);
+  context.Count("agent_attempts_finished_total");
+  context.Emit(record_event{.kind = "attempt_finished",
+                            .request_id = body.work->request_id,
+                            .detail = base::ToString(event.attempt)});
+  body.work.reset();
+  RememberUntil(state, event.attempt, *target, state.window);
+  state.ended.push_back(event.attempt);
+  LimitKeptBytes(context, nullptr);
+  StartQueued(context);
+}
+
+void Handle(step_context& context, const call_failed& event) {
+  attempt* target = FindRunning(context.state, event.attempt);
+  if (target == nullptr) {
+    return;
+  }
+  const bool first_call =
+      target->body->resumed == 0 && !target->body->response.head;
+  if (event.failure == call_failure::kMalformed) {
+    EndFailed(context, event.attempt, wire::failure_reason::kBackendError,
+              wire::outcome::kRan);
+    return;
+  }
+  const std::uint64_t poll = PollHealth(context);
+  if (event.failure == call_failure::kNeverSent && first_call) {
+    EndNeverRun(context, event.attempt, wire::refusal_reason::kUnhealthy);
+    return;
+  }
+  // The health poll tells whether the backend server died; all that ran then
+  // are suspects, and their connections break one after the other.
+  target->stage = attempt_stage::kBroken;
+  target->body->broken_poll = poll;
+}
+
+}  // namespace wisteriaroute::agent
--- /dev/null
+++ b/src/libwisteriaroute/agent/health.cc
@@ -0,0 +1,155 @@
+#include "libwisteriaroute/agent/random.h"
+#include "libwisteriaroute/agent/step_context.h"
+
+namespace wisteriaroute::agent {
+
+namespace {
+
+constexpr base::time_us kHealthPollUs = 250'000;
+// With the poll period this is below the limit of 2 s for a frozen server.
+constexpr base::time_us kSilentServerUs = 1'500'000;
+constexpr std::uint32_t kRefusedPolls = 2;
+// A server that was lost must answer twice before it gets work again.
+constexpr std::uint32_t kGoodPolls = 2;
+// One is added at most every 500 ms, so these cover the windows in which
+// attempts are remembered.
+constexpr std::size_t kKnownIncarnations = 256;
+
+std::vector<base::digest128> RunningFingerprints(const agent_state& state) {
+  std::vector<base::digest128> running;
+  for (const wire::attempt_id& id : state.running) {
+    running.push_back(state.attempts.at(id).body->work->fingerprint);
+  }
+  return running;
+}
+
+void LoseBackend(step_context& context, std::string_view why) {
+  agent_state& state = context.state;
+  const std::vector<base::digest128> suspects = RunningFingerprints(state);
+  const std::uint64_t lost = state.incarnation;
+  state.health.healthy = false;
+  state.health.ok_in_row = 0;
+  ChangeIncarnation(state);
+  context.Emit(record_event{.kind = "backend_lost",
+                            .detail = std::string(why) + ", " +
+                                      std::to_string(suspects.size()) +
+                                      " attempts were running",
+                            .state_change = true});
+  context.Count("agent_backend_lost_total");
+  const std::set<wire::attempt_id> running = state.running;
+  for (const wire::attempt_id& id : running) {
+    context.Emit(cancel_call{id});
+    EndFailed(context, id, wire::failure_reason::kBackendLost,
+              wire::outcome::kUnknown, suspects);
+  }
+  while (!state.queue.empty()) {
+    EndNeverRun(context, state.queue.begin()->second,
+                wire::refusal_reason::kUnhealthy);
+  }
+  if (!suspects.empty()) {
+    context.Emit(send_control{wire::suspect_report{.agent = state.options.name,
+                                                   .backend_incarnation = lost,
+                                                   .running = suspects}});
+  }
+  FailStaging(context);
+  // The blocks of the lost process are gone.
+  state.reports.cached_blocks.clear();
+  state.reports.cache_sequence = 0;
+}
+
+/** The server lives on, so only these attempts' connections broke. */
+void ResolveBroken(step_context& context, std::uint64_t poll) {
+  const std::set<wire::attempt_id> running = context.state.running;
+  for (const wire::attempt_id& id : running) {
+    attempt& target = context.state.attempts.at(id);
+    if (target.stage != attempt_stage::kBroken ||
+        target.body->broken_poll > poll) {
+      continue;
+    }
+    attempt_body& body = *target.body;
+    const bool generation = body.work->kind != wire::work_kind::kPlain;
+    if (generation && body.resumed == 0) {
+      ++body.resumed;
+      body.last_data_us = context.now_us;
+      target.stage = attempt_stage::kRunning;
+      context.Count("agent_streams_resumed_total");
+      context.Emit(start_call{.work = body.work,
+                              .resume_from = body.response.end_offset,
+                              .again = true});
+      continue;
+    }
+    EndFailed(context, id, wire::failure_reason::kBackendError,
+              RanSoFar(target));
+  }
+}
+
+bool AnyBroken(const agent_state& state) {
+  for (const wire::attempt_id& id : state.running) {
+    if (state.attempts.at(id).stage == attempt_stage::kBroken) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void HandleOk(step_context& context, const health_result& event) {
+  backend_health& health = context.state.health;
+  const bool restarted = !health.instance.empty() && !event.instance.empty() &&
+                         health.instance != event.instance;
+  if (restarted && health.healthy) {
+    LoseBackend(context, "restarted");
+  }
+  health.instance = event.instance;
+  health.last_ok_us = context.now_us;
+  health.refused_in_row = 0;
+  ++health.ok_in_row;
+  if (!health.healthy && health.ok_in_row >= kGoodPolls) {
+    health.healthy = true;
+    context.Emit(record_event{.kind = "backend_healthy", .state_change = true});
+  }
+  ResolveBroken(context, event.poll);
+  StartQueued(context);
+}
+
+}  // namespace
+
+void ChangeIncarnation(agent_state& state) {
+  state.incarnation = NextRandom(state.random);
+  state.own_incarnations.push_back(state.incarnation);
+  if (state.own_incarnations.size() > kKnownIncarnations) {
+    state.own_incarnations.pop_front();
+  }
+}
+
+std::uint64_t PollHealth(step_context& context) {
+  const std::uint64_t poll = context.state.health.next_poll++;
+  context.Emit(poll_backend{.kind = poll_kind::kHealth, .number = poll});
+  return poll;
+}
+
+void Handle(step_context& context, const health_result& event) {
+  backend_health& health = context.state.health;
+  if (event.ok) {
+    HandleOk(context, event);
+    return;
+  }
+  health.ok_in_row = 0;
+  health.refused_in_row = event.refused ? health.refused_in_row + 1 : 0;
+  if (health.healthy && event.refused &&
+      (health.refused_in_row >= kRefusedPolls || AnyBroken(context.state))) {
+    LoseBackend(context, "connection refused");
+  }
+}
+
+void CheckHealth(step_context& context) {
+  backend_health& health = context.state.health;
+  if (health.healthy && context.now_us - health.last_ok_us >= kSilentServerUs) {
+    LoseBackend(context, "no answer to health polls");
+  }
+  if (context.now_us >= health.next_poll_us) {
+    health.next_poll_us = context.now_us + kHealthPollUs;
+    PollHealth(context);
+  }
+}
+
+}  // namespace wisteriaroute::agent
