agent: process test with an entry and a control leader in the test

Starts the agent and the stand-in and checks over real links: one execution per attempt however often it is submitted, also when the connection breaks after execution; tombstones; lease; SIGTERM; streams, resume, a silent stream, a malformed stream; a frozen and a dead server out of rotation within 2 s with suspects; orders by fencing number.

--- a/src/libwisteriaroute/agent/daemon.cc
+++ b/src/libwisteriaroute/agent/daemon.cc
@@ -196,7 +196,9 @@
 }
 
 void daemon::Run(const record_event& effect) {
-  if (effect.state_change) {
+  if (effect.state_change && effect.detail.empty()) {
+    base::LogInfo(effect.kind, {});
+  } else if (effect.state_change) {
     base::LogInfo(effect.kind, {{"detail", effect.detail}});
   }
   timeline_.Add({.hlc = clock_.Tick(base::WallMs()),
--- a/src/libwisteriaroute/agent/engine_client.cc
+++ b/src/libwisteriaroute/agent/engine_client.cc
@@ -229,7 +229,7 @@
 }
 
 void engine_client::Fetch(net::http_client_request request,
-                          body_handler handler) {
+                          const body_handler& handler) {
   if (request.timeout_ms == 0) {
     request.timeout_ms = kPollTimeoutMs;
   }
--- a/src/libwisteriaroute/agent/engine_client.h
+++ b/src/libwisteriaroute/agent/engine_client.h
@@ -52,7 +52,7 @@
                   const net::http_client_result& result);
   void Malformed(const std::shared_ptr<call>& target);
   void Drop(const std::shared_ptr<call>& target);
-  void Fetch(net::http_client_request request, body_handler handler);
+  void Fetch(net::http_client_request request, const body_handler& handler);
 
   net::http_client http_;
   engine_client_options options_;
--- /dev/null
+++ b/tests/process/agent_process_test.cc
@@ -0,0 +1,235 @@
+#include <doctest/doctest.h>
+
+#include <csignal>
+
+#include <nlohmann/json.hpp>
+
+#include "tests/process/agent_process_harness.h"
+
+namespace wisteriaroute::testing {
+namespace {
+
+constexpr base::time_us kOutOfRotationUs = 2'000'000;
+constexpr const char* kService = "service = \"desk\"\n";
+constexpr const char* kGroup = "group = \"chat\"\nrank = 3\n";
+
+wire::submit Completion(agent_harness& harness,
+                        const std::string& prompt,
+                        int tokens) {
+  wire::submit work = harness.NewSubmit(wire::work_kind::kCompletion);
+  work.body = nlohmann::json{{"prompt", prompt}, {"max_tokens", tokens}}.dump();
+  return work;
+}
+
+template <typename Message>
+std::vector<Message> Of(const agent_harness& harness) {
+  std::vector<Message> found;
+  for (const wire::control_message& message : harness.control_received) {
+    if (const auto* match = std::get_if<Message>(&message)) {
+      found.push_back(*match);
+    }
+  }
+  return found;
+}
+
+TEST_CASE("an agent beside a plain service") {
+  child_process backend("wisteriaroute-standin", {"--mode=plain"});
+  agent_harness harness(backend.address(), kService);
+  REQUIRE(harness.Ready());
+  wire::submit work = harness.NewSubmit(wire::work_kind::kPlain);
+  work.claimed = true;
+  work.body = "seat 12";
+  work.headers = {{"Idempotency-Key", "k1"}};
+
+  SUBCASE("passes a call on once, however often it is submitted") {
+    harness.Send(work);
+    harness.Send(work);
+    REQUIRE(
+        harness.RunUntil([&] { return harness.at(work.attempt).finished; }));
+    harness.Send(work);
+    harness.RunFor(100'000);
+    CHECK(harness.at(work.attempt).status == 201);
+    const auto list = nlohmann::json::parse(harness.Http("GET", "/bookings"));
+    CHECK(list["count"] == 1);
+    CHECK(list["bookings"][0]["attempt_id"] == base::ToString(work.attempt));
+  }
+
+  SUBCASE("doesn't send a call again whose connection broke") {
+    harness.Http("POST", "/faults", R"({"drop_after": 1})");
+    harness.Send(work);
+    REQUIRE(harness.RunUntil(
+        [&] { return !harness.at(work.attempt).failures.empty(); }));
+    CHECK(harness.at(work.attempt).failures[0].ran != wire::outcome::kNotRun);
+    CHECK(harness.at(work.attempt).refusals.empty());
+    const auto list = nlohmann::json::parse(harness.Http("GET", "/bookings"));
+    CHECK(list["count"] == 1);
+  }
+
+  SUBCASE("refuses for good what was queried before it came") {
+    harness.Send(wire::query{.attempt = work.attempt,
+                             .backend_incarnation = work.backend_incarnation,
+                             .window = work.window});
+    harness.Send(work);
+    REQUIRE(harness.RunUntil(
+        [&] { return !harness.at(work.attempt).refusals.empty(); }));
+    CHECK(harness.at(work.attempt).phases[0] ==
+          wire::attempt_phase::kNeverRuns);
+    const auto list = nlohmann::json::parse(harness.Http("GET", "/bookings"));
+    CHECK(list["count"] == 0);
+  }
+
+  SUBCASE("accepts nothing after its lease") {
+    harness.grants_lease = false;
+    REQUIRE(harness.RunUntil([&] { return !harness.state().accepting; },
+                             3'500'000));
+    harness.Send(work);
+    REQUIRE(harness.RunUntil(
+        [&] { return !harness.at(work.attempt).refusals.empty(); }));
+    CHECK(harness.at(work.attempt).refusals[0].reason ==
+          wire::refusal_reason::kNoLease);
+  }
+
+  SUBCASE("finishes what runs when it is asked to stop") {
+    harness.Http("POST", "/faults", R"({"delay_ms": 500})");
+    harness.Send(work);
+    harness.RunFor(100'000);
+    harness.agent().Signal(SIGTERM);
+    REQUIRE(harness.RunUntil([&] { return harness.state().leaving; }));
+    const wire::submit late = harness.NewSubmit(wire::work_kind::kPlain);
+    harness.Send(late);
+    REQUIRE(
+        harness.RunUntil([&] { return harness.at(work.attempt).finished; }));
+    CHECK(harness.at(work.attempt).status == 201);
+    REQUIRE(harness.at(late.attempt).refusals.size() == 1);
+    CHECK(harness.at(late.attempt).refusals[0].reason ==
+          wire::refusal_reason::kLeaving);
+    CHECK(harness.agent().Wait() == 0);
+  }
+}
+
+TEST_CASE("an agent beside an engine") {
+  auto backend = std::make_unique<child_process>(
+      "wisteriaroute-standin",
+      std::vector<std::string>{"--mode=engine", "--step_time_us=5000",
+                               "--crash_marker=boom"});
+  agent_harness harness(backend->address(), kGroup);
+  REQUIRE(harness.Ready());
+
+  SUBCASE("streams tokens without gaps") {
+    const wire::submit work = Completion(harness, "a prompt", 40);
+    harness.Send(work);
+    REQUIRE(
+        harness.RunUntil([&] { return harness.at(work.attempt).finished; }));
+    CHECK(harness.at(work.attempt).end_offset == 40);
+    CHECK_FALSE(harness.at(work.attempt).gap);
+
+    // A resumed stream continues with the same tokens.
+    wire::submit rest = Completion(harness, "a prompt", 40);
+    rest.resume_offset = 30;
+    harness.at(rest.attempt).end_offset = 30;
+    harness.Send(rest);
+    REQUIRE(
+        harness.RunUntil([&] { return harness.at(rest.attempt).finished; }));
+    CHECK_FALSE(harness.at(rest.attempt).gap);
+    CHECK(
+        harness.at(work.attempt).text.ends_with(harness.at(rest.attempt).text));
+  }
+
+  SUBCASE("opens a stream again that went silent") {
+    harness.Http("POST", "/faults", R"({"silent_streams": 1})");
+    const wire::submit work = Completion(harness, "a prompt", 40);
+    harness.Send(work);
+    REQUIRE(harness.RunUntil([&] { return harness.at(work.attempt).finished; },
+                             4'000'000));
+    CHECK(harness.at(work.attempt).end_offset == 40);
+    CHECK_FALSE(harness.at(work.attempt).gap);
+  }
+
+  SUBCASE("reports a malformed stream as failed and lives on") {
+    harness.Http("POST", "/faults", R"({"malformed_streams": 1})");
+    const wire::submit work = Completion(harness, "a prompt", 40);
+    harness.Send(work);
+    REQUIRE(harness.RunUntil(
+        [&] { return !harness.at(work.attempt).failures.empty(); }));
+    CHECK(harness.at(work.attempt).failures[0].reason ==
+          wire::failure_reason::kBackendError);
+    const wire::submit next = Completion(harness, "a prompt", 4);
+    harness.Send(next);
+    CHECK(harness.RunUntil([&] { return harness.at(next.attempt).finished; }));
+  }
+
+  SUBCASE("takes a frozen server out of rotation") {
+    const std::uint64_t before = harness.state().backend_incarnation;
+    backend->Signal(SIGSTOP);
+    CHECK(harness.RunUntil([&] { return !harness.state().accepting; },
+                           kOutOfRotationUs));
+    backend->Signal(SIGCONT);
+    REQUIRE(harness.Ready());
+    CHECK(harness.state().backend_incarnation != before);
+  }
+
+  SUBCASE("takes a dead server out of rotation and names the suspects") {
+    const std::uint64_t lost = harness.state().backend_incarnation;
+    const wire::submit beside = Completion(harness, "beside", 100'000);
+    harness.Send(beside);
+    REQUIRE(harness.RunUntil(
+        [&] { return harness.at(beside.attempt).end_offset > 3; }));
+    const wire::submit culprit = Completion(harness, "boom", 10);
+    harness.Send(culprit);
+    REQUIRE(harness.RunUntil([&] { return !harness.state().healthy; },
+                             kOutOfRotationUs));
+    REQUIRE(harness.RunUntil([&] {
+      return !harness.at(beside.attempt).failures.empty() &&
+             !harness.at(culprit.attempt).failures.empty() &&
+             !Of<wire::suspect_report>(harness).empty();
+    }));
+    const wire::failed failure = harness.at(beside.attempt).failures[0];
+    CHECK(failure.reason == wire::failure_reason::kBackendLost);
+    CHECK(failure.ran_beside.size() == 2);
+    const wire::suspect_report report = Of<wire::suspect_report>(harness)[0];
+    CHECK(report.backend_incarnation == lost);
+    CHECK(report.running.size() == 2);
+
+    // The server comes back at the same address.
+    const std::string address = backend->address();
+    backend.reset();
+    backend = std::make_unique<child_process>(
+        "wisteriaroute-standin",
+        std::vector<std::string>{"--listen=" + address});
+    REQUIRE(harness.Ready());
+    CHECK(harness.state().backend_incarnation != lost);
+  }
+
+  SUBCASE("passes orders on by fencing number and reports the rank") {
+    wire::order form{.order_id = 1,
+                     .fencing = {.term = 1, .index = 11},
+                     .kind = wire::order_kind::kFormGroup,
+                     .group = "chat",
+                     .generation = 1,
+                     .epoch = 1};
+    harness.SendControl(form);
+    harness.SendControl(form);
+    REQUIRE(harness.RunUntil([&] {
+      return Of<wire::order_result>(harness).size() >= 1 &&
+             !Of<wire::group_report>(harness).empty() &&
+             Of<wire::group_report>(harness).back().generation == 1;
+    }));
+    CHECK(Of<wire::order_result>(harness)[0].result ==
+          wire::order_status::kDone);
+    CHECK(Of<wire::group_report>(harness).back().rank == 3);
+    harness.SendControl(wire::order{.order_id = 2,
+                                    .fencing = {.term = 1, .index = 9},
+                                    .kind = wire::order_kind::kFormGroup,
+                                    .generation = 2});
+    REQUIRE(harness.RunUntil(
+        [&] { return Of<wire::order_result>(harness).size() >= 2; }));
+    CHECK(Of<wire::order_result>(harness).back().result ==
+          wire::order_status::kFenced);
+    const auto group = nlohmann::json::parse(harness.Http("GET", "/group"));
+    CHECK(group["orders_applied"] == 1);
+    CHECK(group["generation"] == 1);
+  }
+}
+
+}  // namespace
+}  // namespace wisteriaroute::testing
