--- /dev/null
+++ b/src/libwisteriaroute/entry/api.cc
@@ -0,0 +1,264 @@
+#include "libwisteriaroute/entry/api.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace wisteriaroute::entry {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::uint32_t kDefaultMaxTokens = 256;
+constexpr std::uint32_t kHighestMaxTokens = 1'000'000;
+// Nested input costs stack in the parser; no request needs more.
+constexpr int kMaxDepth = 32;
+constexpr std::size_t kBytesPerToken = 4;
+
+std::string Quoted(std::string_view text) {
+  std::string out = "\"";
+  AppendEscaped(text, out);
+  out += '"';
+  return out;
+}
+
+json ParseBounded(std::string_view body) {
+  return json::parse(body.begin(), body.end(),
+                     [](int depth, json::parse_event_t, json&) {
+                       if (depth > kMaxDepth) {
+                         throw std::invalid_argument("nested too deeply");
+                       }
+                       return true;
+                     });
+}
+
+std::size_t TextBytes(const json& value) {
+  if (value.is_string()) {
+    return value.get_ref<const std::string&>().size();
+  }
+  std::size_t sum = 0;
+  if (value.is_structured()) {
+    for (const json& item : value) {
+      sum += TextBytes(item);
+    }
+  }
+  return sum;
+}
+
+std::string CheckPrompt(wire::work_kind kind,
+                        const json& body,
+                        std::size_t& text_bytes) {
+  if (kind == wire::work_kind::kCompletion) {
+    const auto prompt = body.find("prompt");
+    if (prompt == body.end() || !(prompt->is_string() || prompt->is_array())) {
+      return "'prompt' must be a string or an array";
+    }
+    text_bytes = TextBytes(*prompt);
+    return {};
+  }
+  const auto messages = body.find("messages");
+  if (messages == body.end() || !messages->is_array() || messages->empty()) {
+    return "'messages' must be an array that isn't empty";
+  }
+  for (const json& message : *messages) {
+    if (!message.is_object() || !message.contains("role") ||
+        !message["role"].is_string() || !message.contains("content")) {
+      return "each message must have a 'role' and a 'content'";
+    }
+    text_bytes += TextBytes(message["content"]);
+  }
+  return {};
+}
+
+std::string ReadMaxTokens(const json& body, generation_body& out) {
+  out.max_tokens = kDefaultMaxTokens;
+  for (const char* name : {"max_tokens", "max_completion_tokens"}) {
+    const auto found = body.find(name);
+    if (found == body.end() || found->is_null()) {
+      continue;
+    }
+    if (!found->is_number_integer() || found->get<double>() < 1 ||
+        found->get<double>() > kHighestMaxTokens) {
+      return std::string("'") + name + "' must be an integer from 1 to 1000000";
+    }
+    out.max_tokens = found->get<std::uint32_t>();
+  }
+  return {};
+}
+
+std::string ReadModel(const json& body, generation_body& out) {
+  const auto found = body.find("model");
+  if (found == body.end() || !found->is_string()) {
+    return "'model' must be a string";
+  }
+  out.model = found->get<std::string>();
+  const std::size_t colon = out.model.find(':');
+  if (colon != std::string::npos) {
+    out.adapter = out.model.substr(colon + 1);
+    out.model.resize(colon);
+  }
+  const auto stream = body.find("stream");
+  if (stream != body.end() && !stream->is_null()) {
+    if (!stream->is_boolean()) {
+      return "'stream' must be true or false";
+    }
+    out.stream = stream->get<bool>();
+  }
+  return {};
+}
+
+// Everything of an event before its text.
+void AppendEventStart(const request& of, std::string& out) {
+  const bool chat = of.kind == wire::work_kind::kChatCompletion;
+  out += R"(data: {"id":)";
+  out += Quoted(of.request_id);
+  out += chat ? R"(,"object":"chat.completion.chunk","created":)"
+              : R"(,"object":"text_completion","created":)";
+  out += std::to_string(of.created_s);
+  out += R"(,"model":)";
+  out += Quoted(of.model);
+  out += R"(,"choices":[{"index":0,)";
+}
+
+std::string Usage(const wire::finish& end) {
+  return R"("usage":{"prompt_tokens":)" + std::to_string(end.prompt_tokens) +
+         R"(,"completion_tokens":)" + std::to_string(end.completion_tokens) +
+         R"(,"total_tokens":)" +
+         std::to_string(std::uint64_t{end.prompt_tokens} +
+                        end.completion_tokens) +
+         R"(,"prompt_tokens_details":{"cached_tokens":)" +
+         std::to_string(end.cached_tokens) + "}}";
+}
+
+}  // namespace
+
+std::variant<generation_body, std::string> ParseGeneration(
+    wire::work_kind kind,
+    std::string_view body) {
+  generation_body out;
+  try {
+    const json parsed = ParseBounded(body);
+    if (!parsed.is_object()) {
+      return "the body must be a JSON object";
+    }
+    std::size_t text_bytes = 0;
+    std::string fault = ReadModel(parsed, out);
+    if (fault.empty()) {
+      fault = CheckPrompt(kind, parsed, text_bytes);
+    }
+    if (fault.empty()) {
+      fault = ReadMaxTokens(parsed, out);
+    }
+    if (!fault.empty()) {
+      return fault;
+    }
+    out.prompt_tokens = static_cast<std::uint32_t>(
+        std::max<std::size_t>(text_bytes / kBytesPerToken, 1));
+    return out;
+  } catch (const std::exception& error) {
+    return std::string("the body isn't valid JSON: ") + error.what();
+  }
+}
+
+void AppendEscaped(std::string_view text, std::string& out) {
+  static constexpr char kDigits[] = "0123456789abcdef";
+  std::size_t copied = 0;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    const auto c = static_cast<unsigned char>(text[i]);
+    if (c >= 0x20 && c != '"' && c != '\\') {
+      continue;
+    }
+    out.append(text, copied, i - copied);
+    copied = i + 1;
+    switch (c) {
+      case '"':
+        out += "\\\"";
+        break;
+      case '\\':
+        out += "\\\\";
+        break;
+      case '\n':
+        out += "\\n";
+        break;
+      case '\r':
+        out += "\\r";
+        break;
+      case '\t':
+        out += "\\t";
+        break;
+      default:
+        out += "\\u00";
+        out += kDigits[c >> 4];
+        out += kDigits[c & 15];
+    }
+  }
+  out.append(text, copied, text.size() - copied);
+}
+
+std::string ErrorBody(const error_reply& error, std::string_view request_id) {
+  std::string out = R"({"error":{"code":)";
+  out += Quoted(error.code);
+  out += R"(,"message":)";
+  out += Quoted(error.message);
+  out += R"(,"outcome":")";
+  out += wire::ToString(error.ran);
+  out += R"(","request_id":)";
+  out += Quoted(request_id);
+  out += "}}";
+  return out;
+}
+
+std::string ChunkEvent(const request& of, std::string_view text) {
+  std::string out;
+  out.reserve(192 + of.request_id.size() + of.model.size() + text.size());
+  AppendEventStart(of, out);
+  const bool chat = of.kind == wire::work_kind::kChatCompletion;
+  out += chat ? R"("delta":{"content":")" : R"("text":")";
+  AppendEscaped(text, out);
+  out += chat ? "\"},\"finish_reason\":null}]}\n\n"
+              : "\",\"finish_reason\":null}]}\n\n";
+  return out;
+}
+
+std::string FinishEvents(const request& of, const wire::finish& end) {
+  std::string out;
+  AppendEventStart(of, out);
+  out += of.kind == wire::work_kind::kChatCompletion ? R"("delta":{})"
+                                                     : R"("text":"")";
+  out += R"(,"finish_reason":)" +
+         Quoted(end.reason.empty() ? "stop" : end.reason) + "}]," + Usage(end) +
+         "}\n\ndata: [DONE]\n\n";
+  return out;
+}
+
+std::string ErrorEvent(const error_reply& error, std::string_view request_id) {
+  return "event: error\ndata: " + ErrorBody(error, request_id) + "\n\n";
+}
+
+std::string CompletionBody(const request& of, const wire::finish& end) {
+  const bool chat = of.kind == wire::work_kind::kChatCompletion;
+  std::string out = R"({"id":)" + Quoted(of.request_id);
+  out += chat ? R"(,"object":"chat.completion")"
+              : R"(,"object":"text_completion")";
+  out += R"(,"created":)" + std::to_string(of.created_s) + R"(,"model":)" +
+         Quoted(of.model) + R"(,"choices":[{"index":0,)";
+  out += chat ? R"("message":{"role":"assistant","content":")" : R"("text":")";
+  AppendEscaped(of.response.text, out);
+  out += chat ? "\"}" : "\"";
+  out += R"(,"finish_reason":)" +
+         Quoted(end.reason.empty() ? "stop" : end.reason) + "}]," + Usage(end) +
+         "}";
+  return out;
+}
+
+std::string ModelList(const std::vector<std::string>& models) {
+  std::string out = R"({"object":"list","data":[)";
+  for (std::size_t i = 0; i < models.size(); ++i) {
+    out += i == 0 ? "" : ",";
+    out += R"({"id":)" + Quoted(models[i]) +
+           R"(,"object":"model","created":0,"owned_by":"wisteriaroute"})";
+  }
+  return out + "]}";
+}
+
+}  // namespace wisteriaroute::entry
--- /dev/null
+++ b/src/libwisteriaroute/entry/api.h
@@ -0,0 +1,52 @@
+#ifndef LIBWISTERIAROUTE_ENTRY_API_H_
+#define LIBWISTERIAROUTE_ENTRY_API_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "libwisteriaroute/entry/request.h"
+
+namespace wisteriaroute::entry {
+
+/** The fields of a generation request that the entry uses. */
+struct generation_body {
+  std::string model;
+  std::string adapter;
+  bool stream = false;
+  std::uint32_t prompt_tokens = 0;
+  std::uint32_t max_tokens = 0;
+};
+
+/** Reads the body of a generation request, or says what is wrong with it. */
+std::variant<generation_body, std::string> ParseGeneration(
+    wire::work_kind kind,
+    std::string_view body);
+
+/** Appends `text` with what JSON requires to be escaped. */
+void AppendEscaped(std::string_view text, std::string& out);
+
+/** `{"error":{"code","message","outcome","request_id"}}`. */
+std::string ErrorBody(const error_reply& error, std::string_view request_id);
+
+/** One `data:` event with the text of a chunk. */
+std::string ChunkEvent(const request& of, std::string_view text);
+
+/** The last `data:` event with the finish reason, and `data: [DONE]`. */
+std::string FinishEvents(const request& of, const wire::finish& end);
+
+/** `event: error` with the error body. */
+std::string ErrorEvent(const error_reply& error, std::string_view request_id);
+
+/** Body of a whole response to a generation request. */
+std::string CompletionBody(const request& of, const wire::finish& end);
+
+/** Body of `GET /v1/models`. */
+std::string ModelList(const std::vector<std::string>& models);
+
+}  // namespace wisteriaroute::entry
+
+#endif  // LIBWISTERIAROUTE_ENTRY_API_H_
--- /dev/null
+++ b/src/libwisteriaroute/entry/attempts.cc
@@ -0,0 +1,295 @@
+#include "libwisteriaroute/entry/attempts.h"
+
+#include <algorithm>
+
+#include "libwisteriaroute/entry/admission.h"
+#include "libwisteriaroute/entry/claims.h"
+#include "libwisteriaroute/entry/quarantine.h"
+#include "libwisteriaroute/entry/queue.h"
+#include "libwisteriaroute/entry/respond.h"
+
+namespace wisteriaroute::entry {
+
+namespace {
+
+constexpr base::time_us kBudgetWindowS = 10;
+// A server that fails this often in a row is left alone for a while, which
+// doubles with each further failure.
+constexpr std::uint32_t kFailuresToSuspend = 3;
+constexpr base::time_us kSuspendUs = 500'000;
+constexpr std::uint32_t kMaxSuspendDoublings = 6;
+
+bool TakeRetry(step_context& step) {
+  std::int64_t requests = 0;
+  std::int64_t retries = 0;
+  auto& recent = step.state.recent;
+  const base::time_us second = step.now_us / 1'000'000;
+  recent.erase(recent.begin(), recent.lower_bound(second - kBudgetWindowS));
+  for (const auto& [at, counts] : recent) {
+    requests += counts.first;
+    retries += counts.second;
+  }
+  const entry_settings& settings = step.state.settings;
+  if (retries >= std::max(settings.retry_floor,
+                          requests * settings.retry_percent / 100)) {
+    step.Emit(count_metric{"wisteriaroute_retry_budget_exhausted_total"});
+    return false;
+  }
+  ++recent[second].second;
+  return true;
+}
+
+void CountFailure(step_context& step, agent& at) {
+  ++at.failures;
+  if (at.failures >= kFailuresToSuspend) {
+    const std::uint32_t doublings =
+        std::min(at.failures - kFailuresToSuspend, kMaxSuspendDoublings);
+    at.suspended_until_us = step.now_us + (kSuspendUs << doublings);
+  }
+}
+
+std::string_view Name(wire::refusal_reason reason) {
+  constexpr std::string_view kNames[] = {
+      "other_incarnation", "window_over", "queried_before",
+      "leaving",           "no_lease",    "unhealthy",
+      "overloaded",        "cancelled",   "deadline"};
+  return kNames[static_cast<std::size_t>(reason)];
+}
+
+std::string_view Name(wire::failure_reason reason) {
+  constexpr std::string_view kNames[] = {"backend_lost", "backend_error",
+                                         "backend_timeout",
+                                         "response_too_large", "cancelled"};
+  return kNames[static_cast<std::size_t>(reason)];
+}
+
+wire::submit MakeSubmit(const step_context& step,
+                        const request& of,
+                        const wire::claim_target& target) {
+  wire::submit out;
+  out.attempt = target.attempt;
+  out.request_id = of.request_id;
+  out.kind = of.kind;
+  out.backend_incarnation = target.backend_incarnation;
+  out.window = target.window;
+  out.claimed = of.non_repeatable;
+  out.priority = of.priority;
+  if (of.deadline_us != 0) {
+    out.deadline_ms =
+        std::max<std::int64_t>((of.deadline_us - step.now_us) / 1'000, 1);
+  }
+  out.workspace = of.workspace;
+  out.model = of.model;
+  out.adapter = of.adapter;
+  out.method = of.method;
+  out.target = of.target;
+  out.headers = of.headers;
+  out.headers.emplace_back("x-request-id", of.request_id);
+  out.body = of.body;
+  out.fingerprint = of.fingerprint;
+  if (of.kind != wire::work_kind::kPlain) {
+    out.resume_offset = of.response.offset;
+    out.resume_text = of.response.text;
+  }
+  return out;
+}
+
+void SetCurrent(step_context& step,
+                request& of,
+                const wire::claim_target& target) {
+  of.current = attempt{.id = target.attempt,
+                       .agent = target.agent,
+                       .backend_incarnation = target.backend_incarnation,
+                       .window = target.window,
+                       .started_us = step.now_us};
+  step.state.request_of_attempt[target.attempt] = of.number;
+  if (agent* at = FindAgent(step.state, target.agent)) {
+    ++at->in_flight;
+    at->suspects += of.suspect ? 1 : 0;
+  }
+  SetPhase(step, of, request_phase::kRunning);
+}
+
+// A plain response that failed half-way starts anew; a generation goes on
+// after the tokens that arrived.
+void ResetResponse(request& of) {
+  response_state& response = of.response;
+  response.held.clear();
+  response.held_bytes = 0;
+  response.end.reset();
+  response.head_seen = false;
+  if (of.kind == wire::work_kind::kPlain || response.status != 200) {
+    response = {};
+  }
+}
+
+}  // namespace
+
+void Submit(step_context& step,
+            request& of,
+            agent& to,
+            const wire::claim_target& target) {
+  ++of.attempts;
+  of.held_attempt.reset();
+  SetCurrent(step, of, target);
+  of.running = wire::outcome::kUnknown;
+  ++to.sent_since_report;
+  Note(step, of, "submitted", target.agent, base::ToString(target.attempt));
+  step.Emit(send_work{to.link, MakeSubmit(step, of, target)});
+}
+
+void Follow(step_context& step, request& of, const wire::claim_target& target) {
+  SetCurrent(step, of, target);
+  of.running = wire::outcome::kRan;
+  Note(step, of, "attached", target.agent, base::ToString(target.attempt));
+  const agent* at = FindAgent(step.state, target.agent);
+  if (at != nullptr && at->link != 0) {
+    step.Emit(send_work{at->link, wire::attach{target.attempt, 0}});
+  }
+}
+
+void DropCurrent(step_context& step, request& of) {
+  if (!of.current) {
+    return;
+  }
+  step.state.request_of_attempt.erase(of.current->id);
+  if (agent* at = FindAgent(step.state, of.current->agent)) {
+    at->in_flight -= std::min(at->in_flight, 1U);
+    at->suspects -= of.suspect ? std::min(at->suspects, 1U) : 0;
+  }
+  of.current.reset();
+  of.running = wire::outcome::kNotRun;
+}
+
+void AbandonCurrent(step_context& step, request& of) {
+  if (!of.current) {
+    return;
+  }
+  const attempt dropped = *of.current;
+  of.settled = std::max(of.settled, of.running);
+  DropCurrent(step, of);
+  agent* at = FindAgent(step.state, dropped.agent);
+  if (at == nullptr) {
+    return;
+  }
+  if (at->link != 0) {
+    step.Emit(send_work{at->link, wire::cancel{dropped.id}});
+  } else {
+    at->to_cancel.insert(dropped.id);
+  }
+}
+
+void TryAgain(step_context& step, request& of, error_reply otherwise) {
+  const bool in_time = of.deadline_us == 0 || step.now_us < of.deadline_us;
+  // A plain body that was sent on in part can't be continued elsewhere.
+  const bool resumable =
+      of.kind != wire::work_kind::kPlain || !of.stream_started;
+  // Suspects are bounded by their crashes, and innocent ones must be answered.
+  if (!resumable || of.attempts >= kMaxAttempts || !in_time ||
+      (!of.suspect && !TakeRetry(step))) {
+    GiveUp(step, of, std::move(otherwise));
+    return;
+  }
+  ResetResponse(of);
+  step.Emit(count_metric{"wisteriaroute_retries_total"});
+  Note(step, of, "retry", {}, otherwise.code);
+  Enqueue(step, of);
+}
+
+void GiveUp(step_context& step, request& of, error_reply error) {
+  if (of.held_attempt) {
+    Dequeue(step, of);
+    ReleaseClaim(step, of, std::move(error));
+    return;
+  }
+  error.ran = Outcome(of);
+  RespondError(step, of, error);
+  Close(step, of);
+}
+
+void HandleNeverRuns(step_context& step,
+                     request& of,
+                     std::string_view reason,
+                     std::int64_t retry_after_ms) {
+  const wire::attempt_id id = of.current->id;
+  Note(step, of, "not_run", of.current->agent, std::string(reason));
+  of.avoided.insert(of.current->agent);
+  DropCurrent(step, of);
+  if (of.non_repeatable) {
+    of.held_attempt = id;
+  }
+  error_reply error{.status = 503,
+                    .code = "refused_by_backend",
+                    .message = "no backend server took the request: " +
+                               std::string(reason),
+                    .retry_after_s =
+                        std::max<std::int64_t>((retry_after_ms + 999) / 1'000,
+                                               RetryAfter(step, of.pool))};
+  if (of.answered) {
+    GiveUp(step, of, std::move(error));
+    return;
+  }
+  TryAgain(step, of, std::move(error));
+}
+
+void HandleLost(step_context& step,
+                request& of,
+                wire::outcome ran,
+                const error_reply& error) {
+  // Bytes that arrived prove that it ran, whatever the agent knows.
+  of.settled = std::max({of.settled, ran, of.running});
+  const attempt lost = *of.current;
+  Note(step, of, "attempt_lost", lost.agent, error.code);
+  of.avoided.insert(lost.agent);
+  if (of.non_repeatable) {
+    RecordOutcome(step, of, error);
+    return;
+  }
+  DropCurrent(step, of);
+  if (of.callers.empty()) {
+    Close(step, of);
+    return;
+  }
+  if (of.crashes >= kMaxCrashes) {
+    error_reply final_error = QuarantinedError();
+    GiveUp(step, of, std::move(final_error));
+    return;
+  }
+  TryAgain(step, of, error);
+}
+
+void HandleRefused(step_context& step, const wire::refused& message) {
+  request* of = FindByAttempt(step.state, message.attempt);
+  if (of == nullptr || of->phase != request_phase::kRunning) {
+    step.Emit(count_metric{"wisteriaroute_late_messages_total"});
+    return;
+  }
+  step.Emit(count_metric{"wisteriaroute_refusals_total{reason=\"" +
+                         std::string(Name(message.reason)) + "\"}"});
+  HandleNeverRuns(step, *of, Name(message.reason), message.retry_after_ms);
+}
+
+void HandleFailed(step_context& step, const wire::failed& message) {
+  request* of = FindByAttempt(step.state, message.attempt);
+  if (of == nullptr || of->phase != request_phase::kRunning) {
+    step.Emit(count_metric{"wisteriaroute_late_messages_total"});
+    return;
+  }
+  const std::string code(Name(message.reason));
+  step.Emit(count_metric{"wisteriaroute_failures_total{reason=\"" + code +
+                         "\"}"});
+  if (agent* at = FindAgent(step.state, of->current->agent)) {
+    CountFailure(step, *at);
+  }
+  if (message.reason == wire::failure_reason::kBackendLost) {
+    NoteCrash(step, *of, message.ran_beside);
+  }
+  const bool timed_out = message.reason == wire::failure_reason::kTimeout;
+  HandleLost(step, *of, std::max(message.ran, wire::outcome::kUnknown),
+             {.status = timed_out ? 504U : 502U,
+              .code = code,
+              .message = "the backend server gave no whole response",
+              .retry_after_s = 1});
+}
+
+}  // namespace wisteriaroute::entry
--- /dev/null
+++ b/src/libwisteriaroute/entry/queue.cc
@@ -0,0 +1,166 @@
+#include "libwisteriaroute/entry/queue.h"
+
+#include <algorithm>
+
+#include "libwisteriaroute/entry/attempts.h"
+#include "libwisteriaroute/entry/claims.h"
+#include "libwisteriaroute/policy/routing.h"
+
+namespace wisteriaroute::entry {
+
+namespace {
+
+// Requests that can't be placed, for instance suspects that wait to be alone,
+// don't hold up those behind them; this bounds the search.
+constexpr int kMaxPassedOver = 32;
+// A server that refused or failed a request may get it again after this, if
+// there is no other.
+constexpr base::time_us kAvoidUs = 250'000;
+
+bool IsAllowed(const agent& candidate,
+               const request& of,
+               bool avoided_too,
+               base::time_us now_us) {
+  return IsEligible(candidate, now_us) &&
+         (!of.suspect || candidate.suspects == 0) &&
+         (avoided_too || !of.avoided.contains(candidate.member.name));
+}
+
+policy::routing_candidate Describe(const entry_state& state,
+                                   const agent& from) {
+  return {.reported_queued = from.load.queued,
+          .reported_running = from.load.running,
+          .slots = from.load.slots,
+          .step_time_us = from.load.step_time_us,
+          .in_flight = from.in_flight,
+          .sent_since_report = from.sent_since_report,
+          .same_data_center = from.member.data_center == state.data_center,
+          .same_region = from.member.region == state.region,
+          .failures = from.failures};
+}
+
+agent* ChooseAgent(step_context& step, const pool& from, const request& of) {
+  std::vector<policy::routing_candidate> candidates;
+  std::vector<agent*> agents;
+  const bool avoided_too = step.now_us - of.phase_since_us >= kAvoidUs;
+  for (const bool again : {false, true}) {
+    if (again && !avoided_too) {
+      break;
+    }
+    for (agent* candidate : from.agents) {
+      if (IsAllowed(*candidate, of, again, step.now_us)) {
+        candidates.push_back(Describe(step.state, *candidate));
+        agents.push_back(candidate);
+      }
+    }
+    if (!agents.empty()) {
+      break;
+    }
+  }
+  const auto chosen = policy::Choose(candidates,
+                                     {.prompt_tokens = of.prompt_tokens,
+                                      .expected_tokens = of.max_tokens},
+                                     NextRandom(step.state));
+  return chosen ? agents[*chosen] : nullptr;
+}
+
+void Dispatch(step_context& step, request& of, agent& to) {
+  Dequeue(step, of);
+  if (of.non_repeatable) {
+    RequestClaim(step, of, to);
+    return;
+  }
+  Submit(step, of, to,
+         {.attempt = {step.state.incarnation, step.state.next_attempt++},
+          .agent = to.member.name,
+          .backend_incarnation = to.state->backend_incarnation,
+          .window = to.state->window});
+}
+
+void DispatchPool(step_context& step, pool& from) {
+  std::vector<std::uint64_t> numbers;
+  int passed_over = 0;
+  auto it = from.waiting.begin();
+  while (it != from.waiting.end() && passed_over < kMaxPassedOver) {
+    const auto position = *it++;
+    request* next = FindRequest(step.state, std::get<2>(position));
+    if (next == nullptr) {
+      from.waiting.erase(position);
+      continue;
+    }
+    agent* to = ChooseAgent(step, from, *next);
+    if (to == nullptr) {
+      ++passed_over;
+      if (!next->suspect && next->avoided.empty()) {
+        return;
+      }
+      continue;
+    }
+    from.virtual_time = std::max(from.virtual_time, next->fair_tag);
+    Dispatch(step, *next, *to);
+  }
+}
+
+}  // namespace
+
+bool IsEligible(const agent& candidate, base::time_us now_us) {
+  if (!candidate.is_member || candidate.drained || candidate.member.leaving ||
+      candidate.link == 0 || !candidate.state ||
+      now_us < candidate.suspended_until_us) {
+    return false;
+  }
+  const wire::agent_state& state = *candidate.state;
+  const std::uint64_t registered = candidate.member.backend.incarnation;
+  return state.accepting && state.healthy && !state.leaving &&
+         (registered == 0 || registered == state.backend_incarnation);
+}
+
+void Enqueue(step_context& step, request& of) {
+  SetPhase(step, of, request_phase::kQueued);
+  pool& into = step.state.pools[of.pool];
+  double share = 1;
+  const auto found = step.state.configuration->workspaces.find(of.workspace);
+  if (found != step.state.configuration->workspaces.end()) {
+    share = std::max(found->second.share, 0.001);
+  }
+  // Start-time fair queueing: a workspace advances by its cost over its share,
+  // and one that was idle starts at the pool's current time. Retries keep
+  // their place.
+  if (of.attempts == 0 && of.fair_tag == 0) {
+    const double cost = 1 + of.prompt_tokens + of.max_tokens;
+    double& last_tag = into.last_tags[of.workspace];
+    last_tag = std::max(last_tag, into.virtual_time) + cost / share;
+    of.fair_tag = last_tag;
+  }
+  if (into.waiting.emplace(of.priority, of.fair_tag, of.number).second) {
+    ++step.state.queued;
+  }
+}
+
+void Dequeue(step_context& step, request& of) {
+  const auto found = step.state.pools.find(of.pool);
+  if (found != step.state.pools.end() &&
+      found->second.waiting.erase({of.priority, of.fair_tag, of.number}) > 0) {
+    --step.state.queued;
+  }
+}
+
+void DispatchQueued(step_context& step) {
+  if (step.state.queued == 0 || step.now_us >= step.state.lease_until_us) {
+    return;
+  }
+  for (auto& [name, from] : step.state.pools) {
+    DispatchPool(step, from);
+  }
+}
+
+bool HasCandidate(const step_context& step, const request& of) {
+  const auto found = step.state.pools.find(of.pool);
+  return found != step.state.pools.end() &&
+         std::any_of(found->second.agents.begin(), found->second.agents.end(),
+                     [&](const agent* candidate) {
+                       return IsEligible(*candidate, step.now_us);
+                     });
+}
+
+}  // namespace wisteriaroute::entry
--- /dev/null
+++ b/src/libwisteriaroute/entry/queue.h
@@ -0,0 +1,25 @@
+#ifndef LIBWISTERIAROUTE_ENTRY_QUEUE_H_
+#define LIBWISTERIAROUTE_ENTRY_QUEUE_H_
+
+#include "libwisteriaroute/entry/state.h"
+
+namespace wisteriaroute::entry {
+
+/** Puts a request into the queue of its pool, by priority and fair share. */
+void Enqueue(step_context& step, request& of);
+
+/** Takes a request out of the queue if it is there. */
+void Dequeue(step_context& step, request& of);
+
+/** Dispatches waiting requests while backend servers have room. */
+void DispatchQueued(step_context& step);
+
+/** Whether any backend server could take the request, room apart. */
+bool HasCandidate(const step_context& step, const request& of);
+
+/** Whether new work may go to the agent's backend server. */
+bool IsEligible(const agent& candidate, base::time_us now_us);
+
+}  // namespace wisteriaroute::entry
+
+#endif  // LIBWISTERIAROUTE_ENTRY_QUEUE_H_
--- /dev/null
+++ b/src/libwisteriaroute/entry/receive.cc
@@ -0,0 +1,222 @@
+#include "libwisteriaroute/entry/receive.h"
+
+#include <utility>
+
+#include "libwisteriaroute/entry/admission.h"
+#include "libwisteriaroute/entry/api.h"
+#include "libwisteriaroute/entry/attempts.h"
+#include "libwisteriaroute/entry/claims.h"
+#include "libwisteriaroute/entry/quarantine.h"
+#include "libwisteriaroute/entry/queue.h"
+#include "libwisteriaroute/entry/respond.h"
+#include "libwisteriaroute/entry/streaming.h"
+#include "libwisteriaroute/entry/validation.h"
+
+namespace wisteriaroute::entry {
+
+namespace {
+
+bool AcceptsWork(const step_context& step) {
+  const entry_state& state = step.state;
+  const bool settled =
+      state.stopping && step.now_us - state.stopping_since_us >=
+                            state.settings.settle_ms * 1'000;
+  return state.configuration != nullptr &&
+         step.now_us < state.lease_until_us && !settled;
+}
+
+error_reply NotReady(const step_context& step, const http_received& event) {
+  // With a key this may be the resend of a call that ran.
+  const bool keyed = !event.request.Header("idempotency-key").empty() &&
+                     !event.request.path.starts_with("/v1/");
+  return {.status = 503,
+          .code = step.state.stopping ? "stopping" : "not_ready",
+          .message = step.state.stopping
+                         ? "the entry stops"
+                         : "the entry has no valid lease or configuration",
+          .ran = keyed ? wire::outcome::kUnknown : wire::outcome::kNotRun,
+          .retry_after_s =
+              1 + static_cast<std::int64_t>(NextRandom(step.state) % 3)};
+}
+
+void Answer(step_context& step,
+            net::exchange_id exchange,
+            unsigned status,
+            std::string body,
+            const char* type) {
+  step.Emit(http_respond{
+      exchange, status, {{"Content-Type", type}}, std::move(body)});
+}
+
+// Requests about the entry itself. Returns whether it was one.
+bool HandleOwn(step_context& step, const http_received& event) {
+  const std::string& path = event.request.path;
+  if (path == "/healthz") {
+    Answer(step, event.exchange, 200, "ok\n", "text/plain");
+  } else if (path == "/readyz") {
+    const bool ready = IsReady(step.state, step.now_us);
+    Answer(step, event.exchange, ready ? 200 : 503,
+           ready ? "ready\n" : "not ready\n", "text/plain");
+  } else if (path == "/metrics") {
+    step.Emit(respond_metrics{event.exchange});
+  } else {
+    return false;
+  }
+  return true;
+}
+
+void HandleModels(step_context& step,
+                  const http_received& event,
+                  const std::string& request_id) {
+  const config::workspace* owner = Authenticate(step.state, event.request);
+  if (owner == nullptr) {
+    Refuse(step, event.exchange,
+           {.status = 401,
+            .code = "unauthenticated",
+            .message = "the bearer key isn't known",
+            .ran = wire::outcome::kNotRun},
+           request_id);
+    return;
+  }
+  Answer(step, event.exchange, 200, ModelList(owner->models),
+         "application/json");
+}
+
+void Join(step_context& step, request& open, const request& joining) {
+  const net::exchange_id caller = joining.callers.front();
+  Note(step, open, "joined");
+  if (open.phase == request_phase::kRecording && open.answered &&
+      !open.pending_error) {
+    wire::header_list headers = open.response.headers;
+    headers.emplace_back("Idempotent-Replayed", "true");
+    step.Emit(http_respond{caller, open.response.status, std::move(headers),
+                           open.response.text});
+    return;
+  }
+  open.answered = false;
+  open.deadline_us = std::max(open.deadline_us, joining.deadline_us);
+  open.callers.push_back(caller);
+  step.state.request_of_exchange[caller] = open.number;
+  CatchUp(step, open, caller);
+}
+
+// A request with the key of one that is open here. Returns whether it was.
+bool HandleDuplicate(step_context& step, const request& received) {
+  if (received.key.empty()) {
+    return false;
+  }
+  const auto found = step.state.request_of_key.find(
+      {received.workspace, received.key_digest});
+  request* open = found == step.state.request_of_key.end()
+                      ? nullptr
+                      : FindRequest(step.state, found->second);
+  if (open == nullptr) {
+    return false;
+  }
+  if (open->body_digest != received.body_digest) {
+    Refuse(step, received.callers.front(),
+           {.status = 422,
+            .code = "key_reused",
+            .message = "the Idempotency-Key was used for another call",
+            .ran = wire::outcome::kNotRun},
+           received.request_id);
+    return true;
+  }
+  if (open->response.forwarded) {
+    return false;
+  }
+  Join(step, *open, received);
+  return true;
+}
+
+void Accept(step_context& step, request received) {
+  const std::uint64_t number = step.state.next_request++;
+  received.number = number;
+  for (const net::exchange_id caller : received.callers) {
+    step.state.request_of_exchange[caller] = number;
+  }
+  if (!received.key.empty()) {
+    step.state.request_of_key[{received.workspace, received.key_digest}] =
+        number;
+  }
+  ++step.state.recent[step.now_us / 1'000'000].first;
+  request& open =
+      step.state.requests.emplace(number, std::move(received)).first->second;
+  Note(step, open, "received", {}, open.workspace);
+  Enqueue(step, open);
+}
+
+}  // namespace
+
+void HandleHttp(step_context& step, const http_received& event) {
+  step.state.random ^= event.seed;
+  if (HandleOwn(step, event)) {
+    return;
+  }
+  const std::string request_id = RequestId(step.state, event.request);
+  step.Emit(count_metric{"wisteriaroute_requests_total"});
+  if (!AcceptsWork(step)) {
+    Refuse(step, event.exchange, NotReady(step, event), request_id);
+    return;
+  }
+  if (event.request.path == "/v1/models" && event.request.method == "GET") {
+    HandleModels(step, event, request_id);
+    return;
+  }
+  auto validated = Validate(step.state, event, step.now_us);
+  if (const auto* error = std::get_if<error_reply>(&validated)) {
+    Refuse(step, event.exchange, *error, request_id);
+    return;
+  }
+  auto& received = std::get<request>(validated);
+  received.request_id = request_id;
+  if (HandleDuplicate(step, received)) {
+    return;
+  }
+  MarkSuspect(step.state, received);
+  std::optional<error_reply> error;
+  if (IsQuarantined(step.state, received)) {
+    error = QuarantinedError();
+    error->ran = received.settled;
+  } else {
+    error = Admit(step, received);
+  }
+  if (error) {
+    Refuse(step, event.exchange, *error, request_id);
+    return;
+  }
+  Accept(step, std::move(received));
+}
+
+void HandleCallerLeft(step_context& step, const caller_left& event) {
+  const auto found = step.state.request_of_exchange.find(event.exchange);
+  if (found == step.state.request_of_exchange.end()) {
+    return;
+  }
+  request* of = FindRequest(step.state, found->second);
+  step.state.request_of_exchange.erase(found);
+  if (of == nullptr) {
+    return;
+  }
+  std::erase(of->callers, event.exchange);
+  if (!of->callers.empty()) {
+    return;
+  }
+  step.Emit(count_metric{"wisteriaroute_abandoned_total"});
+  Note(step, *of, "caller_left");
+  of->answered = true;
+  ReleaseUsage(step, *of);
+  if (!of->non_repeatable) {
+    AbandonCurrent(step, *of);
+    Close(step, *of);
+  } else if (of->phase == request_phase::kQueued) {
+    GiveUp(step, *of, {.status = 499, .code = "caller_left"});
+  } else if (of->phase == request_phase::kClaiming ||
+             of->phase == request_phase::kLocating) {
+    Close(step, *of);
+  }
+  // A non-repeatable call that may run goes on, so that its outcome gets
+  // recorded for a resend.
+}
+
+}  // namespace wisteriaroute::entry
--- /dev/null
+++ b/src/libwisteriaroute/entry/resend.cc
@@ -0,0 +1,148 @@
+#include "libwisteriaroute/entry/resend.h"
+
+#include "libwisteriaroute/entry/agents.h"
+#include "libwisteriaroute/entry/attempts.h"
+#include "libwisteriaroute/entry/claims.h"
+#include "libwisteriaroute/entry/queue.h"
+#include "libwisteriaroute/entry/respond.h"
+#include "libwisteriaroute/entry/streaming.h"
+
+namespace wisteriaroute::entry {
+
+namespace {
+
+error_reply UnknownOutcome() {
+  return {.status = 502,
+          .code = "outcome_unknown",
+          .message = "the call was dispatched and its outcome isn't known"};
+}
+
+void Ask(step_context& step, request& of, const agent& at) {
+  of.query_sent = true;
+  step.Emit(send_work{at.link, wire::query{of.holder.attempt,
+                                           of.holder.backend_incarnation,
+                                           of.holder.window}});
+}
+
+// Nothing more can be learned: the agent is gone, or doesn't know.
+void RecordUnknown(step_context& step, request& of) {
+  of.settled = wire::outcome::kUnknown;
+  step.state.request_of_attempt.erase(of.holder.attempt);
+  RecordOutcome(step, of, UnknownOutcome());
+}
+
+void HandleLocated(step_context& step,
+                   request& of,
+                   wire::attempt_phase phase) {
+  step.state.request_of_attempt.erase(of.holder.attempt);
+  switch (phase) {
+    case wire::attempt_phase::kNeverRuns:
+      of.held_attempt = of.holder.attempt;
+      of.settled = wire::outcome::kNotRun;
+      Enqueue(step, of);
+      return;
+    case wire::attempt_phase::kRunning:
+    case wire::attempt_phase::kFinished:
+      Follow(step, of, of.holder);
+      return;
+    case wire::attempt_phase::kFailed:
+    case wire::attempt_phase::kForgotten:
+      RecordUnknown(step, of);
+      return;
+  }
+}
+
+void HandleRunningStatus(step_context& step,
+                         request& of,
+                         wire::attempt_phase phase) {
+  const agent* at = FindAgent(step.state, of.current->agent);
+  switch (phase) {
+    case wire::attempt_phase::kNeverRuns:
+      HandleNeverRuns(step, of, "cancelled", 0);
+      return;
+    case wire::attempt_phase::kRunning:
+    case wire::attempt_phase::kFinished:
+      of.running = wire::outcome::kRan;
+      of.current->detached_us = 0;
+      if (at != nullptr && at->link != 0) {
+        step.Emit(send_work{at->link, wire::attach{of.current->id,
+                                                   of.response.offset}});
+      }
+      return;
+    case wire::attempt_phase::kFailed:
+    case wire::attempt_phase::kForgotten:
+      HandleLost(step, of, wire::outcome::kUnknown,
+                 {.status = 502,
+                  .code = "attempt_lost",
+                  .message = "the backend server gave no whole response",
+                  .retry_after_s = 1});
+      return;
+  }
+}
+
+}  // namespace
+
+void Locate(step_context& step, request& of, const wire::claim_target& holder) {
+  of.holder = holder;
+  of.held_attempt.reset();
+  of.settled = wire::outcome::kUnknown;
+  of.query_sent = false;
+  SetPhase(step, of, request_phase::kLocating);
+  step.state.request_of_attempt[holder.attempt] = of.number;
+  Note(step, of, "locating", holder.agent, base::ToString(holder.attempt));
+  const agent* at = FindAgent(step.state, holder.agent);
+  if (at != nullptr && at->link != 0) {
+    Ask(step, of, *at);
+    return;
+  }
+  // The agent may not be among those that this entry has links to.
+  UpdateDials(step);
+}
+
+void AskHolders(step_context& step, const agent& at) {
+  for (auto& [number, of] : step.state.requests) {
+    if (of.phase == request_phase::kLocating &&
+        of.holder.agent == at.member.name) {
+      Ask(step, of, at);
+    } else if (of.phase == request_phase::kRunning && of.current &&
+               of.current->agent == at.member.name) {
+      step.Emit(send_work{at.link, wire::query{of.current->id,
+                                               of.current->backend_incarnation,
+                                               of.current->window}});
+    }
+  }
+}
+
+void HandleStatus(step_context& step, const wire::attempt_status& status) {
+  request* of = FindByAttempt(step.state, status.attempt);
+  if (of == nullptr) {
+    return;
+  }
+  if (of->phase == request_phase::kLocating) {
+    HandleLocated(step, *of, status.phase);
+  } else if (of->phase == request_phase::kRunning && of->current) {
+    HandleRunningStatus(step, *of, status.phase);
+  }
+}
+
+void CheckLocating(step_context& step, request& of) {
+  if (of.phase != request_phase::kLocating ||
+      step.now_us - of.phase_since_us <
+          step.state.settings.reattach_ms * 1'000) {
+    return;
+  }
+  const agent* at = FindAgent(step.state, of.holder.agent);
+  if (step.state.members_known && (at == nullptr || !at->is_member)) {
+    RecordUnknown(step, of);
+    return;
+  }
+  // The agent is there, but not for this entry: a resend may find out more.
+  step.state.request_of_attempt.erase(of.holder.attempt);
+  error_reply error = UnknownOutcome();
+  error.ran = wire::outcome::kUnknown;
+  error.retry_after_s = 1;
+  RespondError(step, of, error);
+  Close(step, of);
+}
+
+}  // namespace wisteriaroute::entry
--- /dev/null
+++ b/src/libwisteriaroute/entry/streaming.cc
@@ -0,0 +1,328 @@
+#include "libwisteriaroute/entry/streaming.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "libwisteriaroute/entry/admission.h"
+#include "libwisteriaroute/entry/api.h"
+#include "libwisteriaroute/entry/attempts.h"
+#include "libwisteriaroute/entry/claims.h"
+#include "libwisteriaroute/entry/quarantine.h"
+#include "libwisteriaroute/entry/respond.h"
+
+namespace wisteriaroute::entry {
+
+namespace {
+
+constexpr base::time_us kKeepAliveUs = 2'000'000;
+// Chunks on a link are in order, so a gap this old won't close by itself.
+constexpr base::time_us kMissingUs = 500'000;
+constexpr std::size_t kMaxHeldBytes = 1024 * 1024;
+constexpr std::size_t kMaxHeldChunks = 1'024;
+// Plain responses up to this size are answered whole, so that a failure on
+// the way can still be retried.
+constexpr std::size_t kBufferedBytes = 256 * 1024;
+// A recorded call is answered after it was recorded, so it is kept whole.
+constexpr std::size_t kMaxWholeBytes = 16 * 1024 * 1024;
+constexpr std::uint64_t kAckBytes = 64 * 1024;
+
+net::http_headers StreamHeaders() {
+  return {{"Content-Type", "text/event-stream"},
+          {"Cache-Control", "no-cache"}};
+}
+
+/** Offsets count tokens only in the text of a generation. */
+bool CountsTokens(const request& of) {
+  return of.kind != wire::work_kind::kPlain && of.response.status == 200;
+}
+
+bool IsEventStream(const request& of) {
+  return CountsTokens(of) && of.stream;
+}
+
+wire::header_list ForCaller(const wire::header_list& headers) {
+  wire::header_list out;
+  for (const auto& [name, value] : headers) {
+    std::string lower(name);
+    std::transform(
+        lower.begin(), lower.end(), lower.begin(), [](unsigned char c) {
+          return static_cast<char>(c >= 'A' && c <= 'Z' ? c + 32 : c);
+        });
+    if (lower != "connection" && lower != "keep-alive" &&
+        lower != "transfer-encoding" && lower != "content-length" &&
+        lower != "trailer" && lower != "upgrade" && lower != "x-request-id" &&
+        lower != "proxy-connection") {
+      out.emplace_back(name, value);
+    }
+  }
+  return out;
+}
+
+void AckPlain(step_context& step, request& of) {
+  response_state& response = of.response;
+  if (of.non_repeatable || response.offset - response.acked < kAckBytes) {
+    return;
+  }
+  response.acked = response.offset;
+  const agent* at = FindAgent(step.state, of.current->agent);
+  if (at != nullptr && at->link != 0) {
+    step.Emit(send_work{at->link, wire::ack{of.current->id, response.offset}});
+  }
+}
+
+// Sends on what a plain response holds, once it is too large to be kept.
+void ForwardPlain(step_context& step, request& of) {
+  response_state& response = of.response;
+  if (of.non_repeatable || of.answered || !response.head_seen ||
+      (!of.stream_started && response.text.size() <= kBufferedBytes)) {
+    return;
+  }
+  StartStream(step, of, response.status, response.headers);
+  response.forwarded = true;
+  WriteStream(step, of, std::exchange(response.text, {}));
+}
+
+void Append(step_context& step,
+            request& of,
+            std::string_view data,
+            std::uint64_t units) {
+  response_state& response = of.response;
+  response.text.append(data);
+  response.offset += units;
+  if (!IsEventStream(of)) {
+    if (!CountsTokens(of)) {
+      ForwardPlain(step, of);
+      AckPlain(step, of);
+    }
+    return;
+  }
+  if (!of.answered) {
+    if (!of.stream_started) {
+      StartStream(step, of, 200, StreamHeaders());
+    }
+    WriteStream(step, of, ChunkEvent(of, data));
+  }
+}
+
+enum class placement { kAppended, kDropped, kAhead };
+
+placement Place(step_context& step, request& of, const wire::chunk& part) {
+  const std::uint64_t offset = of.response.offset;
+  if (part.offset > offset) {
+    return placement::kAhead;
+  }
+  if (CountsTokens(of)) {
+    // Text can't be cut between tokens, so a chunk counts as a whole.
+    if (part.offset != offset || part.token_count == 0) {
+      return placement::kDropped;
+    }
+    Append(step, of, part.data, part.token_count);
+    return placement::kAppended;
+  }
+  const std::uint64_t known = offset - part.offset;
+  if (known >= part.data.size()) {
+    return placement::kDropped;
+  }
+  const std::string_view data = std::string_view(part.data).substr(known);
+  Append(step, of, data, data.size());
+  return placement::kAppended;
+}
+
+void Hold(step_context& step, response_state& response, wire::chunk part) {
+  if (response.held.size() >= kMaxHeldChunks ||
+      response.held_bytes + part.data.size() > kMaxHeldBytes) {
+    step.Emit(count_metric{"wisteriaroute_held_chunks_dropped_total"});
+    return;
+  }
+  const std::size_t bytes = part.data.size();
+  const std::uint64_t offset = part.offset;
+  if (response.held.emplace(offset, std::move(part)).second) {
+    response.held_bytes += bytes;
+  }
+}
+
+void PlaceHeld(step_context& step, request& of) {
+  auto& held = of.response.held;
+  while (!held.empty() && held.begin()->first <= of.response.offset) {
+    const auto node = held.extract(held.begin());
+    of.response.held_bytes -= node.mapped().data.size();
+    Place(step, of, node.mapped());
+  }
+}
+
+void Complete(step_context& step, request& of) {
+  if (agent* at = FindAgent(step.state, of.current->agent)) {
+    at->failures = 0;
+  }
+  of.running = wire::outcome::kRan;
+  NoteSurvived(step, of);
+  CountFinished(step, of);
+  step.Emit(count_metric{"wisteriaroute_tokens_total",
+                         of.response.end->completion_tokens});
+  Note(step, of, "finished", of.current->agent, of.response.end->reason);
+  if (of.non_repeatable) {
+    RecordOutcome(step, of, std::nullopt);
+    return;
+  }
+  RespondWhole(step, of);
+  Close(step, of);
+}
+
+void CompleteIfWhole(step_context& step, request& of) {
+  const response_state& response = of.response;
+  if (response.end && response.head_seen &&
+      response.offset >= response.end->end_offset) {
+    Complete(step, of);
+  }
+}
+
+request* Running(step_context& step, const wire::attempt_id& id) {
+  request* of = FindByAttempt(step.state, id);
+  if (of == nullptr || of->phase != request_phase::kRunning) {
+    step.Emit(count_metric{"wisteriaroute_late_messages_total"});
+    return nullptr;
+  }
+  of->running = wire::outcome::kRan;
+  return of;
+}
+
+}  // namespace
+
+void HandleHead(step_context& step, const wire::head& message) {
+  request* of = Running(step, message.attempt);
+  if (of == nullptr || of->response.head_seen) {
+    return;
+  }
+  response_state& response = of->response;
+  const bool plain = of->kind == wire::work_kind::kPlain;
+  if (!plain && message.status != 200 &&
+      (response.offset > 0 || of->stream_started)) {
+    // A resumed generation was refused; the callers have part of the text.
+    HandleLost(step, *of, wire::outcome::kRan,
+               {.status = 502,
+                .code = "backend_error",
+                .message = "the backend server answered with status " +
+                           std::to_string(message.status)});
+    return;
+  }
+  response.head_seen = true;
+  response.status = message.status;
+  response.headers = ForCaller(message.headers);
+  step.Emit(latency_metric{"wisteriaroute_head_seconds",
+                           step.now_us - of->arrived_us});
+  if (IsEventStream(*of)) {
+    StartStream(step, *of, 200, StreamHeaders());
+  }
+  PlaceHeld(step, *of);
+  CompleteIfWhole(step, *of);
+}
+
+void HandleChunk(step_context& step, const wire::chunk& message) {
+  request* of = Running(step, message.attempt);
+  if (of == nullptr) {
+    return;
+  }
+  response_state& response = of->response;
+  const bool early = !response.head_seen;
+  // Until the head is here the unit of the offset isn't known.
+  if (early) {
+    Hold(step, response, message);
+    return;
+  }
+  const bool first = response.offset == 0;
+  switch (Place(step, *of, message)) {
+    case placement::kDropped:
+      step.Emit(count_metric{"wisteriaroute_duplicate_chunks_total"});
+      return;
+    case placement::kAhead:
+      Hold(step, response, message);
+      return;
+    case placement::kAppended:
+      break;
+  }
+  if (first) {
+    step.Emit(latency_metric{"wisteriaroute_first_token_seconds",
+                             step.now_us - of->arrived_us});
+  }
+  PlaceHeld(step, *of);
+  if (of->non_repeatable && response.text.size() > kMaxWholeBytes) {
+    RecordOutcome(step, *of,
+                  error_reply{.status = 502,
+                              .code = "response_too_large",
+                              .message = "the response is too large to keep"});
+    return;
+  }
+  if (response.end) {
+    CompleteIfWhole(step, *of);
+  }
+}
+
+void HandleFinish(step_context& step, const wire::finish& message) {
+  request* of = Running(step, message.attempt);
+  if (of == nullptr) {
+    return;
+  }
+  of->response.end = message;
+  CompleteIfWhole(step, *of);
+}
+
+void RespondWhole(step_context& step, request& of) {
+  response_state& response = of.response;
+  if (IsEventStream(of)) {
+    StartStream(step, of, 200, StreamHeaders());
+    WriteStream(step, of, FinishEvents(of, *response.end));
+    EndStream(step, of);
+  } else if (CountsTokens(of)) {
+    Respond(step, of, 200, {{"Content-Type", "application/json"}},
+            CompletionBody(of, *response.end));
+  } else if (of.stream_started) {
+    EndStream(step, of);
+  } else {
+    Respond(step, of, response.status, response.headers, response.text);
+  }
+}
+
+void CatchUp(step_context& step, request& of, net::exchange_id caller) {
+  if (!of.stream_started) {
+    return;
+  }
+  net::http_headers headers = StreamHeaders();
+  headers.emplace_back("X-Request-Id", of.request_id);
+  step.Emit(stream_start{caller, 200, std::move(headers)});
+  if (!of.response.text.empty()) {
+    step.Emit(stream_write{caller, ChunkEvent(of, of.response.text)});
+  }
+}
+
+void KeepAlive(step_context& step, request& of) {
+  if (of.answered || of.kind == wire::work_kind::kPlain || !of.stream) {
+    return;
+  }
+  const base::time_us since =
+      of.stream_started ? of.last_write_us : of.phase_since_us;
+  if (step.now_us - since < kKeepAliveUs) {
+    return;
+  }
+  StartStream(step, of, 200, StreamHeaders());
+  WriteStream(step, of, ": waiting\n\n");
+}
+
+void RequestMissing(step_context& step, request& of) {
+  response_state& response = of.response;
+  const bool behind = !response.held.empty() || response.end.has_value();
+  if (!behind || response.missing_since_us == 0) {
+    response.missing_since_us = behind ? step.now_us : 0;
+    return;
+  }
+  const agent* at = FindAgent(step.state, of.current->agent);
+  if (at == nullptr || at->link == 0 ||
+      step.now_us - response.missing_since_us < kMissingUs) {
+    return;
+  }
+  response.missing_since_us = step.now_us;
+  step.Emit(count_metric{"wisteriaroute_gaps_total"});
+  step.Emit(
+      send_work{at->link, wire::attach{of.current->id, response.offset}});
+}
+
+}  // namespace wisteriaroute::entry
--- /dev/null
+++ b/src/libwisteriaroute/entry/validation.h
@@ -0,0 +1,26 @@
+#ifndef LIBWISTERIAROUTE_ENTRY_VALIDATION_H_
+#define LIBWISTERIAROUTE_ENTRY_VALIDATION_H_
+
+#include <string>
+#include <variant>
+
+#include "libwisteriaroute/entry/events.h"
+#include "libwisteriaroute/entry/state.h"
+
+namespace wisteriaroute::entry {
+
+/** The workspace that the bearer key of a request belongs to, or null. */
+const config::workspace* Authenticate(const entry_state& state,
+                                      const net::http_server_request& http);
+
+/** The caller's X-Request-Id if it is usable, otherwise a new one. */
+std::string RequestId(entry_state& state, const net::http_server_request& http);
+
+/** Makes a request of what a caller sent, or the error to refuse it with. */
+std::variant<request, error_reply> Validate(const entry_state& state,
+                                            const http_received& event,
+                                            base::time_us now_us);
+
+}  // namespace wisteriaroute::entry
+
+#endif  // LIBWISTERIAROUTE_ENTRY_VALIDATION_H_
--- /dev/null
+++ b/src/libwisteriaroute/policy/routing.cc
@@ -0,0 +1,92 @@
+#include "libwisteriaroute/policy/routing.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace wisteriaroute::policy {
+
+namespace {
+
+// Requests that may wait at an engine, so that its batch stays full while the
+// next load report travels.
+constexpr std::uint32_t kEngineQueue = 2;
+// A server that reports no slots takes this many requests of one entry.
+constexpr std::uint32_t kDefaultSlots = 64;
+constexpr double kDefaultStepUs = 20'000;
+constexpr double kPrefillUsPerToken = 50;
+constexpr double kOtherDataCenterUs = 1'000;
+constexpr double kOtherRegionUs = 100'000;
+constexpr double kFailureUs = 250'000;
+// Waits that differ by less are equal for a caller; choosing at random among
+// them keeps several entries from picking the same server.
+constexpr double kNearUs = 2'000;
+constexpr double kNearFactor = 1.1;
+
+std::uint32_t Slots(const routing_candidate& candidate) {
+  return candidate.slots == 0 ? kDefaultSlots : candidate.slots;
+}
+
+}  // namespace
+
+std::uint32_t Occupancy(const routing_candidate& candidate) {
+  return std::max(candidate.in_flight, candidate.reported_queued +
+                                           candidate.reported_running +
+                                           candidate.sent_since_report);
+}
+
+bool HasRoom(const routing_candidate& candidate) {
+  return Occupancy(candidate) < Slots(candidate) + kEngineQueue;
+}
+
+double ExpectedWaitUs(const routing_candidate& candidate,
+                      const routing_request& request) {
+  const double step = candidate.step_time_us == 0
+                          ? kDefaultStepUs
+                          : static_cast<double>(candidate.step_time_us);
+  const double occupied = Occupancy(candidate);
+  const double slots = Slots(candidate);
+  // A request beyond the slots waits until one of them is free.
+  const double tokens = std::max<double>(request.expected_tokens, 1);
+  const double queued = std::max(0.0, occupied + 1 - slots);
+  const double wait = queued * tokens * step / slots;
+  const std::uint32_t cached =
+      std::min(candidate.cached_tokens, request.prompt_tokens);
+  const double prefill = (request.prompt_tokens - cached) * kPrefillUsPerToken;
+  double place = 0;
+  if (!candidate.same_region) {
+    place = kOtherRegionUs;
+  } else if (!candidate.same_data_center) {
+    place = kOtherDataCenterUs;
+  }
+  return wait + step * (1 + occupied / slots) + prefill + place +
+         candidate.failures * kFailureUs;
+}
+
+std::optional<std::size_t> Choose(std::span<const routing_candidate> candidates,
+                                  const routing_request& request,
+                                  std::uint64_t random) {
+  double least = std::numeric_limits<double>::infinity();
+  for (const routing_candidate& candidate : candidates) {
+    if (HasRoom(candidate)) {
+      least = std::min(least, ExpectedWaitUs(candidate, request));
+    }
+  }
+  const double limit = least * kNearFactor + kNearUs;
+  std::optional<std::size_t> chosen;
+  std::uint64_t near = 0;
+  // Reservoir sampling: each near candidate ends up chosen equally often.
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    if (!HasRoom(candidates[i]) ||
+        ExpectedWaitUs(candidates[i], request) > limit) {
+      continue;
+    }
+    ++near;
+    random = random * 6364136223846793005ULL + 1442695040888963407ULL;
+    if ((random >> 33) % near == 0) {
+      chosen = i;
+    }
+  }
+  return chosen;
+}
+
+}  // namespace wisteriaroute::policy
