--- a/src/libwisteriaroute/entry/admission.cc
+++ b/src/libwisteriaroute/entry/admission.cc
@@ -71,13 +71,13 @@
     usage& used = step.state.usages[limits->name];
     Refill(used, *limits, step.now_us);
     if (used.open_requests >= limits->max_concurrency) {
-      return error_reply{
-          .status = 429,
-          .code = "concurrency_limit",
-          .message = "workspace '" + limits->name + "' has " +
-                     std::to_string(used.open_requests) + " open requests",
-          .ran = of.settled,
-          .retry_after_s = RetryAfter(step, of.pool)};
+      return error_reply{.status = 429,
+                         .code = "concurrency_limit",
+                         .message = "workspace '" + limits->name + "' has " +
+                                    std::to_string(used.open_requests) +
+                                    " open requests",
+                         .ran = of.settled,
+                         .retry_after_s = RetryAfter(step, of.pool)};
     }
     // A prompt above the limit of a minute is taken when the bucket is full.
     const double wanted =
@@ -99,10 +99,10 @@
 
 std::optional<error_reply> CheckQueue(step_context& step, const request& of) {
   const auto found = step.state.pools.find(of.pool);
-  const bool any = found != step.state.pools.end() &&
-                   std::any_of(found->second.agents.begin(),
-                               found->second.agents.end(),
-                               [](const agent* a) { return a->is_member; });
+  const bool any =
+      found != step.state.pools.end() &&
+      std::any_of(found->second.agents.begin(), found->second.agents.end(),
+                  [](const agent* a) { return a->is_member; });
   if (!any) {
     return error_reply{.status = 503,
                        .code = "no_backend",
@@ -118,9 +118,8 @@
                        .ran = of.settled,
                        .retry_after_s = RetryAfter(step, of.pool)};
   }
-  const double wait_s = found->second.waiting.empty()
-                            ? 0
-                            : DrainSeconds(step, of.pool);
+  const double wait_s =
+      found->second.waiting.empty() ? 0 : DrainSeconds(step, of.pool);
   if (of.deadline_us != 0 && FinishedPerS(step, found->second) > 0 &&
       wait_s * 1e6 > static_cast<double>(of.deadline_us - step.now_us)) {
     return error_reply{.status = 503,
--- a/src/libwisteriaroute/entry/agents.cc
+++ b/src/libwisteriaroute/entry/agents.cc
@@ -52,8 +52,9 @@
                      base::Hash64(state.name + "\n" + of->member.name));
   };
   if (agents.size() > kMaxLinksPerPool) {
-    std::sort(agents.begin(), agents.end(),
-              [&](const agent* a, const agent* b) { return rank(a) < rank(b); });
+    std::sort(
+        agents.begin(), agents.end(),
+        [&](const agent* a, const agent* b) { return rank(a) < rank(b); });
     agents.resize(kMaxLinksPerPool);
   }
   wanted.insert(agents.begin(), agents.end());
@@ -138,8 +139,7 @@
     const std::string& address = of.member.address;
     const bool dial = wanted.contains(&of) && !address.empty();
     const bool keep = of.in_flight > 0 && of.link != 0;
-    if (!of.dialled.empty() &&
-        (dial ? of.dialled != address : !keep)) {
+    if (!of.dialled.empty() && (dial ? of.dialled != address : !keep)) {
       of.dialled.clear();
       step.Emit(undial_agent{name});
     }
@@ -199,8 +199,7 @@
   if (of == nullptr) {
     return;
   }
-  const bool models_changed =
-      !of->state || of->state->models != message.models;
+  const bool models_changed = !of->state || of->state->models != message.models;
   if (of->state &&
       of->state->backend_incarnation != message.backend_incarnation) {
     of->failures = 0;
@@ -257,8 +256,9 @@
   }
   const error_reply error{.status = 504,
                           .code = "backend_unreachable",
-                          .message = "the connection to the backend server "
-                                     "was lost",
+                          .message =
+                              "the connection to the backend server "
+                              "was lost",
                           .retry_after_s = 1};
   if (!of.non_repeatable) {
     AbandonCurrent(step, of);
--- a/src/libwisteriaroute/entry/attempts.cc
+++ b/src/libwisteriaroute/entry/attempts.cc
@@ -30,8 +30,8 @@
     retries += counts.second;
   }
   const entry_settings& settings = step.state.settings;
-  if (retries >= std::max(settings.retry_floor,
-                          requests * settings.retry_percent / 100)) {
+  if (retries >=
+      std::max(settings.retry_floor, requests * settings.retry_percent / 100)) {
     step.Emit(count_metric{"wisteriaroute_retry_budget_exhausted_total"});
     return false;
   }
@@ -218,13 +218,12 @@
   if (of.non_repeatable) {
     of.held_attempt = id;
   }
-  error_reply error{.status = 503,
-                    .code = "refused_by_backend",
-                    .message = "no backend server took the request: " +
-                               std::string(reason),
-                    .retry_after_s =
-                        std::max<std::int64_t>((retry_after_ms + 999) / 1'000,
-                                               RetryAfter(step, of.pool))};
+  error_reply error{
+      .status = 503,
+      .code = "refused_by_backend",
+      .message = "no backend server took the request: " + std::string(reason),
+      .retry_after_s = std::max<std::int64_t>((retry_after_ms + 999) / 1'000,
+                                              RetryAfter(step, of.pool))};
   if (of.answered) {
     GiveUp(step, of, std::move(error));
     return;
@@ -276,8 +275,8 @@
     return;
   }
   const std::string code(Name(message.reason));
-  step.Emit(count_metric{"wisteriaroute_failures_total{reason=\"" + code +
-                         "\"}"});
+  step.Emit(
+      count_metric{"wisteriaroute_failures_total{reason=\"" + code + "\"}"});
   if (agent* at = FindAgent(step.state, of->current->agent)) {
     CountFailure(step, *at);
   }
--- a/src/libwisteriaroute/entry/claims.cc
+++ b/src/libwisteriaroute/entry/claims.cc
@@ -54,7 +54,7 @@
           .retry_after_s = 1};
 }
 
-void FinishWith(step_context& step, request& of, error_reply error) {
+void FinishWith(step_context& step, request& of, const error_reply& error) {
   RespondError(step, of, error);
   Close(step, of);
 }
@@ -166,7 +166,7 @@
     error.ran = reply.result == wire::claim_result::kGranted
                     ? of.settled
                     : wire::outcome::kUnknown;
-    FinishWith(step, of, std::move(error));
+    FinishWith(step, of, error);
   }
 }
 
@@ -208,10 +208,10 @@
 void RecordOutcome(step_context& step,
                    request& of,
                    std::optional<error_reply> error) {
-  wire::claim_outcome message{.workspace = of.workspace,
-                              .key_digest = of.key_digest,
-                              .attempt = of.current ? of.current->id
-                                                    : of.holder.attempt};
+  wire::claim_outcome message{
+      .workspace = of.workspace,
+      .key_digest = of.key_digest,
+      .attempt = of.current ? of.current->id : of.holder.attempt};
   wire::recorded_response& recorded = message.response;
   if (error) {
     error->ran = Outcome(of);
@@ -326,7 +326,7 @@
     // Another entry may have moved the claim and run the call meanwhile.
     error_reply error = *of.pending_error;
     error.ran = wire::outcome::kUnknown;
-    FinishWith(step, of, std::move(error));
+    FinishWith(step, of, error);
     return;
   }
   if (of.phase == request_phase::kClaiming && waited >= kClaimWaitUs) {
--- a/src/libwisteriaroute/entry/quarantine.cc
+++ b/src/libwisteriaroute/entry/quarantine.cc
@@ -39,8 +39,7 @@
   ++of.crashes;
   const bool alone = std::none_of(
       ran_beside.begin(), ran_beside.end(), [&](const base::digest128& other) {
-        return other != of.fingerprint &&
-               step.state.quarantine.contains(other);
+        return other != of.fingerprint && step.state.quarantine.contains(other);
       });
   // Control decides the same from the agents' reports; until its update is
   // here, resends must not reach a third server.
--- a/src/libwisteriaroute/entry/queue.cc
+++ b/src/libwisteriaroute/entry/queue.cc
@@ -57,10 +57,10 @@
       break;
     }
   }
-  const auto chosen = policy::Choose(candidates,
-                                     {.prompt_tokens = of.prompt_tokens,
-                                      .expected_tokens = of.max_tokens},
-                                     NextRandom(step.state));
+  const auto chosen = policy::Choose(
+      candidates,
+      {.prompt_tokens = of.prompt_tokens, .expected_tokens = of.max_tokens},
+      NextRandom(step.state));
   return chosen ? agents[*chosen] : nullptr;
 }
 
--- a/src/libwisteriaroute/entry/receive.cc
+++ b/src/libwisteriaroute/entry/receive.cc
@@ -19,10 +19,10 @@
 bool AcceptsWork(const step_context& step) {
   const entry_state& state = step.state;
   const bool settled =
-      state.stopping && step.now_us - state.stopping_since_us >=
-                            state.settings.settle_ms * 1'000;
-  return state.configuration != nullptr &&
-         step.now_us < state.lease_until_us && !settled;
+      state.stopping &&
+      step.now_us - state.stopping_since_us >= state.settings.settle_ms * 1'000;
+  return state.configuration != nullptr && step.now_us < state.lease_until_us &&
+         !settled;
 }
 
 error_reply NotReady(const step_context& step, const http_received& event) {
@@ -105,8 +105,8 @@
   if (received.key.empty()) {
     return false;
   }
-  const auto found = step.state.request_of_key.find(
-      {received.workspace, received.key_digest});
+  const auto found =
+      step.state.request_of_key.find({received.workspace, received.key_digest});
   request* open = found == step.state.request_of_key.end()
                       ? nullptr
                       : FindRequest(step.state, found->second);
--- a/src/libwisteriaroute/entry/resend.cc
+++ b/src/libwisteriaroute/entry/resend.cc
@@ -19,9 +19,9 @@
 
 void Ask(step_context& step, request& of, const agent& at) {
   of.query_sent = true;
-  step.Emit(send_work{at.link, wire::query{of.holder.attempt,
-                                           of.holder.backend_incarnation,
-                                           of.holder.window}});
+  step.Emit(send_work{
+      at.link, wire::query{of.holder.attempt, of.holder.backend_incarnation,
+                           of.holder.window}});
 }
 
 // Nothing more can be learned: the agent is gone, or doesn't know.
@@ -31,9 +31,7 @@
   RecordOutcome(step, of, UnknownOutcome());
 }
 
-void HandleLocated(step_context& step,
-                   request& of,
-                   wire::attempt_phase phase) {
+void HandleLocated(step_context& step, request& of, wire::attempt_phase phase) {
   step.state.request_of_attempt.erase(of.holder.attempt);
   switch (phase) {
     case wire::attempt_phase::kNeverRuns:
@@ -65,8 +63,8 @@
       of.running = wire::outcome::kRan;
       of.current->detached_us = 0;
       if (at != nullptr && at->link != 0) {
-        step.Emit(send_work{at->link, wire::attach{of.current->id,
-                                                   of.response.offset}});
+        step.Emit(send_work{at->link,
+                            wire::attach{of.current->id, of.response.offset}});
       }
       return;
     case wire::attempt_phase::kFailed:
@@ -106,9 +104,9 @@
       Ask(step, of, at);
     } else if (of.phase == request_phase::kRunning && of.current &&
                of.current->agent == at.member.name) {
-      step.Emit(send_work{at.link, wire::query{of.current->id,
-                                               of.current->backend_incarnation,
-                                               of.current->window}});
+      step.Emit(send_work{
+          at.link, wire::query{of.current->id, of.current->backend_incarnation,
+                               of.current->window}});
     }
   }
 }
--- a/src/libwisteriaroute/entry/respond.cc
+++ b/src/libwisteriaroute/entry/respond.cc
@@ -63,10 +63,9 @@
   step.Emit(add_timeline{.kind = "refused",
                          .request_id = std::string(request_id),
                          .detail = error.code});
-  step.Emit(http_respond{
-      exchange, error.status,
-      ErrorHeaders(error, request_id, step.state.stopping),
-      ErrorBody(error, request_id)});
+  step.Emit(http_respond{exchange, error.status,
+                         ErrorHeaders(error, request_id, step.state.stopping),
+                         ErrorBody(error, request_id)});
 }
 
 void Respond(step_context& step,
--- a/src/libwisteriaroute/entry/settings.cc
+++ b/src/libwisteriaroute/entry/settings.cc
@@ -23,8 +23,7 @@
   result.max_queue = reader.Integer("max_queue", defaults.max_queue, 1, 65'536);
   result.default_deadline_ms = reader.Integer(
       "default_deadline_ms", defaults.default_deadline_ms, 1, 86'400'000);
-  result.settle_ms =
-      reader.Integer("settle_ms", defaults.settle_ms, 0, 60'000);
+  result.settle_ms = reader.Integer("settle_ms", defaults.settle_ms, 0, 60'000);
   result.drain_limit_ms =
       reader.Integer("drain_limit_ms", defaults.drain_limit_ms, 0, 3'600'000);
   result.reattach_ms =
--- a/src/libwisteriaroute/entry/state.h
+++ b/src/libwisteriaroute/entry/state.h
@@ -91,6 +91,7 @@
   std::map<std::pair<std::string, base::digest128>, std::uint64_t>
       request_of_key;
   std::uint64_t next_request = 1;
+  std::uint64_t next_request_id = 1;
   std::uint64_t next_attempt = 1;
   std::uint64_t next_correlation = 1;
 
--- a/src/libwisteriaroute/entry/step.cc
+++ b/src/libwisteriaroute/entry/step.cc
@@ -18,6 +18,9 @@
 struct overloaded : Handlers... {
   using Handlers::operator()...;
 };
+// clang 14 doesn't deduce aggregates.
+template <typename... Handlers>
+overloaded(Handlers...) -> overloaded<Handlers...>;
 
 void HandleWork(step_context& step, const work_received& event) {
   const net::link_id link = event.link;
@@ -67,8 +70,8 @@
       state.workspace_of_key[digest] = name;
     }
   }
-  step.Emit(add_timeline{.kind = "revision_in_force",
-                         .revision = event.revision});
+  step.Emit(
+      add_timeline{.kind = "revision_in_force", .revision = event.revision});
   RebuildPools(step);
   UpdateDials(step);
 }
@@ -90,8 +93,7 @@
 // Tokens in a stream change nothing for waiting requests.
 bool MayFreeRoom(const entry_event& event) {
   const auto* work = std::get_if<work_received>(&event);
-  return work == nullptr ||
-         !std::holds_alternative<wire::chunk>(work->message);
+  return work == nullptr || !std::holds_alternative<wire::chunk>(work->message);
 }
 
 }  // namespace
--- a/src/libwisteriaroute/entry/streaming.cc
+++ b/src/libwisteriaroute/entry/streaming.cc
@@ -27,8 +27,7 @@
 constexpr std::uint64_t kAckBytes = 64 * 1024;
 
 net::http_headers StreamHeaders() {
-  return {{"Content-Type", "text/event-stream"},
-          {"Cache-Control", "no-cache"}};
+  return {{"Content-Type", "text/event-stream"}, {"Cache-Control", "no-cache"}};
 }
 
 /** Offsets count tokens only in the text of a generation. */
@@ -321,8 +320,7 @@
   }
   response.missing_since_us = step.now_us;
   step.Emit(count_metric{"wisteriaroute_gaps_total"});
-  step.Emit(
-      send_work{at->link, wire::attach{of.current->id, response.offset}});
+  step.Emit(send_work{at->link, wire::attach{of.current->id, response.offset}});
 }
 
 }  // namespace wisteriaroute::entry
--- a/src/libwisteriaroute/entry/timeouts.cc
+++ b/src/libwisteriaroute/entry/timeouts.cc
@@ -25,8 +25,9 @@
 void HandleDeadline(step_context& step, request& of) {
   error_reply error{.status = 504,
                     .code = "deadline_exceeded",
-                    .message = "the deadline passed before the response was "
-                               "complete",
+                    .message =
+                        "the deadline passed before the response was "
+                        "complete",
                     .retry_after_s = RetryAfter(step, of.pool)};
   switch (of.phase) {
     case request_phase::kQueued:
--- a/src/libwisteriaroute/entry/validation.cc
+++ b/src/libwisteriaroute/entry/validation.cc
@@ -19,10 +19,10 @@
 
 // RFC 9110 section 7.6.1, and headers that are the entry's own.
 constexpr std::array<std::string_view, 13> kNotForwarded = {
-    "connection",        "keep-alive",    "proxy-authenticate",
-    "proxy-connection",  "te",            "trailer",
-    "transfer-encoding", "upgrade",       "proxy-authorization",
-    "authorization",     "host",          "content-length",
+    "connection",        "keep-alive", "proxy-authenticate",
+    "proxy-connection",  "te",         "trailer",
+    "transfer-encoding", "upgrade",    "proxy-authorization",
+    "authorization",     "host",       "content-length",
     "x-request-id",
 };
 
@@ -58,9 +58,8 @@
                             std::string_view connection) {
   wire::header_list out;
   for (const auto& [name, value] : headers) {
-    const bool listed =
-        std::find(kNotForwarded.begin(), kNotForwarded.end(), name) !=
-        kNotForwarded.end();
+    const bool listed = std::find(kNotForwarded.begin(), kNotForwarded.end(),
+                                  name) != kNotForwarded.end();
     if (!listed && connection.find(name) == std::string_view::npos) {
       out.emplace_back(name, value);
     }
@@ -184,8 +183,8 @@
   if (state.configuration == nullptr || !value.starts_with(kScheme)) {
     return nullptr;
   }
-  const auto key =
-      state.workspace_of_key.find(base::Sha256Hex(value.substr(kScheme.size())));
+  const auto key = state.workspace_of_key.find(
+      base::Sha256Hex(value.substr(kScheme.size())));
   if (key == state.workspace_of_key.end()) {
     return nullptr;
   }
@@ -197,13 +196,12 @@
 std::string RequestId(entry_state& state,
                       const net::http_server_request& http) {
   const std::string_view given = http.Header("x-request-id");
-  const bool usable =
-      !given.empty() && given.size() <= kMaxRequestIdBytes &&
-      std::all_of(given.begin(), given.end(),
-                  [](char c) { return c > ' ' && c < 0x7f; });
+  const bool usable = !given.empty() && given.size() <= kMaxRequestIdBytes &&
+                      std::all_of(given.begin(), given.end(),
+                                  [](char c) { return c > ' ' && c < 0x7f; });
   return usable ? std::string(given)
-                : "req-" + base::ToString(base::digest128{
-                               state.incarnation, state.next_request});
+                : "req-" + base::ToString(base::digest128{state.incarnation,
+                                                          state.next_request});
 }
 
 std::variant<request, error_reply> Validate(const entry_state& state,
@@ -221,7 +219,8 @@
   out.deadline_us = state.settings.default_deadline_ms * 1'000;
   std::optional<error_reply> fault;
   if (http.path == "/v1/chat/completions") {
-    fault = ReadGeneration(state, *owner, wire::work_kind::kChatCompletion, out);
+    fault =
+        ReadGeneration(state, *owner, wire::work_kind::kChatCompletion, out);
   } else if (http.path == "/v1/completions") {
     fault = ReadGeneration(state, *owner, wire::work_kind::kCompletion, out);
   } else {
@@ -243,8 +242,8 @@
   out.callers = {event.exchange};
   ComputeDigests(out);
   // A resend may ask about a call that ran before, until its claim is known.
-  out.settled = out.non_repeatable ? wire::outcome::kUnknown
-                                   : wire::outcome::kNotRun;
+  out.settled =
+      out.non_repeatable ? wire::outcome::kUnknown : wire::outcome::kNotRun;
   return out;
 }
 
