--- a/src/libwisteriaroute/entry/attempts.cc
+++ b/src/libwisteriaroute/entry/attempts.cc
@@ -140,7 +140,7 @@
 
 void Follow(step_context& step, request& of, const wire::claim_target& target) {
   SetCurrent(step, of, target);
-  of.running = wire::outcome::kRan;
+  of.running = wire::outcome::kUnknown;
   Note(step, of, "attached", target.agent, base::ToString(target.attempt));
   const agent* at = FindAgent(step.state, target.agent);
   if (at != nullptr && at->link != 0) {
@@ -280,7 +280,9 @@
   if (agent* at = FindAgent(step.state, of->current->agent)) {
     CountFailure(step, *at);
   }
-  if (message.reason == wire::failure_reason::kBackendLost) {
+  // Without a list the agent reports an attempt that it doesn't remember.
+  if (message.reason == wire::failure_reason::kBackendLost &&
+      !message.ran_beside.empty()) {
     NoteCrash(step, *of, message.ran_beside);
   }
   const bool timed_out = message.reason == wire::failure_reason::kTimeout;
--- a/src/libwisteriaroute/entry/claims.cc
+++ b/src/libwisteriaroute/entry/claims.cc
@@ -61,11 +61,9 @@
 
 error_reply WithoutResponse(const wire::recorded_response& recorded) {
   error_reply error{.status = 409, .ran = recorded.ran};
-  if (recorded.status != 0) {
+  if (recorded.body_dropped) {
     error.code = "response_not_kept";
-    error.message = "the call ran with status " +
-                    std::to_string(recorded.status) +
-                    "; its response isn't kept";
+    error.message = "the call has ended; its response isn't kept";
   } else if (recorded.ran == wire::outcome::kRan) {
     error.code = "response_lost";
     error.message = "the call ran, but its response was lost";
--- a/src/libwisteriaroute/entry/resend.cc
+++ b/src/libwisteriaroute/entry/resend.cc
@@ -1,5 +1,7 @@
 #include "libwisteriaroute/entry/resend.h"
 
+#include <algorithm>
+
 #include "libwisteriaroute/entry/agents.h"
 #include "libwisteriaroute/entry/attempts.h"
 #include "libwisteriaroute/entry/claims.h"
@@ -42,6 +44,7 @@
     case wire::attempt_phase::kRunning:
     case wire::attempt_phase::kFinished:
       Follow(step, of, of.holder);
+      of.settled = wire::outcome::kNotRun;
       return;
     case wire::attempt_phase::kFailed:
     case wire::attempt_phase::kForgotten:
@@ -60,7 +63,10 @@
       return;
     case wire::attempt_phase::kRunning:
     case wire::attempt_phase::kFinished:
-      of.running = wire::outcome::kRan;
+      // What the agent calls running may still wait in its queue.
+      of.running = std::max(of.running, phase == wire::attempt_phase::kFinished
+                                            ? wire::outcome::kRan
+                                            : wire::outcome::kUnknown);
       of.current->detached_us = 0;
       if (at != nullptr && at->link != 0) {
         step.Emit(send_work{at->link,
--- /dev/null
+++ b/tests/entry/entry_test.cc
@@ -0,0 +1,110 @@
+#include <doctest/doctest.h>
+
+#include <nlohmann/json.hpp>
+
+#include "tests/entry/world.h"
+
+namespace wisteriaroute::entry_test {
+
+namespace {
+
+constexpr const char* kChat =
+    R"({"model":"m","stream":true,"messages":[{"role":"user","content":"hi"}]})";
+constexpr const char* kCompletion = R"({"model":"m","prompt":"hi"})";
+
+nlohmann::json ErrorOf(const exchange_record& record) {
+  return nlohmann::json::parse(record.received)["error"];
+}
+
+std::string StreamedText(const std::string& events) {
+  std::string text;
+  std::size_t at = 0;
+  while ((at = events.find("data: {", at)) != std::string::npos) {
+    at += 6;
+    const auto event =
+        nlohmann::json::parse(events.substr(at, events.find('\n', at) - at));
+    if (event.contains("choices")) {
+      text += event["choices"][0]["delta"].value("content", "");
+    }
+  }
+  return text;
+}
+
+}  // namespace
+
+TEST_CASE("a request goes through an agent and comes back whole") {
+  world sim(1, 2, 4);
+  SUBCASE("as a stream of events") {
+    const auto id = sim.Send(0, "POST", "/v1/chat/completions", kChat);
+    sim.RunFor(2'000'000);
+    const exchange_record& got = sim.exchanges[id];
+    CHECK(got.status == 200);
+    CHECK(got.answers == 1);
+    CHECK(StreamedText(got.received) == WholeText(kChat));
+    CHECK(got.received.ends_with("data: [DONE]\n\n"));
+  }
+  SUBCASE("as one body with usage") {
+    const auto id = sim.Send(0, "POST", "/v1/completions", kCompletion);
+    sim.RunFor(2'000'000);
+    const auto body = nlohmann::json::parse(sim.exchanges[id].received);
+    CHECK(body["choices"][0]["text"] == WholeText(kCompletion));
+    CHECK(body["usage"]["completion_tokens"] == TokenCount(kCompletion));
+  }
+  SUBCASE("an order is claimed first, and a resend elsewhere is replayed") {
+    const auto first = sim.Send(0, "POST", "/s/orders", "x", "key-1");
+    sim.RunFor(3'000'000);
+    const auto again = sim.Send(1, "POST", "/s/orders", "x", "key-1");
+    const auto other = sim.Send(1, "POST", "/s/orders", "y", "key-1");
+    sim.RunFor(3'000'000);
+    CHECK(sim.exchanges[first].received == "done:x" + WholeText("x"));
+    CHECK(sim.exchanges[again].received == "done:x" + WholeText("x"));
+    CHECK(std::ranges::count(sim.exchanges[again].headers,
+                             std::pair<std::string, std::string>(
+                                 "Idempotent-Replayed", "true")) == 1);
+    CHECK(sim.exchanges[other].status == 422);
+    CHECK(ErrorOf(sim.exchanges[other])["code"] == "key_reused");
+    CHECK(sim.runs_of_body["x"] == 1);
+    CHECK(sim.runs_of_body["y"] == 0);
+  }
+}
+
+TEST_CASE("bad input is refused and nothing is dispatched") {
+  world sim(2, 1, 2);
+  struct refusal {
+    const char* path;
+    std::string body;
+    unsigned status;
+  };
+  const std::string deep(100'000, '[');
+  const refusal cases[] = {
+      {"/v1/chat/completions", "{", 400},
+      {"/v1/chat/completions", "[]", 400},
+      {"/v1/chat/completions", deep, 400},
+      {"/v1/chat/completions", R"({"model":3,"messages":[]})", 400},
+      {"/v1/chat/completions", R"({"model":"m","messages":"x"})", 400},
+      {"/v1/chat/completions", R"({"model":"m","messages":[{"role":1}]})", 400},
+      {"/v1/completions", R"({"model":"m","prompt":{}})", 400},
+      {"/v1/completions", R"({"model":"m","prompt":"x","stream":1})", 400},
+      {"/v1/completions", R"({"model":"m","prompt":"x","max_tokens":-1})", 400},
+      {"/v1/completions", R"({"model":"m","prompt":"x","max_tokens":1e9})",
+       400},
+      {"/v1/completions", R"({"model":"none","prompt":"x"})", 404},
+      {"/v1/completions", R"({"model":"m:none","prompt":"x"})", 404},
+      {"/none/x", "", 404},
+      {"/", "", 404},
+      {"/s/orders", "no key", 400},
+  };
+  for (const refusal& each : cases) {
+    const auto id = sim.Send(0, "POST", each.path, each.body);
+    CAPTURE(each.path);
+    CAPTURE(each.body.substr(0, 60));
+    CHECK(sim.exchanges[id].status == each.status);
+    CHECK(ErrorOf(sim.exchanges[id])["outcome"] == "not_run");
+  }
+  const auto long_key =
+      sim.Send(0, "POST", "/s/orders", "x", std::string(256, 'k'));
+  CHECK(sim.exchanges[long_key].status == 400);
+  CHECK(sim.runs_of_request.empty());
+}
+
+}  // namespace wisteriaroute::entry_test
--- /dev/null
+++ b/tests/entry/fake_agent.h
@@ -0,0 +1,267 @@
+#ifndef TESTS_ENTRY_FAKE_AGENT_H_
+#define TESTS_ENTRY_FAKE_AGENT_H_
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "libwisteriaroute/wire/work_messages.h"
+
+namespace wisteriaroute::entry_test {
+
+/** Token `i` of the response to a generation body. */
+inline std::string Token(const std::string& body, std::uint64_t i) {
+  return std::to_string(base::Hash64(body) % 997) + "." + std::to_string(i) +
+         " ";
+}
+
+inline std::uint64_t TokenCount(const std::string& body) {
+  return 1 + base::Hash64(body) % 12;
+}
+
+inline std::string WholeText(const std::string& body) {
+  std::string text;
+  for (std::uint64_t i = 0; i < TokenCount(body); ++i) {
+    text += Token(body, i);
+  }
+  return text;
+}
+
+/**
+ * An agent with its backend server. Follows the rules of the agent that matter
+ * to an entry: an attempt starts at most once, an attempt that was queried
+ * before it came never starts, and responses are kept for `attach`.
+ */
+class fake_agent {
+ public:
+  enum class phase { kNeverRuns, kRunning, kFinished, kFailed };
+  struct run {
+    wire::submit work;
+    phase at = phase::kRunning;
+    std::set<std::uint64_t> links;
+    std::uint64_t produced = 0;
+  };
+
+  std::string name;
+  std::uint64_t incarnation = 1;
+  std::uint64_t window = 1;
+  bool healthy = true;
+  /** Sends to an entry over a link. */
+  std::function<void(std::uint64_t link, wire::work_message)> send;
+  /** Called once when an attempt starts at the backend server. */
+  std::function<void(const wire::submit&)> on_run;
+  /** Whether the next submit is refused. */
+  std::function<bool()> refuses;
+  std::set<std::uint64_t> links;
+  std::map<wire::attempt_id, run> runs;
+
+  wire::agent_state State() const {
+    return {.name = name,
+            .backend_incarnation = incarnation,
+            .window = window,
+            .healthy = healthy,
+            .accepting = healthy,
+            .models = {}};
+  }
+
+  void SendState() {
+    for (const std::uint64_t link : links) {
+      send(link, State());
+    }
+  }
+
+  void Receive(std::uint64_t link, const wire::work_message& message) {
+    std::visit([&](const auto& each) { Handle(link, each); }, message);
+  }
+
+  void LinkDown(std::uint64_t link) {
+    links.erase(link);
+    for (auto& [id, each] : runs) {
+      each.links.erase(link);
+    }
+  }
+
+  /** Produces the next part of every response in progress. */
+  void Advance() {
+    for (auto& [id, each] : runs) {
+      if (each.at == phase::kRunning) {
+        AdvanceOne(id, each);
+      }
+    }
+  }
+
+  /** The backend server dies with everything that runs there. */
+  void Crash() {
+    std::vector<base::digest128> beside;
+    for (const auto& [id, each] : runs) {
+      if (each.at == phase::kRunning) {
+        beside.push_back(each.work.fingerprint);
+      }
+    }
+    for (auto& [id, each] : runs) {
+      if (each.at == phase::kRunning) {
+        each.at = phase::kFailed;
+        Publish(each, wire::failed{.attempt = id,
+                                   .reason = wire::failure_reason::kBackendLost,
+                                   .ran = wire::outcome::kUnknown,
+                                   .ran_beside = beside});
+      }
+    }
+    healthy = false;
+    ++incarnation;
+    SendState();
+  }
+
+  void Recover() {
+    healthy = true;
+    SendState();
+  }
+
+ private:
+  void Publish(const run& of, const wire::work_message& message) {
+    for (const std::uint64_t link : of.links) {
+      send(link, message);
+    }
+  }
+
+  static bool Plain(const run& of) {
+    return of.work.kind == wire::work_kind::kPlain;
+  }
+
+  static std::string PlainBody(const run& of) {
+    return "done:" + of.work.body + WholeText(of.work.body);
+  }
+
+  void AdvanceOne(const wire::attempt_id& id, run& of) {
+    if (Plain(of)) {
+      const std::string body = PlainBody(of);
+      const std::string part = body.substr(of.produced, 7);
+      Publish(of, wire::chunk{id, of.produced, 0, part});
+      of.produced += part.size();
+      if (of.produced == body.size()) {
+        Finish(id, of);
+      }
+      return;
+    }
+    Publish(of,
+            wire::chunk{id, of.produced, 1, Token(of.work.body, of.produced)});
+    if (++of.produced >= TokenCount(of.work.body)) {
+      Finish(id, of);
+    }
+  }
+
+  void Finish(const wire::attempt_id& id, run& of) {
+    of.at = phase::kFinished;
+    Publish(of, EndOf(id, of));
+  }
+
+  static wire::finish EndOf(const wire::attempt_id& id, const run& of) {
+    return {.attempt = id,
+            .end_offset = of.produced,
+            .reason = Plain(of) ? "" : "stop",
+            .prompt_tokens = 3,
+            .completion_tokens = static_cast<std::uint32_t>(of.produced)};
+  }
+
+  void Handle(std::uint64_t link, const wire::submit& work) {
+    if (runs.contains(work.attempt)) {
+      return;
+    }
+    run& added = runs[work.attempt];
+    added.work = work;
+    const bool wrong_place = work.backend_incarnation != incarnation;
+    if (wrong_place || !healthy || refuses()) {
+      added.at = phase::kNeverRuns;
+      send(link,
+           wire::refused{work.attempt,
+                         wrong_place ? wire::refusal_reason::kOtherIncarnation
+                                     : wire::refusal_reason::kOverloaded});
+      return;
+    }
+    added.links.insert(link);
+    added.produced = work.resume_offset;
+    on_run(work);
+    Publish(added, wire::head{work.attempt, 200, {{"x-test", "1"}}});
+    if (!Plain(added) && added.produced >= TokenCount(work.body)) {
+      Finish(work.attempt, added);
+    }
+  }
+
+  void Handle(std::uint64_t link, const wire::cancel& message) {
+    run& known = runs[message.attempt];
+    if (known.work.attempt != message.attempt) {
+      known.work.attempt = message.attempt;
+      known.at = phase::kNeverRuns;
+    } else if (known.at == phase::kRunning && !known.work.claimed) {
+      known.at = phase::kFailed;
+    }
+    send(link, StatusOf(message.attempt, known));
+  }
+
+  static wire::attempt_status StatusOf(const wire::attempt_id& id,
+                                       const run& of) {
+    constexpr wire::attempt_phase kPhases[] = {
+        wire::attempt_phase::kNeverRuns, wire::attempt_phase::kRunning,
+        wire::attempt_phase::kFinished, wire::attempt_phase::kFailed};
+    return {id, kPhases[static_cast<std::size_t>(of.at)]};
+  }
+
+  void Handle(std::uint64_t link, const wire::query& message) {
+    const auto known = runs.find(message.attempt);
+    if (known != runs.end()) {
+      send(link, StatusOf(message.attempt, known->second));
+      return;
+    }
+    if (message.backend_incarnation != incarnation) {
+      send(link, wire::attempt_status{message.attempt,
+                                      wire::attempt_phase::kForgotten});
+      return;
+    }
+    run& tombstone = runs[message.attempt];
+    tombstone.work.attempt = message.attempt;
+    tombstone.at = phase::kNeverRuns;
+    send(link, StatusOf(message.attempt, tombstone));
+  }
+
+  void Handle(std::uint64_t link, const wire::attach& message) {
+    const auto known = runs.find(message.attempt);
+    if (known == runs.end()) {
+      send(link, wire::attempt_status{message.attempt,
+                                      wire::attempt_phase::kForgotten});
+      return;
+    }
+    run& of = known->second;
+    if (of.at == phase::kNeverRuns || of.at == phase::kFailed) {
+      send(link, StatusOf(message.attempt, of));
+      return;
+    }
+    of.links.insert(link);
+    send(link, wire::head{message.attempt, 200, {{"x-test", "1"}}});
+    Replay(link, message, of);
+    if (of.at == phase::kFinished) {
+      send(link, EndOf(message.attempt, of));
+    }
+  }
+
+  void Replay(std::uint64_t link, const wire::attach& message, const run& of) {
+    if (Plain(of)) {
+      send(link,
+           wire::chunk{message.attempt, message.offset, 0,
+                       PlainBody(of).substr(message.offset,
+                                            of.produced - message.offset)});
+      return;
+    }
+    for (std::uint64_t i = message.offset; i < of.produced; ++i) {
+      send(link, wire::chunk{message.attempt, i, 1, Token(of.work.body, i)});
+    }
+  }
+
+  template <typename Other>
+  void Handle(std::uint64_t, const Other&) {}
+};
+
+}  // namespace wisteriaroute::entry_test
+
+#endif  // TESTS_ENTRY_FAKE_AGENT_H_
