--- a/tests/control/fake_cluster.h
+++ b/tests/control/fake_cluster.h
@@ -142,6 +142,9 @@
       }
       const base::time_us delay =
           i == old ? Upto(faults_.deposed_after_us) : Delay();
+      if (i == old) {
+        replicas_[i].isolated_until_us = now_us + delay;
+      }
       At(delay, [this, i, term] {
         if (term == term_ && leader_ != i) {
           Deliver(i, became_follower{Name(leader_), Name(leader_)});
@@ -170,6 +173,8 @@
     replica_state state;
     double rate = 1;
     std::size_t applied = 0;
+    /** A replaced leader in a partition hears nothing of the new term. */
+    base::time_us isolated_until_us = 0;
   };
   struct fake_link {
     std::size_t client = 0;
@@ -276,6 +281,12 @@
       const log_record& record = log_[position];
       const auto& leading = replicas_[i].state.leading;
       if (leading && leading->term < record.term) {
+        if (now_us < replicas_[i].isolated_until_us) {
+          --replicas_[i].applied;
+          At(replicas_[i].isolated_until_us - now_us,
+             [this, i, count] { ApplyUpTo(i, count); });
+          return;
+        }
         // Whoever sent the entry also showed the replica its newer term.
         Deliver(i, became_follower{});
       }
