control: in-force property counts earlier runs of a member

A member that is started again while its earlier run is frozen leaves a lease behind that no session names. The test keeps the leases of earlier runs.

--- a/tests/control/session_property_test.cc
+++ b/tests/control/session_property_test.cc
@@ -43,8 +43,12 @@
     Tick();
   }
 
-  /** A new run of the process, without its configuration and its lease. */
+  /**
+   * A new run of the process, without its configuration and its lease. The
+   * earlier run, if it wasn't killed but frozen, goes on with its lease.
+   */
   void Restart() {
+    earlier_runs_.push_back({session_.lease_until_us, session_.revision});
     wire::member_info info = session_.info;
     ++info.incarnation;
     session_ = {.info = std::move(info)};
@@ -73,8 +77,20 @@
     frozen_until_us_ = cluster_.now_us + duration;
   }
 
-  bool HasLease() const { return session_.lease_until_us > LocalUs(); }
-  std::uint64_t revision() const { return session_.revision; }
+  /** The lowest revision that a run of the process with a lease works with. */
+  std::optional<std::uint64_t> RevisionInUse() const {
+    std::optional<std::uint64_t> lowest;
+    const auto consider = [&](base::time_us until_us, std::uint64_t revision) {
+      if (until_us > LocalUs()) {
+        lowest = std::min(lowest.value_or(revision), revision);
+      }
+    };
+    consider(session_.lease_until_us, session_.revision);
+    for (const auto& [until_us, revision] : earlier_runs_) {
+      consider(until_us, revision);
+    }
+    return lowest;
+  }
   const std::string& name() const { return session_.info.name; }
 
  private:
@@ -136,6 +152,7 @@
   member::session_state session_;
   config::revision_objects config_;
   std::map<net::link_id, std::size_t> links_;
+  std::vector<std::pair<base::time_us, std::uint64_t>> earlier_runs_;
   int run_ = 0;
   base::time_us reopen_us_ = 100'000;
   base::time_us frozen_until_us_ = 0;
@@ -197,10 +214,10 @@
     }
     result.in_force = std::max(result.in_force, *in_force);
     for (const auto& member : members) {
-      if (member->HasLease() && member->revision() < *in_force &&
-          result.violation.empty()) {
+      const auto in_use = member->RevisionInUse();
+      if (in_use && *in_use < *in_force && result.violation.empty()) {
         result.violation = member->name() + " has revision " +
-                           std::to_string(member->revision()) + " but " +
+                           std::to_string(*in_use) + " but " +
                            std::to_string(*in_force) + " is said in force";
       }
     }
