--- a/tests/control/fake_cluster.h
+++ b/tests/control/fake_cluster.h
@@ -25,6 +25,8 @@
   base::time_us slow_us = 1'000'000;
   double proposal_loss = 0.01;
   base::time_us deposed_after_us = 6'000'000;
+  /** Unix milliseconds that pass in one millisecond of the schedule. */
+  base::time_ms wall_scale = 1;
 };
 
 /**
@@ -82,6 +84,12 @@
   std::size_t leader() const { return leader_; }
   std::uint64_t term() const { return term_; }
   const replica_state& state(std::size_t i) const { return replicas_[i].state; }
+  base::time_ms WallMs() const {
+    return 1'000'000'000 + now_us / 1'000 * faults_.wall_scale;
+  }
+  base::time_us Delay() {
+    return Chance(faults_.slow) ? Upto(faults_.slow_us) : 100 + Upto(4'000);
+  }
   base::time_us LocalUs(std::size_t i) const {
     return static_cast<base::time_us>(static_cast<double>(now_us) *
                                       replicas_[i].rate);
@@ -153,9 +161,18 @@
     }
   }
 
+  /** The replica starts anew from a snapshot of its own state. */
+  void Reload(std::size_t i) {
+    if (i != leader_) {
+      Deliver(i, became_follower{});
+    }
+    Deliver(i, state_installed{replicas_[i].applied,
+                               EncodeState(replicas_[i].state.durable)});
+  }
+
   void Deliver(std::size_t i, const replica_event& event) {
     replica& target = replicas_[i];
-    const step_time now{LocalUs(i), 1'000'000'000 + now_us / 1'000};
+    const step_time now{LocalUs(i), WallMs()};
     for (replica_effect& effect : Step(target.state, event, now)) {
       Run(i, effect);
     }
@@ -188,10 +205,6 @@
     std::string payload;
   };
 
-  base::time_us Delay() {
-    return Chance(faults_.slow) ? Upto(faults_.slow_us) : 100 + Upto(4'000);
-  }
-
   void Tick(std::size_t i) {
     At(kReplicaTickUs, [this, i] {
       Deliver(i, replica_tick{});
--- a/tests/control/session_property_test.cc
+++ b/tests/control/session_property_test.cc
@@ -74,7 +74,8 @@
 
   /** The process doesn't run; its clock does. */
   void Freeze(base::time_us duration) {
-    frozen_until_us_ = cluster_.now_us + duration;
+    // Never shortened: what waits for the end would lose its order.
+    frozen_until_us_ = std::max(frozen_until_us_, cluster_.now_us + duration);
   }
 
   /** The lowest revision that a run of the process with a lease works with. */
@@ -254,7 +255,8 @@
   std::uint64_t in_force = 0;
   CHECK(rc::check("random loss, delay and leader changes", [&] {
     for (int i = 0; i < 10; ++i) {
-      const auto seed = *rc::gen::noShrink(rc::gen::arbitrary<std::uint64_t>());
+      const auto seed = *rc::gen::noShrink(rc::gen::resize(
+          rc::kNominalSize, rc::gen::arbitrary<std::uint64_t>()));
       const schedule_result result = RunSchedule(seed);
       in_force += result.in_force;
       if (!result.violation.empty()) {
