--- a/tests/control/claim_property_test.cc
+++ b/tests/control/claim_property_test.cc
@@ -141,13 +141,13 @@
     const std::uint64_t id = ++last_id_;
     call& added = calls_[id];
     added.key = key;
-    added.target = NewTarget();
+    added.wanted = NewTarget();
     Ask(id, wire::claim_request{
                 .workspace = "w",
                 .key_digest = {.low = static_cast<std::uint64_t>(key.number)},
                 .body_digest = {.low = 1},
                 .key_created_ms = key.created_ms,
-                .target = added.target});
+                .target = added.wanted});
   }
 
   int answered() const { return answered_; }
@@ -157,6 +157,8 @@
     call_key key;
     /** The attempt that has the claim as far as this entry knows. */
     wire::claim_target target;
+    /** The attempt that was last asked for. */
+    wire::claim_target wanted;
     /** Whether the reply that is awaited ends the call. */
     bool ending = false;
   };
@@ -206,7 +208,7 @@
     if (reply.result == claim_result::kGranted && current.ending) {
       End(id);
     } else if (reply.result == claim_result::kGranted) {
-      current.target = reply.holder;
+      current.target = current.wanted;
       Dispatch(id);
     } else if (reply.result == claim_result::kHeld) {
       current.target = reply.holder;
@@ -303,12 +305,13 @@
   }
 
   void MoveOn(std::uint64_t id) {
-    const call& current = calls_[id];
+    call& current = calls_[id];
+    current.wanted = NewTarget();
     Ask(id, wire::claim_move{.workspace = "w",
                              .key_digest = {.low = static_cast<std::uint64_t>(
                                                 current.key.number)},
                              .from_attempt = current.target.attempt,
-                             .to = NewTarget()});
+                             .to = current.wanted});
   }
 
   fake_cluster& cluster_;
