--- a/src/libwisteriaroute/storage/log_store.h
+++ b/src/libwisteriaroute/storage/log_store.h
@@ -4,22 +4,16 @@
 #include <cstdint>
 #include <deque>
 #include <filesystem>
-#include <optional>
-#include <stdexcept>
+#include <map>
 #include <string>
 #include <vector>
 
 #include "libwisteriaroute/raft/raft.h"
 #include "libwisteriaroute/storage/file.h"
+#include "libwisteriaroute/storage/record.h"
 
 namespace wisteriaroute::storage {
 
-/** Content that was synced is damaged or missing; don't start. */
-class damaged_storage : public std::runtime_error {
- public:
-  using std::runtime_error::runtime_error;
-};
-
 struct store_options {
   /** A segment that has grown to this is closed and the next one begun. */
   std::uint64_t segment_bytes = 16 << 20;
@@ -29,18 +23,17 @@
 class log_store {
  public:
   /**
-   * Opens or creates the directory and locks it. Removes an incomplete tail
-   * that was never synced. Throws damaged_storage for other damage and
-   * std::system_error for I/O errors.
+   * Opens or creates the directory and locks it. Removes a torn tail, which
+   * was never synced. Throws damaged_storage for other damage and
+   * std::runtime_error for I/O errors and a directory that is in use.
    */
   explicit log_store(std::filesystem::path directory,
                      const store_options& options = {});
-  ~log_store();
   log_store(const log_store&) = delete;
   log_store& operator=(const log_store&) = delete;
 
   /** Nothing has been stored; call Initialize. */
-  bool empty() const { return !metadata_; }
+  bool empty() const { return empty_; }
 
   /** Writes and syncs the first content. Throws if the store isn't empty. */
   void Initialize(const raft::stored_state& content);
@@ -63,38 +56,46 @@
   struct segment {
     std::uint64_t first_index = 0;
     std::filesystem::path path;
-    /** Offset of each record; index first_index + i. */
+    /** Offset of each record; that of first_index comes first. */
     std::vector<std::uint32_t> offsets;
+    /** Size of the file, with what is still in the buffer. */
+    std::uint64_t bytes = 0;
   };
 
-  void ReadMetadata();
-  void ReadSnapshot();
-  void ReadSegments();
-  void ReadSegment(segment& target, bool last);
-  void DiscardStaleLog();
-  void WriteMetadata(const raft::hard_state& metadata);
+  std::filesystem::path SnapshotPath(std::uint64_t index) const;
+  std::filesystem::path SegmentPath(std::uint64_t first_index) const;
+  void SyncDirectory() const;
+
+  void ReadSnapshot(
+      const std::map<std::uint64_t, std::filesystem::path>& found);
+  void ReadSegments(
+      const std::map<std::uint64_t, std::filesystem::path>& found);
+  void ReadSegment(std::uint64_t first_index,
+                   const std::filesystem::path& path,
+                   bool is_last);
+  bool FollowsSnapshot() const;
+
   void WriteSnapshot(const raft::snapshot& content);
   void StartSegment(std::uint64_t first_index);
+  void OpenTail();
+  void RemoveLastSegment();
   void Append(const wire::log_entry& entry);
   void ResetTo(std::uint64_t next_index);
   void TruncateFrom(std::uint64_t index);
   void CompactBefore(std::uint64_t index);
   void FlushBuffer();
-  void WriteSyncMark();
 
   std::filesystem::path directory_;
   store_options options_;
   file lock_;
-  file directory_file_;
   std::deque<segment> segments_;
-  /** The last segment, open for writing, and its size with the buffer. */
+  /** The last segment, open for writing. */
   file tail_;
-  std::uint64_t tail_bytes_ = 0;
   std::string buffer_;
-  bool unsynced_ = false;
   std::uint64_t last_index_ = 0;
+  std::uint64_t synced_index_ = 0;
   std::uint64_t snapshot_index_ = 0;
-  std::optional<raft::hard_state> metadata_;
+  bool empty_ = true;
   raft::stored_state content_;
 };
 
--- a/src/libwisteriaroute/storage/log_writer.h
+++ b/src/libwisteriaroute/storage/log_writer.h
@@ -45,7 +45,6 @@
 
  private:
   void Run();
-  void WriteBatches(const std::vector<raft::persist>& batches);
   void Report();
 
   struct ev_loop* loop_;
@@ -61,7 +60,6 @@
   std::uint64_t reported_sequence_ = 0;
   std::uint64_t sync_count_ = 0;
   std::string failure_;
-  bool failure_reported_ = false;
   std::thread thread_;
 };
 
--- /dev/null
+++ b/src/libwisteriaroute/storage/snapshot_file.cc
@@ -0,0 +1,99 @@
+#include "libwisteriaroute/storage/snapshot_file.h"
+
+#include <memory>
+
+#include "libwisteriaroute/base/digest.h"
+#include "libwisteriaroute/storage/bytes.h"
+#include "libwisteriaroute/storage/record.h"
+
+namespace wisteriaroute::storage {
+
+namespace {
+
+constexpr std::string_view kMetadataMagic = "WRMETA01";
+constexpr std::string_view kSnapshotMagic = "WRSNAP01";
+constexpr std::uint64_t kMagicBytes = 8;
+
+/** Magic and the XXH3-64 of what follows, then the body. */
+std::string Seal(std::string_view magic, std::string_view body) {
+  std::string file(magic);
+  AppendNumber(base::Hash64(body), file);
+  file += body;
+  return file;
+}
+
+/** The body. Throws damaged_storage. */
+std::string_view Unseal(const std::filesystem::path& path,
+                        std::string_view magic,
+                        std::string_view bytes,
+                        std::uint64_t minimum_body) {
+  constexpr std::uint64_t kFrontBytes = kMagicBytes + sizeof(std::uint64_t);
+  const char* fault = nullptr;
+  if (bytes.size() < kFrontBytes + minimum_body) {
+    fault = " is incomplete";
+  } else if (!bytes.starts_with(magic)) {
+    fault = " is not a file of this kind and version";
+  } else if (NumberAt<std::uint64_t>(bytes, kMagicBytes) !=
+             base::Hash64(bytes.substr(kFrontBytes))) {
+    fault = " has a bad checksum";
+  }
+  if (fault != nullptr) {
+    throw damaged_storage(
+        path.string() + fault +
+        ". This replica must not start with this data directory; if the "
+        "other replicas are in order, empty the directory and start it again "
+        "without --bootstrap.");
+  }
+  return bytes.substr(kFrontBytes);
+}
+
+}  // namespace
+
+std::string EncodeMetadata(const raft::hard_state& metadata) {
+  std::string body;
+  AppendNumber(metadata.term, body);
+  AppendNumber(metadata.identity, body);
+  body += metadata.voted_for;
+  return Seal(kMetadataMagic, body);
+}
+
+raft::hard_state ParseMetadata(const std::filesystem::path& path,
+                               std::string_view bytes) {
+  constexpr std::uint64_t kNumbersBytes = 16;
+  const std::string_view body =
+      Unseal(path, kMetadataMagic, bytes, kNumbersBytes);
+  return {.term = NumberAt<std::uint64_t>(body, 0),
+          .voted_for = std::string(body.substr(kNumbersBytes)),
+          .identity = NumberAt<std::uint64_t>(body, 8)};
+}
+
+std::string EncodeSnapshot(const raft::snapshot& content) {
+  const std::string replicas = wire::EncodeReplicas(content.replicas);
+  std::string body;
+  body.reserve(replicas.size() + content.data->size() + 24);
+  AppendNumber(content.last_index, body);
+  AppendNumber(content.last_term, body);
+  AppendNumber(static_cast<std::uint64_t>(replicas.size()), body);
+  body += replicas;
+  body += *content.data;
+  return Seal(kSnapshotMagic, body);
+}
+
+raft::snapshot ParseSnapshot(const std::filesystem::path& path,
+                             std::string_view bytes) {
+  constexpr std::uint64_t kNumbersBytes = 24;
+  const std::string_view body =
+      Unseal(path, kSnapshotMagic, bytes, kNumbersBytes);
+  const auto replicas_bytes = NumberAt<std::uint64_t>(body, 16);
+  const std::string_view rest = body.substr(kNumbersBytes);
+  if (replicas_bytes > rest.size()) {
+    throw damaged_storage(path.string() + " has an impossible length field");
+  }
+  return {
+      .last_index = NumberAt<std::uint64_t>(body, 0),
+      .last_term = NumberAt<std::uint64_t>(body, 8),
+      .replicas = wire::DecodeReplicas(rest.substr(0, replicas_bytes)),
+      .data = std::make_shared<const std::string>(rest.substr(replicas_bytes))};
+}
+
+}  // namespace wisteriaroute::storage
--- /dev/null
+++ b/src/libwisteriaroute/storage/snapshot_file.h
@@ -0,0 +1,25 @@
+#ifndef LIBWISTERIAROUTE_STORAGE_SNAPSHOT_FILE_H_
+#define LIBWISTERIAROUTE_STORAGE_SNAPSHOT_FILE_H_
+
+#include <filesystem>
+#include <string>
+#include <string_view>
+
+#include "libwisteriaroute/raft/log.h"
+
+namespace wisteriaroute::storage {
+
+// Contents of the files that are replaced as a whole. The parse functions
+// throw damaged_storage, naming `path`.
+
+std::string EncodeMetadata(const raft::hard_state& metadata);
+raft::hard_state ParseMetadata(const std::filesystem::path& path,
+                               std::string_view bytes);
+
+std::string EncodeSnapshot(const raft::snapshot& content);
+raft::snapshot ParseSnapshot(const std::filesystem::path& path,
+                             std::string_view bytes);
+
+}  // namespace wisteriaroute::storage
+
+#endif  // LIBWISTERIAROUTE_STORAGE_SNAPSHOT_FILE_H_
--- a/tests/raft/raft_property_test.cc
+++ b/tests/raft/raft_property_test.cc
@@ -33,6 +33,8 @@
 struct fault_set {
   bool wipes = false;
   bool membership = false;
+  /** Runs of part of the replicas between single steps. */
+  bool bursts = false;
 };
 
 /** The next choices of a schedule, all derived from one number. */
@@ -108,6 +110,46 @@
   }
 }
 
+/**
+ * Part of the replicas works for a while, mostly without faults, while the
+ * others are neither heard nor scheduled. Reaches states that need several
+ * elections among different majorities.
+ */
+void Burst(cluster& replicas, choices& pick) {
+  const std::uint64_t members = pick.Below(1U << replicas.nodes.size());
+  const auto in_group = [&](const std::string& name) {
+    return ((members >> (name[0] - 'a')) & 1) != 0;
+  };
+  const std::uint64_t ticks = pick.Below(80);
+  const bool proposals = pick.Below(2) == 0;
+  for (std::uint64_t i = 0; i < ticks; ++i) {
+    replicas.now_us += kTickPeriodUs;
+    for (cluster::node& one : replicas.nodes) {
+      if (in_group(one.name)) {
+        replicas.Run(one, tick{});
+        for (std::uint64_t n = pick.Below(8); n > 0; --n) {
+          replicas.Sync(one);
+        }
+        if (proposals && pick.Below(16) == 0 &&
+            one.state.current_role == role::kLeader) {
+          replicas.Propose(one);
+        }
+      }
+    }
+    std::vector<cluster::packet> batch;
+    batch.swap(replicas.network);
+    for (cluster::packet& one : batch) {
+      if (!in_group(one.from) || !in_group(one.to)) {
+        if (pick.Below(8) == 0) {
+          replicas.network.push_back(std::move(one));
+        }
+      } else if (pick.Below(16) != 0) {
+        replicas.Run(replicas.Get(one.to), received{one.from, one.message});
+      }
+    }
+  }
+}
+
 void RandomStep(cluster& replicas,
                 const fault_set& faults,
                 std::uint64_t number) {
@@ -115,7 +157,9 @@
   cluster::node& target = replicas.nodes[pick.Below(replicas.nodes.size())];
   cluster::node* leader = replicas.Leader();
   const std::uint64_t kind = pick.Below(100);
-  if (kind < 46) {
+  if (kind < 5 && faults.bursts) {
+    Burst(replicas, pick);
+  } else if (kind < 46) {
     Traffic(replicas, pick);
   } else if (kind < 68) {
     replicas.Sync(target);
@@ -176,7 +220,7 @@
 void RunSchedules(const std::string& name,
                   unsigned voters,
                   unsigned spares,
-                  fault_set faults) {
+                  fault_set allowed) {
   REQUIRE(kRaisedCount);
   totals sum;
   const bool held = rc::check(name, [&] {
@@ -185,6 +229,8 @@
         rc::gen::noShrink(rc::gen::resize(
             rc::kNominalSize, rc::gen::arbitrary<std::uint64_t>())));
     cluster replicas(voters, spares, SmallLimits());
+    fault_set faults = allowed;
+    faults.bursts = !numbers.empty() && numbers.front() % 2 == 0;
     try {
       for (const std::uint64_t number : numbers) {
         RandomStep(replicas, faults, number);
