agent: release the pages that only start-up touches

Most of the resident memory was text of libraries that start-up touches once: 17.0 MiB resident, of which 2.0 MiB anonymous.

--- a/src/libwisteriaroute/agent/daemon.cc
+++ b/src/libwisteriaroute/agent/daemon.cc
@@ -1,5 +1,6 @@
 #include "libwisteriaroute/agent/daemon.h"
 
+#include "libwisteriaroute/agent/startup_pages.h"
 #include "libwisteriaroute/base/log.h"
 
 namespace wisteriaroute::agent {
@@ -7,6 +8,8 @@
 namespace {
 
 constexpr base::time_us kTickUs = 50'000;
+// By then the first links are up, which touch much code once.
+constexpr base::time_us kStartupUs = 2'000'000;
 // Time for the last messages to leave before the process ends.
 constexpr base::time_us kFlushUs = 300'000;
 
@@ -42,7 +45,8 @@
            HubCallbacks()),
       address_(hub_.Listen(settings_.process.listen)),
       tick_(event_loop.ev(), [this] { Handle(tick{}); }),
-      exit_(event_loop.ev(), [this] { event_loop_.Stop(); }) {
+      exit_(event_loop.ev(), [this] { event_loop_.Stop(); }),
+      release_pages_(event_loop.ev(), [] { ReleaseStartupPages(); }) {
   if (settings_.process.advertise == settings_.process.listen) {
     settings_.process.advertise = address_;
   }
@@ -64,6 +68,7 @@
                             {"backend", settings_.backend.backend_url}});
   Handle(tick{});
   tick_.Start(kTickUs, kTickUs);
+  release_pages_.Start(kStartupUs);
 }
 
 net::hub_callbacks daemon::HubCallbacks() {
--- a/src/libwisteriaroute/agent/daemon.h
+++ b/src/libwisteriaroute/agent/daemon.h
@@ -71,6 +71,7 @@
   bool handling_ = false;
   net::timer tick_;
   net::timer exit_;
+  net::timer release_pages_;
 };
 
 }  // namespace wisteriaroute::agent
