--- a/src/libwisteriaroute/agent/attempts.cc
+++ b/src/libwisteriaroute/agent/attempts.cc
@@ -251,7 +251,7 @@
   }
 }
 
-void LimitKeptBytes(step_context& context, attempt* growing) {
+void LimitKeptBytes(step_context& context) {
   agent_state& state = context.state;
   while (state.kept_bytes > state.options.kept_bytes && !state.ended.empty()) {
     const auto it = state.attempts.find(state.ended.front());
@@ -260,15 +260,23 @@
       DropBody(state, it->second);
     }
   }
-  if (growing == nullptr || growing->body == nullptr) {
-    return;
-  }
-  kept_response& response = growing->body->response;
-  state.kept_bytes -= response.bytes;
-  while (state.kept_bytes + response.bytes > state.options.kept_bytes &&
-         DropOldest(response)) {
+  // What is left is in progress; the longest ones lose their beginning.
+  while (state.kept_bytes > state.options.kept_bytes) {
+    kept_response* longest = nullptr;
+    for (const wire::attempt_id& id : state.running) {
+      kept_response& each = state.attempts.at(id).body->response;
+      if (!each.pieces.empty() &&
+          (longest == nullptr || each.bytes > longest->bytes)) {
+        longest = &each;
+      }
+    }
+    if (longest == nullptr) {
+      return;
+    }
+    state.kept_bytes -= longest->bytes;
+    DropOldest(*longest);
+    state.kept_bytes += longest->bytes;
   }
-  state.kept_bytes += response.bytes;
 }
 
 }  // namespace wisteriaroute::agent
--- a/src/libwisteriaroute/agent/calls.cc
+++ b/src/libwisteriaroute/agent/calls.cc
@@ -40,6 +40,7 @@
                      .headers = event.headers});
   context.state.kept_bytes += response.bytes;
   Publish(context, *target, *response.head);
+  LimitKeptBytes(context);
 }
 
 void Handle(step_context& context, const call_data& event) {
@@ -58,9 +59,7 @@
   Append(body.response, event.token_count, event.data,
          context.state.options.tail_bytes);
   context.state.kept_bytes += body.response.bytes;
-  if (context.state.kept_bytes > context.state.options.kept_bytes) {
-    LimitKeptBytes(context, target);
-  }
+  LimitKeptBytes(context);
 }
 
 void Handle(step_context& context, const call_finished& event) {
@@ -88,7 +87,7 @@
   body.work.reset();
   RememberUntil(state, event.attempt, *target, state.window);
   state.ended.push_back(event.attempt);
-  LimitKeptBytes(context, nullptr);
+  LimitKeptBytes(context);
   StartQueued(context);
 }
 
--- a/src/libwisteriaroute/agent/step_context.h
+++ b/src/libwisteriaroute/agent/step_context.h
@@ -56,7 +56,7 @@
                    std::uint64_t window);
 void BeginWindow(step_context& context);
 /** Keeps the responses' memory within its limit. */
-void LimitKeptBytes(step_context& context, attempt* growing);
+void LimitKeptBytes(step_context& context);
 std::size_t SlotCount(const agent_state& state);
 
 // Events of calls (calls.cc).
--- a/src/libwisteriaroute/agent/work.cc
+++ b/src/libwisteriaroute/agent/work.cc
@@ -182,6 +182,7 @@
   state.queue[{work.priority, state.next_arrival++}] = work.attempt;
   context.Count("agent_attempts_accepted_total");
   StartQueued(context);
+  LimitKeptBytes(context);
 }
 
 /** The entry sent it again after a lost link; it must not start again. */
