entry: properties over random schedules of faults

1,000 schedules each: callers get their whole response exactly once and in order; an order runs at most once through any entry and not_run is true.

--- /dev/null
+++ b/tests/entry/entry_property_test.cc
@@ -0,0 +1,223 @@
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <nlohmann/json.hpp>
+
+#include "tests/entry/world.h"
+
+namespace wisteriaroute::entry_test {
+
+namespace {
+
+// Longer than any wait of the reducer without an answer.
+constexpr base::time_us kSettleUs = 40'000'000;
+
+struct stream_content {
+  std::string text;
+  bool done = false;
+  bool error = false;
+  unsigned after_end = 0;
+};
+
+stream_content ReadStream(const std::string& received) {
+  stream_content out;
+  std::size_t at = 0;
+  while (at < received.size()) {
+    const std::size_t end = received.find("\n\n", at);
+    const std::string event = received.substr(at, end - at);
+    at = end + 2;
+    if (out.done || out.error) {
+      ++out.after_end;
+    }
+    if (event.starts_with("event: error")) {
+      out.error = true;
+    } else if (event == "data: [DONE]") {
+      out.done = true;
+    } else if (event.starts_with("data: ")) {
+      const auto json = nlohmann::json::parse(event.substr(6));
+      out.text += json["choices"][0]["delta"].value("content", "");
+    }
+  }
+  return out;
+}
+
+std::string OutcomeIn(const exchange_record& of) {
+  const std::size_t at = of.received.find("\"outcome\":\"");
+  return at == std::string::npos
+             ? ""
+             : of.received.substr(at + 11,
+                                  of.received.find('"', at + 11) - at - 11);
+}
+
+void CheckStream(const exchange_record& of) {
+  const stream_content content = ReadStream(of.received);
+  const std::string whole = WholeText(of.body);
+  RC_ASSERT(content.after_end == 0U);
+  if (content.done) {
+    RC_ASSERT(content.text == whole);
+  } else {
+    RC_ASSERT(content.error || of.left);
+    RC_ASSERT(whole.starts_with(content.text));
+  }
+}
+
+// What a caller may see, whatever went wrong.
+void CheckExchange(world& sim, const exchange_record& of) {
+  if (of.left) {
+    RC_ASSERT(of.answers == 0U);
+    return;
+  }
+  RC_ASSERT(of.answers == 1U);
+  if (of.streamed) {
+    CheckStream(of);
+  } else if (of.status == 200 && of.path.starts_with("/v1/")) {
+    const auto body = nlohmann::json::parse(of.received);
+    RC_ASSERT(body["choices"][0]["text"] == WholeText(of.body));
+  } else if (of.status == 200) {
+    RC_ASSERT(of.received == "done:" + of.body + WholeText(of.body));
+  } else {
+    RC_ASSERT(!OutcomeIn(of).empty());
+  }
+  if (OutcomeIn(of) == "not_run") {
+    RC_ASSERT(sim.runs_of_request[of.request_id] == 0U);
+    RC_ASSERT(of.key.empty() || of.status == 422 || of.runs_at_answer == 0U);
+  }
+}
+
+void CheckClean(const world& sim) {
+  for (const auto& state : sim.entries) {
+    RC_ASSERT(state->requests.empty());
+    RC_ASSERT(state->queued == 0U);
+    RC_ASSERT(state->request_of_attempt.empty());
+    RC_ASSERT(state->request_of_exchange.empty());
+    RC_ASSERT(state->request_of_correlation.empty());
+    for (const auto& [name, at] : state->agents) {
+      RC_ASSERT(at.in_flight == 0U);
+      RC_ASSERT(at.suspects == 0U);
+    }
+    for (const auto& [name, used] : state->usages) {
+      RC_ASSERT(used.open_requests == 0);
+    }
+  }
+}
+
+void SendOne(world& sim, int number) {
+  const int entry = static_cast<int>(sim.Random(sim.entries.size()));
+  const std::string tag = std::to_string(number);
+  std::uint64_t id = 0;
+  switch (sim.Random(3)) {
+    case 0:
+      id = sim.Send(entry, "POST", "/v1/chat/completions",
+                    R"({"model":"m","stream":true,"messages":[{"role":"user",)"
+                    R"("content":")" +
+                        tag + "\"}]}");
+      break;
+    case 1:
+      id = sim.Send(entry, "POST", "/v1/completions",
+                    R"({"model":"m","prompt":")" + tag + "\"}");
+      break;
+    default:
+      id = sim.Send(entry, "GET", "/s/status", tag);
+  }
+  if (sim.Chance(10)) {
+    sim.At(static_cast<base::time_us>(sim.Random(400'000)),
+           [&sim, entry, id] { sim.Leave(entry, id); });
+  }
+}
+
+void SendOrder(world& sim, int number) {
+  const std::string key = "key-" + std::to_string(number);
+  const std::string body = "order " + std::to_string(number);
+  const auto sends = 1 + sim.Random(3);
+  for (std::uint64_t i = 0; i < sends; ++i) {
+    const int entry = static_cast<int>(sim.Random(sim.entries.size()));
+    net::http_headers headers;
+    if (sim.Chance(20)) {
+      headers = {{"x-request-deadline-ms", std::to_string(sim.Random(500))}};
+    }
+    sim.At(static_cast<base::time_us>(sim.Random(1'500'000)), [&sim, entry, key,
+                                                               body, headers] {
+      const auto id = sim.Send(entry, "POST", "/s/orders", body, key, headers);
+      if (sim.Chance(15)) {
+        sim.At(static_cast<base::time_us>(sim.Random(400'000)),
+               [&sim, entry, id] { sim.Leave(entry, id); });
+      }
+    });
+  }
+}
+
+void DrawFaults(world& sim, int cuts, int crashes) {
+  for (int i = 0; i < cuts; ++i) {
+    sim.At(static_cast<base::time_us>(sim.Random(1'500'000)), [&sim] {
+      const auto entry = static_cast<int>(sim.Random(sim.entries.size()));
+      const auto agent = "agent-" + std::to_string(sim.Random(4));
+      // Longer ones exceed the wait for a new link.
+      const base::time_us down_us = sim.Chance(80) ? 200'000 : 5'000'000;
+      sim.CutLink(entry, agent, down_us);
+    });
+  }
+  for (int i = 0; i < crashes; ++i) {
+    sim.At(static_cast<base::time_us>(sim.Random(1'500'000)), [&sim] {
+      sim.Crash("agent-" + std::to_string(sim.Random(4)), 500'000);
+    });
+  }
+}
+
+// RapidCheck draws 100 seeds; each stands for this many schedules.
+constexpr int kSchedulesPerSeed = 10;
+
+template <typename Schedule>
+bool CheckSchedules(Schedule schedule) {
+  return rc::check([&](std::uint64_t seed) {
+    for (int i = 0; i < kSchedulesPerSeed; ++i) {
+      schedule(base::Hash64(std::to_string(seed) + "/" + std::to_string(i)));
+    }
+  });
+}
+
+}  // namespace
+
+TEST_CASE("every caller gets its own whole response exactly once") {
+  const bool held = CheckSchedules([](std::uint64_t seed) {
+    world sim(seed, 2, 4);
+    sim.faults = {.duplicate = 10, .reorder = 20, .refuse = 10};
+    DrawFaults(sim, static_cast<int>(sim.Random(4)),
+               static_cast<int>(sim.Random(2)));
+    for (int i = 0; i < 10; ++i) {
+      sim.At(static_cast<base::time_us>(sim.Random(1'000'000)),
+             [&sim, i] { SendOne(sim, i); });
+    }
+    sim.RunFor(kSettleUs);
+    for (const auto& [id, exchange] : sim.exchanges) {
+      CheckExchange(sim, exchange);
+    }
+    RC_ASSERT(sim.runs_after_not_run == 0U);
+    CheckClean(sim);
+  });
+  CHECK(held);
+}
+
+TEST_CASE("an order runs at most once, through any entry, under faults") {
+  const bool held = CheckSchedules([](std::uint64_t seed) {
+    world sim(seed, 3, 4);
+    sim.faults = {
+        .duplicate = 10, .reorder = 10, .refuse = 20, .control_loss = 15};
+    DrawFaults(sim, static_cast<int>(sim.Random(5)),
+               static_cast<int>(sim.Random(2)));
+    for (int i = 0; i < 6; ++i) {
+      SendOrder(sim, i);
+    }
+    sim.RunFor(kSettleUs + 90'000'000);
+    for (const auto& [body, runs] : sim.runs_of_body) {
+      RC_ASSERT(runs <= 1U);
+    }
+    for (const auto& [id, exchange] : sim.exchanges) {
+      CheckExchange(sim, exchange);
+    }
+    RC_ASSERT(sim.runs_after_not_run == 0U);
+    CheckClean(sim);
+  });
+  CHECK(held);
+}
+
+}  // namespace wisteriaroute::entry_test
