--- a/tests/raft/cluster.h
+++ b/tests/raft/cluster.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <stdexcept>
@@ -147,7 +148,7 @@
       std::vector<packet> batch;
       batch.swap(network);
       for (const packet& one : batch) {
-        if (!cut.contains({one.from, one.to})) {
+        if (!cut.contains({one.from, one.to}) && !lost(one)) {
           Run(Get(one.to), received{one.from, one.message});
         }
       }
@@ -204,6 +205,8 @@
 
   std::vector<node> nodes;
   std::vector<packet> network;
+  /** Messages that are lost, besides those of `cut`. */
+  std::function<bool(const packet&)> lost = [](const packet&) { return false; };
   std::set<std::pair<std::string, std::string>> cut;
   base::time_us now_us = 1'000'000;
   std::uint64_t acknowledged_index = 0;
--- /dev/null
+++ b/tests/raft/raft_scenario_test.cc
@@ -0,0 +1,225 @@
+#include <doctest/doctest.h>
+
+#include "tests/raft/cluster.h"
+
+namespace wisteriaroute::raft {
+namespace {
+
+constexpr base::time_us kSecond = 1'000'000;
+
+/** Messages pass only within each of the groups. */
+void Partition(cluster& replicas, const std::vector<std::string>& groups) {
+  replicas.cut.clear();
+  const auto group_of = [&](const std::string& name) {
+    for (std::size_t i = 0; i < groups.size(); ++i) {
+      if (groups[i].find(name) != std::string::npos) {
+        return i;
+      }
+    }
+    return groups.size() + static_cast<std::size_t>(name[0]);
+  };
+  for (const auto& a : replicas.nodes) {
+    for (const auto& b : replicas.nodes) {
+      if (group_of(a.name) != group_of(b.name)) {
+        replicas.cut.insert({a.name, b.name});
+      }
+    }
+  }
+  replicas.network.clear();
+}
+
+/** Lets `name` win an election among the replicas that it reaches. */
+void Elect(cluster& replicas, const std::string& name) {
+  for (int i = 0; i < 200; ++i) {
+    replicas.now_us += kTickPeriodUs;
+    replicas.Run(replicas.Get(name), tick{});
+    replicas.Settle();
+    if (replicas.Get(name).state.current_role == role::kLeader) {
+      return;
+    }
+  }
+  FAIL("no election of " << name);
+}
+
+TEST_CASE("a leader is replaced within 3 s and the old one steps down") {
+  cluster replicas(3, 0, {});
+  replicas.RunCalm(2 * kSecond);
+  cluster::node* first = replicas.Leader();
+  REQUIRE(first != nullptr);
+  const std::string old = first->name;
+  const std::string others = old == "a" ? "bc" : old == "b" ? "ac" : "ab";
+  Partition(replicas, {old, others});
+  replicas.Propose(*first);
+  replicas.Read(*first);
+  const base::time_us since = replicas.now_us;
+  while (replicas.Leader()->name == old) {
+    replicas.RunCalm(kTickPeriodUs);
+    REQUIRE(replicas.now_us - since < 3 * kSecond);
+  }
+  MESSAGE("replaced after ms: " << (replicas.now_us - since) / 1000);
+  replicas.RunCalm(kSecond);
+  CHECK(first->state.current_role != role::kLeader);
+  CHECK(replicas.results.at(1).status == proposal_status::kUnknown);
+  CHECK(replicas.reads_confirmed == 0);
+}
+
+TEST_CASE("leadership is handed over on request") {
+  cluster replicas(3, 0, {});
+  Elect(replicas, "a");
+  replicas.Settle();
+  replicas.Run(replicas.Get("a"), transfer_leadership{"c"});
+  replicas.Settle();
+  CHECK(replicas.Leader()->name == "c");
+  replicas.RunCalm(kSecond);
+  CHECK(replicas.Leader()->name == "c");
+}
+
+// Without pre-vote, a replica that was cut off returns with a higher term.
+TEST_CASE("a replica that was cut off doesn't depose the leader") {
+  cluster replicas(3, 0, {});
+  Elect(replicas, "a");
+  Partition(replicas, {"ab", "c"});
+  replicas.RunCalm(5 * kSecond);
+  replicas.cut.clear();
+  replicas.RunCalm(2 * kSecond);
+  CHECK(replicas.Leader()->name == "a");
+  CHECK(replicas.Get("c").state.hard.term == 2);
+}
+
+bool IsAppend(const cluster::packet& packet) {
+  return std::holds_alternative<wire::append_request>(packet.message);
+}
+
+// An entry of an older term on a majority can still be replaced.
+TEST_CASE("an older term's entry isn't committed by counting") {
+  cluster replicas(5, 0, {});
+  cluster::node& a = replicas.Get("a");
+  Elect(replicas, "a");
+  Partition(replicas, {"ab", "cde"});
+  replicas.Propose(a);
+  replicas.Settle();
+  const std::uint64_t index = replicas.Get("b").state.log.last_index();
+  // e leads in the next term and keeps its no-op to itself.
+  replicas.lost = IsAppend;
+  Elect(replicas, "e");
+  // a leads again, with its old entry and a no-op of its new term.
+  replicas.Crash(a);
+  replicas.Start(a);
+  Partition(replicas, {"abc"});
+  Elect(replicas, "a");
+  const std::uint64_t before = a.state.commit_index;
+  REQUIRE(a.state.log.TermAt(index) < a.state.hard.term);
+  for (const char* name : {"b", "c"}) {
+    replicas.Run(
+        a, received{name, wire::append_reply{.term = a.state.hard.term,
+                                             .identity = kBootstrapIdentity,
+                                             .success = true,
+                                             .match_index = index}});
+  }
+  CHECK(a.state.commit_index == before);
+  // e replaces the entry, which therefore must not have been committed.
+  Partition(replicas, {"cde"});
+  replicas.lost = [](const cluster::packet&) { return false; };
+  replicas.RunCalm(3 * kSecond);
+  CHECK(replicas.Get("d").state.commit_index >= index);
+}
+
+// Quorums of two sets that differ by two voters may be disjoint.
+TEST_CASE("the replica set changes by one committed step at a time") {
+  cluster replicas(3, 2, {});
+  cluster::node& a = replicas.Get("a");
+  const auto add = [&](std::uint64_t id, const std::string& name) {
+    replicas.Run(a, change_replicas{.proposal_id = id,
+                                    .name = name,
+                                    .address = name + ":1",
+                                    .promote_when_ready = true});
+  };
+  replicas.lost = IsAppend;
+  Elect(replicas, "a");
+  add(101, "d");
+  CHECK(replicas.results.at(101).status == proposal_status::kDropped);
+  replicas.lost = [](const cluster::packet&) { return false; };
+  replicas.RunCalm(kSecond);
+  REQUIRE(replicas.Leader() == &a);
+  add(102, "d");
+  add(103, "e");
+  CHECK(replicas.results.at(103).status == proposal_status::kDropped);
+  replicas.RunCalm(kSecond);
+  CHECK(replicas.results.at(102).status == proposal_status::kCommitted);
+  CHECK(IsVoter(replicas.Get("d").state));
+  replicas.Run(a, change_replicas{.proposal_id = 104,
+                                  .change = replica_change::kRemove,
+                                  .name = "a"});
+  replicas.RunCalm(2 * kSecond);
+  CHECK(a.state.current_role == role::kFollower);
+  CHECK(Replicas(replicas.Leader()->state).size() == 3);
+}
+
+// b, which lost its disk, must not help a in place of the vote that it gave d.
+TEST_CASE("a wiped voter can't help an isolated old leader") {
+  cluster replicas(5, 0, {});
+  cluster::node& b = replicas.Get("b");
+  Elect(replicas, "a");
+  Partition(replicas, {"ac", "bde"});
+  Elect(replicas, "d");
+  replicas.Propose(replicas.Get("d"));
+  replicas.Settle();
+  REQUIRE(replicas.acknowledged.size() == 1);
+  replicas.Wipe(b);
+  replicas.Start(b);
+  Partition(replicas, {"abc", "de"});
+  replicas.Propose(replicas.Get("a"));
+  replicas.Settle();
+  CHECK(replicas.acknowledged.size() == 1);
+  CHECK_FALSE(IsVoter(b.state));
+
+  replicas.cut.clear();
+  replicas.RunCalm(4 * kSecond);
+  CHECK(replicas.Get("a").machine.starts_with("p1\n"));
+  REQUIRE(IsVoter(b.state));
+
+  // The second host is lost right after the repair.
+  const std::string lost = replicas.Leader()->name;
+  replicas.Wipe(*replicas.Leader());
+  replicas.RunCalm(4 * kSecond);
+  REQUIRE(replicas.Leader() != nullptr);
+  CHECK(replicas.Leader()->machine.starts_with("p1\n"));
+  replicas.Start(replicas.Get(lost));
+  replicas.RunCalm(4 * kSecond);
+  CHECK(IsVoter(replicas.Get(lost).state));
+}
+
+// The sync of an entry says nothing of the entry that replaced it.
+TEST_CASE("a replaced suffix is forgotten with its replica set and its sync") {
+  raft_state c = MakeState(
+      "c", MakeBootstrapped({{.name = "a"}, {.name = "b"}, {.name = "c"}}));
+  const auto append = [&](const std::string& from, std::uint64_t term,
+                          wire::entry_kind kind, std::string payload) {
+    Step(c,
+         received{from,
+                  wire::append_request{
+                      .term = term,
+                      .round = 1,
+                      .previous_index = 1,
+                      .previous_term = 1,
+                      .entries = {{.term = term,
+                                   .index = 2,
+                                   .kind = kind,
+                                   .payload = std::move(payload)}}}},
+         1);
+  };
+  append("a", 2, wire::entry_kind::kReplicas,
+         wire::EncodeReplicas({{.name = "z"}}));
+  CHECK(FindReplica(c, "z") != nullptr);
+  const std::uint64_t old_sequence = c.last_sequence;
+  append("b", 3, wire::entry_kind::kNoOp, {});
+  CHECK(FindReplica(c, "z") == nullptr);
+  CHECK(Replicas(c).size() == 3);
+  Step(c, persisted{old_sequence}, 2);
+  CHECK(c.synced_index == 1);
+  Step(c, persisted{c.last_sequence}, 3);
+  CHECK(c.synced_index == 2);
+}
+
+}  // namespace
+}  // namespace wisteriaroute::raft
