--- a/src/control/daemon_effects.cc
+++ b/src/control/daemon_effects.cc
@@ -84,10 +84,18 @@
 void daemon::Note(base::timeline_event event) {
   event.hlc = clock_.Tick(base::WallMs());
   event.process = settings_.process.name;
-  base::LogInfo(event.kind, {{"group", event.group},
-                             {"server", event.server},
-                             {"revision", event.revision},
-                             {"detail", event.detail}});
+  if (!event.group.empty()) {
+    base::LogInfo(event.kind,
+                  {{"group", event.group}, {"detail", event.detail}});
+  } else if (!event.server.empty()) {
+    base::LogInfo(event.kind,
+                  {{"server", event.server}, {"detail", event.detail}});
+  } else if (event.revision != 0) {
+    base::LogInfo(event.kind,
+                  {{"revision", event.revision}, {"operation", event.detail}});
+  } else {
+    base::LogInfo(event.kind, {{"detail", event.detail}});
+  }
   timeline_.Add(std::move(event));
 }
 
