policy: estimate settles on noise, search prunes candidates early

Cause: moves on pure noise, slow recovery after a shift, and 240 ms for a decision at 128 ranks, 128 experts and 60 layers.

--- a/bench/expert_map_bench.cc
+++ b/bench/expert_map_bench.cc
@@ -67,7 +67,9 @@
   const trace_shape shape{.kind = kind,
                           .layers = group.layers,
                           .experts = group.experts,
-                          .intervals = group.intervals};
+                          .intervals = group.intervals,
+                          // A larger group serves more callers.
+                          .tokens_per_interval = 50'000 * group.ranks};
   expert_trace trace(shape);
   expert_load load = policy::MakeExpertLoad(group.layers, group.experts);
   wire::expert_map map = policy::InitialMap(
@@ -200,7 +202,8 @@
 }  // namespace
 }  // namespace wisteriaroute::bench
 
-int main() {
+// An argument selects the groups of that many ranks.
+int main(int argc, char** argv) {
   using namespace wisteriaroute::bench;
   constexpr std::array<group_shape, 3> kGroups{
       {{4, 16, 6, 8, 288}, {16, 64, 6, 8, 288}, {128, 128, 2, 60, 96}}};
@@ -210,6 +213,9 @@
        {trace_kind::kNoise, "pure noise"},
        {trace_kind::kSlowRank, "one slow rank"}}};
   for (const auto& group : kGroups) {
+    if (argc > 1 && std::to_string(group.ranks) != argv[1]) {
+      continue;
+    }
     for (const auto& [kind, name] : kTraces) {
       Compare(group, kind, name);
     }
--- a/src/libwisteriaroute/policy/expert_layer.cc
+++ b/src/libwisteriaroute/policy/expert_layer.cc
@@ -21,7 +21,8 @@
       ranks_(static_cast<std::uint32_t>(slots.size()) / slots_per_rank),
       share_(share),
       speed_(speed),
-      replicas_(share.size(), 0) {
+      replicas_(share.size(), 0),
+      part_(share.size(), 0) {
   for (const std::uint16_t expert : slots_) {
     ++replicas_[expert];
   }
@@ -31,6 +32,9 @@
 }
 
 void expert_layer::RebuildTimes() {
+  for (std::size_t e = 0; e < part_.size(); ++e) {
+    part_[e] = share_[e] / replicas_[e];
+  }
   time_.assign(ranks_, 0);
   for (std::size_t i = 0; i < slots_.size(); ++i) {
     time_[i / slots_per_rank_] += Part(slots_[i]);
@@ -62,10 +66,6 @@
   return std::find(first, last, expert) != last;
 }
 
-double expert_layer::Part(std::uint16_t expert) const {
-  return share_[expert] / replicas_[expert];
-}
-
 void expert_layer::ConsiderExchange(std::uint32_t slot,
                                     std::uint32_t other_rank,
                                     std::uint32_t other_slot,
@@ -74,13 +74,12 @@
   const std::uint16_t theirs =
       slots_[other_rank * slots_per_rank_ + other_slot];
   const double difference = Part(mine) - Part(theirs);
-  if (difference <= 0 || Holds(other_rank, mine) || Holds(slowest_, theirs)) {
-    return;
-  }
   const double touched =
       std::max(time_[slowest_] - difference / speed_[slowest_],
                time_[other_rank] + difference / speed_[other_rank]);
-  if (touched < best.touched_time) {
+  // The cheap test comes first: few candidates pass it.
+  if (touched < best.touched_time && !Holds(other_rank, mine) &&
+      !Holds(slowest_, theirs)) {
     best = {slowest_, slot, other_rank, other_slot, false, touched};
   }
 }
@@ -94,7 +93,7 @@
   const std::uint16_t mine = slots_[slowest_ * slots_per_rank_ + slot];
   const std::uint16_t theirs =
       slots_[other_rank * slots_per_rank_ + other_slot];
-  if (replicas_[theirs] < 2 || theirs == mine || Holds(other_rank, mine)) {
+  if (replicas_[theirs] < 2) {
     return;
   }
   const double part = share_[mine] / (replicas_[mine] + 1);
@@ -103,7 +102,7 @@
   double touched =
       std::max(time_[slowest_] - relief / speed_[slowest_],
                time_[other_rank] + (part - Part(theirs)) / speed_[other_rank]);
-  if (touched >= best.touched_time) {
+  if (touched >= best.touched_time || Holds(other_rank, mine)) {
     return;
   }
   for (std::uint32_t r = 0; r < ranks_; ++r) {
--- a/src/libwisteriaroute/policy/expert_layer.h
+++ b/src/libwisteriaroute/policy/expert_layer.h
@@ -35,7 +35,7 @@
   double MaxTime() const;
   std::uint32_t SlowestRank() const;
 
-  /** The move that most relieves the slowest rank; false if none does. */
+  /** A move that relieves the slowest rank; false if there is none. */
   bool FindMove(move& best) const;
   void Apply(const move& chosen);
 
@@ -43,7 +43,7 @@
 
  private:
   bool Holds(std::uint32_t rank, std::uint16_t expert) const;
-  double Part(std::uint16_t expert) const;
+  double Part(std::uint16_t expert) const { return part_[expert]; }
   void ConsiderExchange(std::uint32_t slot,
                         std::uint32_t other_rank,
                         std::uint32_t other_slot,
@@ -60,6 +60,8 @@
   std::span<const double> share_;
   std::span<const double> speed_;
   std::vector<std::uint32_t> replicas_;
+  /** Share of one replica of each expert. */
+  std::vector<double> part_;
   std::vector<double> time_;
   /** Ranks by time, fastest first. */
   std::vector<std::uint32_t> order_;
--- a/src/libwisteriaroute/policy/expert_load.cc
+++ b/src/libwisteriaroute/policy/expert_load.cc
@@ -20,13 +20,12 @@
 // Correlation of successive residuals above which a layer counts as drifting;
 // noise alone gives slightly negative values.
 constexpr double kDriftCorrelation = 0.08;
-// Weight after a shift of a layer's whole distribution was detected.
-constexpr double kShiftGain = 0.7;
 constexpr double kVarianceGain = 0.05;
 // Mean of the squared normalized residuals of a layer; 1 is expected from
 // noise alone, and drift within one interval stays below this.
 constexpr double kShiftThreshold = 4.0;
-constexpr std::uint64_t kWarmUpObservations = 6;
+// Observations before shifts are looked for: the variance isn't known yet.
+constexpr std::uint32_t kWarmUpObservations = 6;
 
 struct layer_view {
   std::span<double> share;
@@ -34,6 +33,7 @@
   std::span<double> error_variance;
   std::span<double> residual;
   double& gain;
+  std::uint32_t& age;
 };
 
 double NormalizedResidual(const layer_view& layer,
@@ -61,46 +61,45 @@
   return scale > 0 ? sum / scale : 0;
 }
 
+// Weight of this observation. Counting from the start, or from a shift, all
+// observations weigh the same until the steady weight is reached.
 double NextGain(const layer_view& layer,
                 std::span<const std::uint32_t> tokens,
-                double total,
-                std::uint64_t observations) {
-  if (observations < kWarmUpObservations) {
-    return 1.0 / static_cast<double>(observations + 1);
-  }
-  if (NormalizedResidual(layer, tokens, total) > kShiftThreshold) {
-    layer.gain = kInitialGain;
-    return kShiftGain;
+                double total) {
+  if (layer.age >= kWarmUpObservations) {
+    if (NormalizedResidual(layer, tokens, total) > kShiftThreshold) {
+      layer.age = 0;
+      layer.gain = kInitialGain;
+    } else {
+      const bool drifting =
+          ResidualCorrelation(layer, tokens, total) > kDriftCorrelation;
+      layer.gain = std::clamp(layer.gain * (drifting ? kGainRise : kGainFall),
+                              kMinGain, kMaxGain);
+    }
   }
-  const bool drifting =
-      ResidualCorrelation(layer, tokens, total) > kDriftCorrelation;
-  layer.gain = std::clamp(layer.gain * (drifting ? kGainRise : kGainFall),
-                          kMinGain, kMaxGain);
-  return layer.gain;
+  return std::max(layer.gain, 1.0 / (layer.age + 1));
 }
 
 void UpdateLayer(const layer_view& layer,
                  std::span<const std::uint32_t> tokens,
-                 std::uint64_t observations) {
+                 bool first) {
   const double total = std::accumulate(tokens.begin(), tokens.end(), 0.0);
   if (total <= 0) {
     return;
   }
-  const double gain = NextGain(layer, tokens, total, observations);
-  const bool warming_up = observations < kWarmUpObservations;
-  // The estimate moves with the mean during warm-up, so residuals there
-  // understate the noise; equal weights make up for most of it.
+  const double gain = NextGain(layer, tokens, total);
   const double variance_gain =
-      warming_up
-          ? 1.0 / static_cast<double>(std::max<std::uint64_t>(observations, 1))
-          : kVarianceGain;
+      std::max(kVarianceGain, 1.0 / std::max(layer.age, 1U));
   for (std::size_t e = 0; e < tokens.size(); ++e) {
     const double residual = tokens[e] / total - layer.share[e];
-    if (observations == 0) {
-      layer.variance[e] = 0;
-    } else if (gain != kShiftGain) {
-      layer.variance[e] +=
-          variance_gain * (residual * residual - layer.variance[e]);
+    // The first residual after a start or a shift says nothing of the noise.
+    if (layer.age > 0) {
+      // Residuals hold the error of the estimate as well as the noise.
+      const double noise =
+          std::max(residual * residual - layer.error_variance[e], 0.0);
+      layer.variance[e] += variance_gain * (noise - layer.variance[e]);
+    } else if (first) {
+      layer.variance[e] = tokens[e] / (total * total);
     }
     layer.share[e] += gain * residual;
     layer.residual[e] = residual;
@@ -108,6 +107,7 @@
         (1 - gain) * (1 - gain) * layer.error_variance[e] +
         gain * gain * layer.variance[e];
   }
+  ++layer.age;
 }
 
 }  // namespace
@@ -120,6 +120,7 @@
   load.error_variance.assign(size, 0);
   load.residual.assign(size, 0);
   load.gain.assign(layers, kInitialGain);
+  load.age.assign(layers, 0);
   return load;
 }
 
@@ -133,8 +134,11 @@
         std::span(load.share).subspan(first, load.experts),
         std::span(load.variance).subspan(first, load.experts),
         std::span(load.error_variance).subspan(first, load.experts),
-        std::span(load.residual).subspan(first, load.experts), load.gain[l]};
-    UpdateLayer(layer, tokens.subspan(first, load.experts), load.observations);
+        std::span(load.residual).subspan(first, load.experts),
+        load.gain[l],
+        load.age[l]};
+    UpdateLayer(layer, tokens.subspan(first, load.experts),
+                load.observations == 0);
   }
   ++load.observations;
 }
--- a/src/libwisteriaroute/policy/expert_load.h
+++ b/src/libwisteriaroute/policy/expert_load.h
@@ -19,8 +19,10 @@
   std::vector<double> error_variance;
   /** Residuals of the last observation. */
   std::vector<double> residual;
-  /** Per layer: weight of the next observation. */
+  /** Per layer: weight of a new observation once the estimate has settled. */
   std::vector<double> gain;
+  /** Per layer: observations since the start or the last shift. */
+  std::vector<std::uint32_t> age;
   std::uint64_t observations = 0;
 };
 
--- a/src/libwisteriaroute/policy/expert_plan.cc
+++ b/src/libwisteriaroute/policy/expert_plan.cc
@@ -15,9 +15,9 @@
 constexpr double kSignificance = 4.0;
 // Moves that are tried in one decision over all layers. Bounds the decision's
 // time; what is left over is done at the next one.
-constexpr std::uint32_t kMaxTriedMoves = 4'000;
+constexpr std::uint32_t kMaxTriedMoves = 12'000;
 // Moves without a better net gain after which a layer is given up.
-constexpr std::uint32_t kPatience = 24;
+constexpr std::uint32_t kPatience = 64;
 
 struct layer_plan {
   std::uint32_t layer = 0;
