--- a/src/wrctl/leader_commands.cc
+++ b/src/wrctl/leader_commands.cc
@@ -59,6 +59,15 @@
   return digest;
 }
 
+/** Whether an agent of this name has a session. */
+bool HasMember(const nlohmann::json& members, const std::string& name) {
+  return std::ranges::any_of(members.value("members", nlohmann::json::array()),
+                             [&](const nlohmann::json& member) {
+                               return member.value("name", "") == name &&
+                                      member.value("role", "") == "agent";
+                             });
+}
+
 }  // namespace
 
 int RunHistory(const argument_list&) {
@@ -84,8 +93,15 @@
 }
 
 int RunDrain(const argument_list& arguments) {
-  return Change(wire::drain_request{.name = arguments[0], .drained = true},
-                "draining " + arguments[0]);
+  const int status =
+      Change(wire::drain_request{.name = arguments[0], .drained = true},
+             "draining " + arguments[0]);
+  const nlohmann::json members = ParseAnswer(Ask(wire::get_members{}).json);
+  if (!HasMember(members, arguments[0])) {
+    std::cerr << "wrctl: no agent named " << arguments[0]
+              << " has a session now; one that opens a session is drained\n";
+  }
+  return status;
 }
 
 int RunUndrain(const argument_list& arguments) {
--- a/src/wrctl/report.cc
+++ b/src/wrctl/report.cc
@@ -17,6 +17,10 @@
 constexpr std::array<std::string_view, 3> kUnixTimes = {"time_ms", "since_ms",
                                                         "log_time_ms"};
 
+// Longer lists would make the columns of a table too wide to read; --output
+// json has all elements.
+constexpr std::size_t kShownElements = 4;
+
 std::string Cell(std::string_view key, const nlohmann::json& value) {
   if (value.is_null()) {
     return "-";
@@ -34,8 +38,11 @@
   }
   if (value.is_array()) {
     std::string text;
-    for (const nlohmann::json& element : value) {
-      text += (text.empty() ? "" : ",") + Cell("", element);
+    for (std::size_t i = 0; i < value.size() && i < kShownElements; ++i) {
+      text += (text.empty() ? "" : ",") + Cell("", value[i]);
+    }
+    if (value.size() > kShownElements) {
+      text += ",... (" + std::to_string(value.size()) + ")";
     }
     return text.empty() ? "-" : text;
   }
