--- a/src/libwisteriaroute/agent/orders.cc
+++ b/src/libwisteriaroute/agent/orders.cc
@@ -94,6 +94,8 @@
   order_state& orders = context.state.orders;
   const auto known = orders.answers.find(received.order_id);
   if (known != orders.answers.end()) {
+    // A new leader repeats it with its own term.
+    orders.highest = std::max(orders.highest, received.fencing);
     context.Emit(send_control{known->second});
     return;
   }
