--- a/src/control/daemon.cc
+++ b/src/control/daemon.cc
@@ -1,6 +1,6 @@
 #include "control/daemon.h"
 
-#include <algorithm>
+#include <iostream>
 #include <utility>
 
 #include "libwisteriaroute/base/digest.h"
@@ -69,6 +69,8 @@
     snapshot_index_ = stored->last_index;
   }
   const std::string address = hub_.Listen(settings_.process.listen);
+  // Read by whoever started the process with a free port.
+  std::cout << "listening " << address << std::endl;
   base::LogInfo("started", {{"address", address},
                             {"applied_index", state_.applied_index},
                             {"term", raft_.state().hard.term}});
--- /dev/null
+++ b/tests/process/control_process_test.cc
@@ -0,0 +1,161 @@
+#include <doctest/doctest.h>
+#include <signal.h>
+
+#include "tests/process/control_process_harness.h"
+
+namespace wisteriaroute::testing {
+namespace {
+
+constexpr base::time_us kLeaderChangeUs = 3'000'000;
+
+bool Accepted(const std::optional<wire::admin_reply>& reply) {
+  return reply && reply->result == wire::admin_result::kOk;
+}
+
+/** Whether `replica` is a voter that holds the whole log. */
+bool HoldsLog(control_harness& control, std::size_t replica) {
+  const nlohmann::json status = control.Json(wire::get_status{});
+  if (!status.contains("replicas")) {
+    return false;
+  }
+  for (const auto& item : status["replicas"]) {
+    if (item["name"] == "control-" + std::to_string(replica)) {
+      return item["voter"] && item["silent_ms"] < 500 &&
+             item["match_index"] >= status["log_index"];
+    }
+  }
+  return false;
+}
+
+TEST_CASE("a member gets a lease and each accepted configuration") {
+  control_harness control;
+  control_harness::member_view& entry =
+      control.AddMember("entry-1", wire::member_role::kEntry);
+  REQUIRE(control.RunUntil(
+      [&] { return entry.lease_until_us > base::MonotonicUs(); }));
+  const base::time_us begin = base::MonotonicUs();
+  REQUIRE(Accepted(control.Call(control.Region(0, "north"))));
+  REQUIRE(control.RunUntil([&] { return entry.revision == 1; }));
+  MESSAGE("published to applied by a member, us: " << base::MonotonicUs() -
+                                                          begin);
+
+  SUBCASE("and the status says when it is in force everywhere") {
+    REQUIRE(control.Eventually(
+        [&] { return control.Json(wire::get_status{})["in_force"] == 1; },
+        5'000'000));
+    // The first lease of the term is over, so that now the time is that of
+    // the publication alone.
+    const base::time_us start = base::MonotonicUs();
+    REQUIRE(Accepted(control.Call(control.Region(1, "south"))));
+    REQUIRE(control.Eventually(
+        [&] { return control.Json(wire::get_status{})["in_force"] == 2; },
+        1'000'000));
+    MESSAGE("published to in force everywhere, us: " << base::MonotonicUs() -
+                                                            start);
+  }
+
+  SUBCASE("and keeps its lease when the leader is stopped in a planned way") {
+    const std::size_t leader = control.Leader().value();
+    CHECK(control.End(leader, SIGTERM) == 0);
+    bool lost = false;
+    control.RunUntil(
+        [&] {
+          lost = lost || entry.lease_until_us < base::MonotonicUs();
+          return false;
+        },
+        kLeaderChangeUs);
+    CHECK_FALSE(lost);
+    CHECK(control.Leader().value() != leader);
+  }
+}
+
+TEST_CASE("a killed leader is replaced and nothing accepted is lost") {
+  control_harness control;
+  const std::size_t leader = control.Leader().value();
+  REQUIRE(Accepted(control.Call(control.Region(0, "north"))));
+  control.End(leader, SIGKILL);
+  const base::time_us begin = base::MonotonicUs();
+  const auto next = control.Leader();
+  const base::time_us taken = base::MonotonicUs() - begin;
+  REQUIRE(next);
+  MESSAGE("new leader after us: " << taken);
+  CHECK(*next != leader);
+  CHECK(taken < kLeaderChangeUs);
+
+  SUBCASE("a resend gets the first answer, and the next one is accepted") {
+    const auto resend = control.Call(control.Region(0, "north"));
+    REQUIRE(Accepted(resend));
+    CHECK(nlohmann::json::parse(resend->json)["revision"] == 1);
+    CHECK(Accepted(control.Call(control.Region(1, "south"))));
+    CHECK(control.Json(wire::get_config{})["objects"].size() == 2);
+  }
+  SUBCASE("and it joins again") {
+    control.Start(leader);
+    CHECK(control.Eventually([&] { return HoldsLog(control, leader); }));
+  }
+}
+
+TEST_CASE("a replica that lost its disk joins again and counts") {
+  control_harness control;
+  const std::size_t leader = control.Leader().value();
+  std::uint64_t revision = 0;
+  // More than the snapshot interval, so that the log's start is gone.
+  for (; revision < 300; ++revision) {
+    REQUIRE(Accepted(control.Call(
+        control.Region(revision, "r" + std::to_string(revision)))));
+  }
+  const std::size_t wiped = (leader + 1) % 3;
+  const std::size_t other = (leader + 2) % 3;
+  control.End(wiped, SIGKILL);
+  control.WipeDisk(wiped);
+  control.Start(wiped);
+  REQUIRE(control.Eventually([&] { return HoldsLog(control, wiped); }));
+
+  SUBCASE("also when the others are lost right after, one at a time") {
+    control.End(other, SIGKILL);
+    REQUIRE(Accepted(control.Call(control.Region(revision, "after-repair"))));
+    control.End(leader, SIGKILL);
+    control.Start(other);
+    const auto config = control.Json(wire::get_config{});
+    REQUIRE(config.contains("revision"));
+    CHECK(config["revision"] == revision + 1);
+    CHECK(config["objects"].size() == revision + 1);
+  }
+}
+
+TEST_CASE("a stopped leader that resumes changes nothing") {
+  control_harness control;
+  control_harness::member_view& entry =
+      control.AddMember("entry-1", wire::member_role::kEntry);
+  REQUIRE(control.RunUntil(
+      [&] { return entry.lease_until_us > base::MonotonicUs(); }));
+  const std::size_t old = control.Leader().value();
+  control.Signal(old, SIGSTOP);
+  // These wait in the stopped leader's sockets.
+  const std::uint64_t late = control.Send(old, control.Region(0, "late"));
+  const std::uint64_t status = control.Send(old, wire::get_status{});
+  const auto next = control.Leader();
+  REQUIRE(next);
+  CHECK(*next != old);
+  REQUIRE(Accepted(control.Call(control.Region(0, "north"))));
+  REQUIRE(control.RunUntil([&] {
+    return entry.revision == 1 && entry.lease_until_us > base::MonotonicUs();
+  }));
+  control.Signal(old, SIGCONT);
+  control.RunFor(2'000'000);
+  for (const std::uint64_t request : {late, status}) {
+    const auto reply = control.replies.find(request);
+    CHECK((reply == control.replies.end() ||
+           reply->second.result != wire::admin_result::kOk));
+  }
+  const auto config = control.Json(wire::get_config{});
+  REQUIRE(config.contains("objects"));
+  CHECK(config["revision"] == 1);
+  REQUIRE(config["objects"].size() == 1);
+  CHECK(config["objects"][0]["name"] == "north");
+  CHECK(entry.revision == 1);
+  CHECK(control.Eventually([&] { return HoldsLog(control, old); }));
+}
+
+}  // namespace
+}  // namespace wisteriaroute::testing
