raft, control: a change of replicas that can't succeed is refused

A removal of an unknown replica was answered as undecided, so that wrctl sent it again for 10 s and ended as if control couldn't be reached. Dropped proposals now tell whether a repetition could succeed; if not, the answer is kRefused with code invalid_change. Run: wrctl members remove control-9 against a demo system gives status 3 at once (demo_test); it was 4 after 10 s.

--- a/src/control/daemon_log.cc
+++ b/src/control/daemon_log.cc
@@ -87,7 +87,8 @@
       Post(replica_change_done{result.proposal_id});
       break;
     case raft::proposal_status::kDropped:
-      Post(proposal_failed{result.proposal_id, result.reason});
+      Post(
+          proposal_failed{result.proposal_id, result.reason, result.permanent});
       break;
     case raft::proposal_status::kUnknown:
       Post(proposal_failed{result.proposal_id, "the leader changed"});
--- a/src/libwisteriaroute/control/proposals.cc
+++ b/src/libwisteriaroute/control/proposals.cc
@@ -90,7 +90,7 @@
 
 struct waiter_failure {
   replica_state& state;
-  std::string_view reason;
+  const proposal_failed& failure;
   replica_effects& out;
 
   void operator()(const std::monostate&) const {}
@@ -98,11 +98,14 @@
     ReplyClaim(waiter, {}, out);
   }
   void operator()(const pending_admin& waiter) const {
-    out.push_back(
-        send_to_links{{waiter.link},
-                      wire::admin_reply{.correlation = waiter.correlation,
-                                        .code = "unavailable",
-                                        .message = std::string(reason)}});
+    wire::admin_reply reply{.correlation = waiter.correlation,
+                            .code = "unavailable",
+                            .message = failure.reason};
+    if (failure.permanent) {
+      reply.result = wire::admin_result::kRefused;
+      reply.code = "invalid_change";
+    }
+    out.push_back(send_to_links{{waiter.link}, std::move(reply)});
   }
   void operator()(const pending_group& waiter) const {
     state.leading->groups[waiter.group].proposal_id = 0;
@@ -194,19 +197,20 @@
 }
 
 void FailProposal(replica_state& state,
-                  std::uint64_t proposal_id,
-                  std::string_view reason,
+                  const proposal_failed& failure,
                   replica_effects& out) {
-  auto node = state.leading->proposals.extract(proposal_id);
+  auto node = state.leading->proposals.extract(failure.proposal_id);
   if (!node.empty()) {
-    std::visit(waiter_failure{state, reason, out}, node.mapped());
+    std::visit(waiter_failure{state, failure, out}, node.mapped());
   }
 }
 
 void FailAllProposals(replica_state& state, replica_effects& out) {
   while (!state.leading->proposals.empty()) {
-    FailProposal(state, state.leading->proposals.begin()->first,
-                 "the leader changed; send the same request again", out);
+    FailProposal(state,
+                 {.proposal_id = state.leading->proposals.begin()->first,
+                  .reason = "the leader changed; send the same request again"},
+                 out);
   }
 }
 
--- a/src/libwisteriaroute/control/proposals.h
+++ b/src/libwisteriaroute/control/proposals.h
@@ -41,8 +41,7 @@
 
 /** Tells the waiter that nothing is known to be committed. */
 void FailProposal(replica_state& state,
-                  std::uint64_t proposal_id,
-                  std::string_view reason,
+                  const proposal_failed& failure,
                   replica_effects& out);
 
 /** Tells all waiters so, at the end of leadership. */
--- a/src/libwisteriaroute/control/replica.cc
+++ b/src/libwisteriaroute/control/replica.cc
@@ -177,7 +177,7 @@
 
   void operator()(const proposal_failed& event) const {
     if (state.leading) {
-      FailProposal(state, event.proposal_id, event.reason, out);
+      FailProposal(state, event, out);
     }
   }
 
--- a/src/libwisteriaroute/control/replica.h
+++ b/src/libwisteriaroute/control/replica.h
@@ -196,6 +196,8 @@
 struct proposal_failed {
   std::uint64_t proposal_id = 0;
   std::string reason;
+  /** It certainly wasn't committed, and a repetition would fail, too. */
+  bool permanent = false;
 };
 /** A change of the replica set was committed. */
 struct replica_change_done {
--- a/src/libwisteriaroute/raft/membership.cc
+++ b/src/libwisteriaroute/raft/membership.cc
@@ -37,16 +37,21 @@
                         wire::EncodeReplicas(replicas));
 }
 
+struct change_fault {
+  std::string reason;
+  bool permanent = false;
+};
+
 /** Changes `replicas`, or returns why it can't. */
-std::string Apply(step_context& step,
-                  const change_replicas& event,
-                  wire::replica_list& replicas) {
+change_fault Apply(step_context& step,
+                   const change_replicas& event,
+                   wire::replica_list& replicas) {
   const auto found =
       std::find_if(replicas.begin(), replicas.end(),
                    [&](const auto& one) { return one.name == event.name; });
   if (event.change == replica_change::kAddLearner) {
     if (found != replicas.end()) {
-      return "the replica exists";
+      return {"the replica exists", true};
     }
     replicas.push_back({.name = event.name,
                         .address = event.address,
@@ -54,28 +59,29 @@
     return {};
   }
   if (found == replicas.end()) {
-    return "there is no such replica";
+    return {"there is no such replica", true};
   }
   if (event.change == replica_change::kRemove) {
     const auto voters =
         std::count_if(replicas.begin(), replicas.end(),
                       [](const auto& one) { return one.voter; });
     if (found->voter && voters == 1) {
-      return "it is the last voter";
+      return {"it is the last voter", true};
     }
     replicas.erase(found);
     // Without this a removal could never commit while another voter is lost,
     // and would block the repair of that voter.
-    return HeardFromQuorum(step, replicas)
-               ? ""
-               : "the remaining voters aren't a live quorum";
+    if (!HeardFromQuorum(step, replicas)) {
+      return {"the remaining voters aren't a live quorum"};
+    }
+    return {};
   }
   const peer_progress& peer = PeerOf(step, event.name);
   if (found->voter) {
-    return "it is a voter";
+    return {"it is a voter", true};
   }
   if (!HasCaughtUp(step.state, peer)) {
-    return "it hasn't caught up";
+    return {"it hasn't caught up"};
   }
   found->voter = true;
   found->identity = peer.identity;
@@ -88,19 +94,20 @@
 void OnChangeReplicas(step_context& step, const change_replicas& event) {
   raft_state& state = step.state;
   wire::replica_list replicas = Replicas(state);
-  std::string reason;
+  change_fault fault;
   if (state.current_role != role::kLeader) {
-    reason = "this replica isn't the leader";
+    fault.reason = "this replica isn't the leader";
   } else if (!MayChange(state)) {
-    reason = "another change isn't committed";
+    fault.reason = "another change isn't committed";
   } else {
-    reason = Apply(step, event, replicas);
+    fault = Apply(step, event, replicas);
   }
-  if (!reason.empty()) {
+  if (!fault.reason.empty()) {
     step.effects.emplace_back(
         proposal_result{.proposal_id = event.proposal_id,
                         .status = proposal_status::kDropped,
-                        .reason = std::move(reason)});
+                        .reason = std::move(fault.reason),
+                        .permanent = fault.permanent});
     return;
   }
   if (event.change == replica_change::kRemove) {
--- a/src/libwisteriaroute/raft/raft.h
+++ b/src/libwisteriaroute/raft/raft.h
@@ -142,6 +142,8 @@
   std::uint64_t index = 0;
   /** kDropped: the cause in a few words. */
   std::string reason;
+  /** kDropped: no repetition succeeds until the replicas have changed. */
+  bool permanent = false;
 };
 
 /** Everything committed before the request has been applied. */
