--- a/tests/control/session_property_test.cc
+++ b/tests/control/session_property_test.cc
@@ -5,42 +5,23 @@
 
 #include "libwisteriaroute/config/changes.h"
 #include "libwisteriaroute/control/sessions.h"
-#include "libwisteriaroute/member/session.h"
-#include "tests/control/fake_cluster.h"
+#include "tests/control/fake_session.h"
 
 namespace wisteriaroute::control {
 namespace {
 
 constexpr base::time_us kSecondUs = 1'000'000;
 
-// A member with the production session reducer and a clock of its own.
+// A member that applies configurations some time after they come in.
 class fake_member {
  public:
   fake_member(fake_cluster& cluster, std::string name, wire::member_role role)
-      : cluster_(cluster), rate_(0.97 + 0.06 * cluster.Fraction()) {
-    session_.info = {.name = std::move(name), .role = role, .incarnation = 1};
-    client_ = cluster.AddClient(
-        {.on_open =
-             [this](std::size_t replica, net::link_id link) {
-               links_[link] = replica;
-               Handle(member::control_up{link, fake_cluster::Name(replica)});
-             },
-         .on_message =
-             [this](net::link_id link, const wire::control_message& message) {
-               Handle(member::control_received{link, message});
-             },
-         .on_close =
-             [this](net::link_id link) {
-               const std::size_t replica = links_[link];
-               links_.erase(link);
-               cluster_.At(50'000 + cluster_.Upto(reopen_us_),
-                           [this, replica] { Connect(replica); });
-               Handle(member::control_down{link});
-             }});
-    for (std::size_t i = 0; i < 3; ++i) {
-      Connect(i);
-    }
-    Tick();
+      : cluster_(cluster),
+        session_(cluster,
+                 {.name = std::move(name), .role = role, .incarnation = 1}) {
+    session_.on_message = [this](const wire::control_message& message) {
+      Deliver(message);
+    };
   }
 
   /**
@@ -48,115 +29,51 @@
    * earlier run, if it wasn't killed but frozen, goes on with its lease.
    */
   void Restart() {
-    earlier_runs_.push_back({session_.lease_until_us, session_.revision});
-    wire::member_info info = session_.info;
-    ++info.incarnation;
-    session_ = {.info = std::move(info)};
+    earlier_runs_.push_back(
+        {session_.state().lease_until_us, session_.state().revision});
     config_ = {};
-    frozen_until_us_ = 0;
-    ++run_;
-    const std::map<net::link_id, std::size_t> links = links_;
-    for (const auto& [link, replica] : links) {
-      cluster_.Close(link);
-    }
-  }
-
-  /** A link is lost; another one is opened a little later. */
-  void BreakLink(base::time_us until_reopened_us) {
-    if (links_.empty()) {
-      return;
-    }
-    auto victim = links_.begin();
-    std::advance(victim, cluster_.Pick(links_.size()));
-    reopen_us_ = until_reopened_us;
-    cluster_.Close(victim->first);
+    session_.Restart();
   }
 
-  /** The process doesn't run; its clock does. */
-  void Freeze(base::time_us duration) {
-    // Never shortened: what waits for the end would lose its order.
-    frozen_until_us_ = std::max(frozen_until_us_, cluster_.now_us + duration);
-  }
+  fake_session& session() { return session_; }
+  const std::string& name() const { return session_.state().info.name; }
 
   /** The lowest revision that a run of the process with a lease works with. */
   std::optional<std::uint64_t> RevisionInUse() const {
     std::optional<std::uint64_t> lowest;
     const auto consider = [&](base::time_us until_us, std::uint64_t revision) {
-      if (until_us > LocalUs()) {
+      if (until_us > session_.LocalUs()) {
         lowest = std::min(lowest.value_or(revision), revision);
       }
     };
-    consider(session_.lease_until_us, session_.revision);
+    consider(session_.state().lease_until_us, session_.state().revision);
     for (const auto& [until_us, revision] : earlier_runs_) {
       consider(until_us, revision);
     }
     return lowest;
   }
-  const std::string& name() const { return session_.info.name; }
 
  private:
-  base::time_us LocalUs() const {
-    return static_cast<base::time_us>(static_cast<double>(cluster_.now_us) *
-                                      rate_);
-  }
-
-  void Connect(std::size_t replica) { cluster_.Open(client_, replica); }
-
-  void Tick() {
-    cluster_.At(100'000, [this] {
-      Handle(member::session_tick{});
-      Tick();
-    });
-  }
-
-  void Handle(const member::session_event& event) {
-    if (cluster_.now_us < frozen_until_us_) {
-      // What comes in meanwhile is read from the socket on resuming.
-      cluster_.At(frozen_until_us_ - cluster_.now_us,
-                  [this, event, run = run_] {
-                    if (run == run_) {
-                      Handle(event);
-                    }
-                  });
-      return;
-    }
-    for (const member::session_effect& effect :
-         member::Step(session_, event, LocalUs())) {
-      if (const auto* send = std::get_if<member::send_control>(&effect)) {
-        cluster_.SendToReplica(send->link, send->message);
-      } else if (const auto* got =
-                     std::get_if<member::deliver_to_member>(&effect)) {
-        Deliver(got->message);
-      }
-    }
-  }
-
   void Deliver(const wire::control_message& message) {
     const auto* update = std::get_if<wire::config_update>(&message);
     if (update == nullptr) {
       return;
     }
     // Parsing takes a while; the revision is in force after it.
-    cluster_.At(cluster_.Upto(cluster_.Chance(0.1) ? kSecondUs : 5'000),
-                [this, update = *update, run = run_] {
-                  if (run == run_ && config::Apply(update, config_) ==
-                                         config::update_result::kApplied) {
-                    Handle(member::member_changed{session_.info,
-                                                  config_.revision, true});
-                  }
-                });
+    cluster_.At(
+        cluster_.Upto(cluster_.Chance(0.1) ? kSecondUs : 5'000),
+        [this, update = *update, run = session_.run()] {
+          if (run == session_.run() && config::Apply(update, config_) ==
+                                           config::update_result::kApplied) {
+            session_.Update(session_.state().info, config_.revision);
+          }
+        });
   }
 
   fake_cluster& cluster_;
-  double rate_;
-  std::size_t client_ = 0;
-  member::session_state session_;
+  fake_session session_;
   config::revision_objects config_;
-  std::map<net::link_id, std::size_t> links_;
   std::vector<std::pair<base::time_us, std::uint64_t>> earlier_runs_;
-  int run_ = 0;
-  base::time_us reopen_us_ = 100'000;
-  base::time_us frozen_until_us_ = 0;
 };
 
 // Publishes at random and asks for the status.
@@ -234,11 +151,11 @@
         member.Restart();
         break;
       case 3:
-        member.Freeze(cluster.Upto(5 * kSecondUs));
+        member.session().Freeze(cluster.Upto(5 * kSecondUs));
         break;
       case 4:
       case 5:
-        member.BreakLink(cluster.Upto(5 * kSecondUs));
+        member.session().BreakLink(cluster.Upto(5 * kSecondUs));
         break;
       default:
         break;
