--- a/tests/control/fake_rank.h
+++ b/tests/control/fake_rank.h
@@ -28,6 +28,9 @@
     session_.on_message = [this](const wire::control_message& message) {
       if (const auto* order = std::get_if<wire::order>(&message)) {
         HandleOrder(*order);
+      } else if (const auto* update =
+                     std::get_if<wire::config_update>(&message)) {
+        session_.Update(session_.state().info, update->revision);
       }
     };
     // The number is known from a lease on; orders before it are dropped.
@@ -103,7 +106,7 @@
   void Describe() {
     wire::member_info info = session_.state().info;
     info.backend.incarnation = cluster_.random();
-    session_.Update(std::move(info), 0);
+    session_.Update(std::move(info), session_.state().revision);
   }
 
   void HandleOrder(const wire::order& order) {
@@ -185,14 +188,15 @@
   void Report() {
     cluster_.At(150'000, [this] {
       const wire::backend_info& backend = session_.state().info.backend;
-      session_.Send(
-          wire::group_report{.group = backend.group,
-                             .generation = engine_.generation,
-                             .rank = backend.rank,
-                             .backend_incarnation = backend.incarnation,
-                             .step = engine_.step,
-                             .map_epoch = engine_.epoch,
-                             .step_time_us = 20'000});
+      session_.Send(wire::group_report{
+          .group = backend.group,
+          .generation = engine_.generation,
+          .rank = backend.rank,
+          .backend_incarnation = backend.incarnation,
+          .step = engine_.step,
+          .map_epoch = engine_.epoch,
+          // Slower than in truth, so that some arms come too late.
+          .step_time_us = 100'000});
       Report();
     });
   }
