--- a/tests/control/group_property_test.cc
+++ b/tests/control/group_property_test.cc
@@ -147,7 +147,8 @@
   }
 }
 
-// Guards against ranks that run one step on different maps.
+// Guards against ranks that run one step on different maps, and against a
+// group that is stuck for good.
 schedule_result RunSchedule(std::uint64_t seed) {
   fake_cluster cluster(seed, {.loss = 0.05,
                               .duplicate = 0.1,
@@ -164,6 +165,13 @@
     }
     cluster.RunFor(100'000);
   }
+  cluster.EndFaults();
+  cluster.RunFor(8'000'000);
+  const int before = group.steps;
+  cluster.RunFor(1'000'000);
+  if (group.steps == before && group.violation.empty()) {
+    group.violation = "the group makes no steps after the faults have ended";
+  }
   return {.violation = group.violation,
           .steps = group.steps,
           .switches = group.switches(),
