--- a/tests/control/group_property_test.cc
+++ b/tests/control/group_property_test.cc
@@ -95,11 +95,14 @@
   const config::parsed_set parsed = config::ParseFiles(files);
   REQUIRE(parsed.findings.empty());
   const net::link_id link = cluster.Open(cluster.AddClient({}), 0);
-  cluster.Deliver(
-      0,
-      link_received{link, wire::admin_request{.call = wire::publish_request{
-                                                  .operation_id = "op",
-                                                  .changed = parsed.objects}}});
+  while (cluster.state(0).durable.config.revision == 0) {
+    cluster.Deliver(
+        0, link_received{link,
+                         wire::admin_request{.call = wire::publish_request{
+                                                 .operation_id = "op",
+                                                 .changed = parsed.objects}}});
+    cluster.RunFor(100'000);
+  }
 }
 
 wire::expert_map RandomMap(fake_cluster& cluster) {
@@ -156,7 +159,6 @@
                               .slow = 0.1,
                               .slow_us = 500'000});
   PublishConfig(cluster);
-  cluster.RunFor(100'000);
   lockstep_group group(cluster);
   for (int i = 0; i < 200; ++i) {
     DisturbOnce(cluster, group);
