--- a/src/libwisteriaroute/control/admin.cc
+++ b/src/libwisteriaroute/control/admin.cc
@@ -21,6 +21,17 @@
   out.push_back(send_to_links{{link}, std::move(reply)});
 }
 
+// One entry of the log holds at most 4 MiB, names and lengths included.
+constexpr std::size_t kMaxChangeBytes = 3'500'000;
+
+std::size_t Bytes(const std::vector<wire::config_object>& objects) {
+  std::size_t bytes = 0;
+  for (const wire::config_object& object : objects) {
+    bytes += object.kind.size() + object.name.size() + object.body.size() + 48;
+  }
+  return bytes;
+}
+
 struct admin_caller {
   replica_state& state;
   net::link_id link;
@@ -54,6 +65,10 @@
       config::set_changes changes = config::Diff(base, parsed.objects);
       command.changed = std::move(changes.changed);
       command.removed = std::move(changes.removed);
+      if (Bytes(command.changed) > kMaxChangeBytes) {
+        Refuse("too_large", "publish the change in several parts");
+        return;
+      }
       command.result_digest =
           DigestAfter(history, command.changed, command.removed);
       command.validated = true;
--- a/src/libwisteriaroute/control/group_drive.cc
+++ b/src/libwisteriaroute/control/group_drive.cc
@@ -1,6 +1,7 @@
 #include "libwisteriaroute/control/group_drive.h"
 
 #include <algorithm>
+#include <map>
 #include <optional>
 #include <utility>
 
@@ -33,27 +34,42 @@
          session.link != 0 && !state.durable.drained.contains(name);
 }
 
-/** The servers of all ranks; one that already has the rank keeps it. */
-rank_servers FindServers(const replica_state& state,
-                         const std::string& group_name,
-                         std::size_t ranks) {
-  const auto durable = state.durable.groups.groups.find(group_name);
-  const auto holds = [&](const rank_server& server, std::uint32_t rank) {
-    return durable != state.durable.groups.groups.end() &&
-           rank < durable->second.ranks.size() &&
-           durable->second.ranks[rank] ==
-               group_rank{server.agent, server.incarnation};
-  };
-  rank_servers servers(ranks);
+using servers_by_group = std::map<std::string, rank_servers, std::less<>>;
+
+/** Whether the log names this server for the rank. */
+bool HoldsRank(const replica_state& state,
+               const std::string& group_name,
+               std::uint32_t rank,
+               const rank_server& server) {
+  const auto found = state.durable.groups.groups.find(group_name);
+  return found != state.durable.groups.groups.end() &&
+         rank < found->second.ranks.size() &&
+         found->second.ranks[rank] ==
+             group_rank{server.agent, server.incarnation};
+}
+
+/**
+ * The servers of all ranks of all groups, in one pass over the sessions. A
+ * server that already has the rank keeps it.
+ */
+servers_by_group FindServers(replica_state& state) {
+  servers_by_group servers;
+  for (const auto& [name, wanted] : CurrentConfig(state).model_groups) {
+    servers[name].resize(static_cast<std::size_t>(wanted.ranks));
+  }
+  if (servers.empty()) {
+    return servers;
+  }
   for (const auto& [name, session] : state.leading->sessions) {
     const wire::backend_info& backend = session.info.backend;
-    if (backend.group != group_name || backend.rank >= ranks ||
+    const auto group = servers.find(backend.group);
+    if (group == servers.end() || backend.rank >= group->second.size() ||
         !Serves(state, name, session)) {
       continue;
     }
     const rank_server server{name, backend.incarnation, session.link};
-    auto& slot = servers[backend.rank];
-    if (!slot || holds(server, backend.rank)) {
+    auto& slot = group->second[backend.rank];
+    if (!slot || HoldsRank(state, group->first, backend.rank, server)) {
       slot = server;
     }
   }
@@ -228,12 +244,10 @@
     drive.next_send_us = 0;
   }
 
-  void Run(const config::model_group& wanted) {
+  void Run(const config::model_group& wanted, const rank_servers& servers) {
     if (drive.proposal_id != 0) {
       return;
     }
-    const rank_servers servers =
-        FindServers(state, name, static_cast<std::size_t>(wanted.ranks));
     const auto found = state.durable.groups.groups.find(name);
     if (found == state.durable.groups.groups.end() ||
         !FitsConfig(found->second, wanted) ||
@@ -250,12 +264,10 @@
   }
 };
 
-void DriveGroup(replica_state& state,
-                const std::string& name,
-                const config::model_group& wanted,
-                const step_time& now,
-                replica_effects& out) {
-  driver{state, name, state.leading->groups[name], now, out}.Run(wanted);
+/** Whether an answer lets the group go on before the next tick. */
+bool MayAdvance(const group_drive& drive, const group_state& group) {
+  return drive.failed || drive.too_late ||
+         drive.done.size() == group.ranks.size();
 }
 
 }  // namespace
@@ -263,8 +275,10 @@
 void DriveGroups(replica_state& state,
                  const step_time& now,
                  replica_effects& out) {
+  const servers_by_group servers = FindServers(state);
   for (const auto& [name, wanted] : CurrentConfig(state).model_groups) {
-    DriveGroup(state, name, wanted, now, out);
+    driver{state, name, state.leading->groups[name], now, out}.Run(
+        wanted, servers.find(name)->second);
   }
 }
 
@@ -308,7 +322,9 @@
     case wire::order_status::kFenced:
       break;
   }
-  DriveGroup(state, backend.group, configured->second, now, out);
+  if (MayAdvance(drive, found->second)) {
+    DriveGroups(state, now, out);
+  }
 }
 
 void HandleGroupReport(replica_state& state,
