control: frozen members of the property tests keep the order of what waits

A link that went down while a freeze was extended came up again afterwards in the fake, and its member waited on a link that was gone.

--- a/tests/control/fake_session.h
+++ b/tests/control/fake_session.h
@@ -50,6 +50,7 @@
     ++info.incarnation;
     state_ = {.info = std::move(info)};
     frozen_until_us_ = 0;
+    deferred_.clear();
     ++run_;
     const std::map<net::link_id, std::size_t> links = links_;
     for (const auto& [link, replica] : links) {
@@ -107,16 +108,26 @@
   }
 
   void Handle(const member::session_event& event) {
-    if (frozen()) {
+    if (frozen() || !deferred_.empty()) {
       // What comes in meanwhile is read from the socket on resuming.
-      cluster_.At(frozen_until_us_ - cluster_.now_us,
-                  [this, event, run = run_] {
-                    if (run == run_) {
-                      Handle(event);
-                    }
-                  });
+      deferred_.push_back(event);
+      Resume();
       return;
     }
+    Run(event);
+  }
+
+  void Resume() {
+    if (frozen()) {
+      cluster_.At(frozen_until_us_ - cluster_.now_us, [this] { Resume(); });
+      return;
+    }
+    for (const member::session_event& event : std::exchange(deferred_, {})) {
+      Run(event);
+    }
+  }
+
+  void Run(const member::session_event& event) {
     for (const member::session_effect& effect :
          member::Step(state_, event, LocalUs())) {
       if (const auto* send = std::get_if<member::send_control>(&effect)) {
@@ -143,6 +154,7 @@
   int run_ = 0;
   base::time_us reopen_us_ = 100'000;
   base::time_us frozen_until_us_ = 0;
+  std::vector<member::session_event> deferred_;
 };
 
 }  // namespace wisteriaroute::control
