--- a/tests/net/http_test.cc
+++ b/tests/net/http_test.cc
@@ -1,9 +1,15 @@
 #include <doctest/doctest.h>
+#include <fcntl.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include <atomic>
 #include <functional>
 #include <string>
+#include <thread>
 #include <vector>
 
+#include "libwisteriaroute/net/address.h"
 #include "libwisteriaroute/net/http_client.h"
 #include "libwisteriaroute/net/http_server.h"
 
@@ -131,5 +137,66 @@
   }
 }
 
+/** Answers the first request on a connection and cuts all later ones. */
+class cutting_server {
+ public:
+  cutting_server() : fd_(OpenListener("127.0.0.1:0")) {
+    address_ = LocalAddress(fd_);
+    fcntl(fd_, F_SETFL, fcntl(fd_, F_GETFL) & ~O_NONBLOCK);
+    thread_ = std::thread([this] {
+      for (int fd = accept(fd_, nullptr, nullptr); fd >= 0;
+           fd = accept(fd_, nullptr, nullptr)) {
+        Serve(fd);
+        close(fd);
+      }
+    });
+  }
+  ~cutting_server() {
+    shutdown(fd_, SHUT_RDWR);
+    thread_.join();
+    close(fd_);
+  }
+
+  const std::string& address() const { return address_; }
+  int requests() const { return requests_; }
+
+ private:
+  void Serve(int fd) {
+    char buffer[4'096];
+    while (read(fd, buffer, sizeof buffer) > 0) {
+      if (++requests_ > 1) {
+        return;
+      }
+      const std::string_view answer =
+          "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+      CHECK(write(fd, answer.data(), answer.size()) > 0);
+    }
+  }
+
+  int fd_;
+  std::string address_;
+  std::atomic<int> requests_ = 0;
+  std::thread thread_;
+};
+
+// Guards against a booking that curl sends again by itself, because the idle
+// connection that it chose was closed.
+TEST_CASE("a request is sent once even if its connection is cut") {
+  cutting_server server;
+  loop event_loop;
+  http_client client(event_loop);
+  for (int i = 0; i < 2; ++i) {
+    recorded_response response;
+    client.Start({.method = "POST",
+                  .url = "http://" + server.address() + "/",
+                  .body = "body"},
+                 RecordInto(response));
+    REQUIRE(RunUntil(event_loop, [&] { return response.done; }));
+    CHECK(response.ok == (i == 0));
+    CHECK_FALSE(response.never_sent);
+  }
+  CHECK(server.requests() == 2);
+}
+
 }  // namespace
 }  // namespace wisteriaroute::net
