entry: suspects are isolated across entries

Cause: two suspects of different entries could meet at one backend server; an innocent one then counted two crashes and got 422, and requests that ran beside a known suspect became suspects too. Change: all entries know the list of suspects and let each server run only the suspect with the highest hash for it; requests beside a known suspect are not suspected; retries after a crash don't use the retry budget, because one crash takes many requests.

Run: the new property (a culprit reaches two servers, all others get 200) failed at once before the change (422 for an innocent request) and passes 1,000 schedules after it; the other two properties pass as well. A fake agent that didn't answer a submit after a query was corrected.

--- a/src/libwisteriaroute/entry/attempts.cc
+++ b/src/libwisteriaroute/entry/attempts.cc
@@ -184,9 +184,10 @@
   // A plain body that was sent on in part can't be continued elsewhere.
   const bool resumable =
       of.kind != wire::work_kind::kPlain || !of.stream_started;
-  // Suspects are bounded by their crashes, and innocent ones must be answered.
+  // A crash takes many requests at once, which must all be answered; attempts
+  // and crashes bound them without the budget.
   if (!resumable || of.attempts >= kMaxAttempts || !in_time ||
-      (!of.suspect && !TakeRetry(step))) {
+      (!of.ran_at_crash && !of.suspect && !TakeRetry(step))) {
     GiveUp(step, of, std::move(otherwise));
     return;
   }
--- a/src/libwisteriaroute/entry/quarantine.cc
+++ b/src/libwisteriaroute/entry/quarantine.cc
@@ -7,6 +7,53 @@
 
 namespace wisteriaroute::entry {
 
+namespace {
+
+// A suspect that is assigned no server for this long, because one that is
+// ahead of it was never sent again, takes any server without a suspect.
+constexpr base::time_us kIsolationWaitUs = 1'500'000;
+constexpr std::size_t kKeptCrashes = 64;
+
+std::uint64_t Claim(const base::digest128& suspect, const agent& at) {
+  return base::Hash64(at.member.name, suspect.high ^ suspect.low);
+}
+
+// The suspects among `ran_beside` before this crash made suspects of others.
+// The first report of a crash decides, because the later ones of the same
+// crash come when the list has changed.
+const std::vector<base::digest128>& KnownBefore(
+    step_context& step,
+    const attempt& lost,
+    std::span<const base::digest128> ran_beside) {
+  auto& crashes = step.state.crashes;
+  const auto same = [&](const crash& each) {
+    return each.agent == lost.agent &&
+           each.backend_incarnation == lost.backend_incarnation;
+  };
+  const auto found = std::find_if(crashes.begin(), crashes.end(), same);
+  if (found != crashes.end()) {
+    return found->known;
+  }
+  crash added{lost.agent, lost.backend_incarnation, {}};
+  for (const base::digest128& each : ran_beside) {
+    if (step.state.quarantine.contains(each)) {
+      added.known.push_back(each);
+    }
+  }
+  if (added.known.empty()) {
+    for (const base::digest128& each : ran_beside) {
+      step.state.quarantine[each] = {.fingerprint = each, .crashes = 1};
+    }
+  }
+  if (crashes.size() >= kKeptCrashes) {
+    crashes.pop_front();
+  }
+  crashes.push_back(std::move(added));
+  return crashes.back().known;
+}
+
+}  // namespace
+
 error_reply QuarantinedError() {
   return {.status = 422,
           .code = "request_quarantined",
@@ -28,25 +75,45 @@
   }
 }
 
+bool MayIsolate(const step_context& step, const request& of, const agent& at) {
+  if (at.suspects > 0) {
+    return false;
+  }
+  if (step.now_us - of.phase_since_us >= kIsolationWaitUs) {
+    return true;
+  }
+  const std::uint64_t own = Claim(of.fingerprint, at);
+  return std::none_of(
+      step.state.quarantine.begin(), step.state.quarantine.end(),
+      [&](const auto& item) {
+        return item.second.state == wire::quarantine_state::kSuspect &&
+               item.second.crashes < kMaxCrashes && Claim(item.first, at) > own;
+      });
+}
+
 void NoteCrash(step_context& step,
                request& of,
                std::span<const base::digest128> ran_beside) {
+  const auto& known = KnownBefore(step, *of.current, ran_beside);
+  of.ran_at_crash = true;
+  // With suspects on the server the others that ran there are above suspicion.
+  if (!known.empty() &&
+      std::find(known.begin(), known.end(), of.fingerprint) == known.end()) {
+    Note(step, of, "beside_suspect", of.current->agent);
+    return;
+  }
   agent* at = FindAgent(step.state, of.current->agent);
   if (!of.suspect && at != nullptr) {
     ++at->suspects;
   }
   of.suspect = true;
   ++of.crashes;
-  const bool alone = std::none_of(
-      ran_beside.begin(), ran_beside.end(), [&](const base::digest128& other) {
-        return other != of.fingerprint && step.state.quarantine.contains(other);
-      });
   // Control decides the same from the agents' reports; until its update is
   // here, resends must not reach a third server.
   wire::quarantine_entry& entry = step.state.quarantine[of.fingerprint];
   entry.fingerprint = of.fingerprint;
   entry.crashes = std::max(entry.crashes, of.crashes);
-  if (of.crashes >= kMaxCrashes && alone) {
+  if (of.crashes >= kMaxCrashes && known.size() == 1) {
     entry.state = wire::quarantine_state::kQuarantined;
   }
   Note(step, of, "suspect", of.current->agent, std::to_string(of.crashes));
--- a/src/libwisteriaroute/entry/quarantine.h
+++ b/src/libwisteriaroute/entry/quarantine.h
@@ -19,7 +19,16 @@
 /** Marks a new request that is a suspect. */
 void MarkSuspect(const entry_state& state, request& of);
 
-/** The backend server of the current attempt died while it ran. */
+/**
+ * Whether a suspect may run at the agent's backend server, so that no two run
+ * at the same one. All entries know the suspects and decide alike.
+ */
+bool MayIsolate(const step_context& step, const request& of, const agent& at);
+
+/**
+ * The backend server of the current attempt died while it ran, together with
+ * the requests of `ran_beside`, which holds its own fingerprint, too.
+ */
 void NoteCrash(step_context& step,
                request& of,
                std::span<const base::digest128> ran_beside);
--- a/src/libwisteriaroute/entry/queue.cc
+++ b/src/libwisteriaroute/entry/queue.cc
@@ -4,6 +4,7 @@
 
 #include "libwisteriaroute/entry/attempts.h"
 #include "libwisteriaroute/entry/claims.h"
+#include "libwisteriaroute/entry/quarantine.h"
 #include "libwisteriaroute/policy/routing.h"
 
 namespace wisteriaroute::entry {
@@ -17,12 +18,12 @@
 // there is no other.
 constexpr base::time_us kAvoidUs = 250'000;
 
-bool IsAllowed(const agent& candidate,
+bool IsAllowed(const step_context& step,
+               const agent& candidate,
                const request& of,
-               bool avoided_too,
-               base::time_us now_us) {
-  return IsEligible(candidate, now_us) &&
-         (!of.suspect || candidate.suspects == 0) &&
+               bool avoided_too) {
+  return IsEligible(candidate, step.now_us) &&
+         (!of.suspect || MayIsolate(step, of, candidate)) &&
          (avoided_too || !of.avoided.contains(candidate.member.name));
 }
 
@@ -48,7 +49,7 @@
       break;
     }
     for (agent* candidate : from.agents) {
-      if (IsAllowed(*candidate, of, again, step.now_us)) {
+      if (IsAllowed(step, *candidate, of, again)) {
         candidates.push_back(Describe(step.state, *candidate));
         agents.push_back(candidate);
       }
--- a/src/libwisteriaroute/entry/request.h
+++ b/src/libwisteriaroute/entry/request.h
@@ -143,6 +143,8 @@
   /** Backend servers that were lost while they ran this request. */
   unsigned crashes = 0;
   bool suspect = false;
+  /** It ran at a backend server that died, suspect or not. */
+  bool ran_at_crash = false;
   /** Position in the queue of its pool. */
   double fair_tag = 0;
 };
--- a/src/libwisteriaroute/entry/state.h
+++ b/src/libwisteriaroute/entry/state.h
@@ -65,6 +65,13 @@
   std::uint32_t finished_before = 0;
 };
 
+/** The loss of a backend server, and the suspects that ran there. */
+struct crash {
+  std::string agent;
+  std::uint64_t backend_incarnation = 0;
+  std::vector<base::digest128> known;
+};
+
 struct entry_state {
   entry_settings settings;
   std::string name;
@@ -104,6 +111,8 @@
   std::size_t queued = 0;
 
   std::unordered_map<base::digest128, wire::quarantine_entry> quarantine;
+  /** The last ones. */
+  std::deque<crash> crashes;
   /** Times of requests and retries of the last 10 s, by second. */
   std::map<base::time_us, std::pair<std::uint32_t, std::uint32_t>> recent;
   base::time_us rate_window_us = 0;
--- a/tests/entry/entry_property_test.cc
+++ b/tests/entry/entry_property_test.cc
@@ -191,6 +191,9 @@
     for (const auto& [id, exchange] : sim.exchanges) {
       CheckExchange(sim, exchange);
     }
+    for (const auto& [name, agent] : sim.agents) {
+      RC_ASSERT(agent.wrong_resumes == 0U);
+    }
     RC_ASSERT(sim.runs_after_not_run == 0U);
     CheckClean(sim);
   });
@@ -220,4 +223,56 @@
   CHECK(held);
 }
 
+// A body with this word kills each backend server that runs it.
+constexpr const char* kPoison = "poison";
+
+std::string Prompt(const std::string& text) {
+  return R"({"model":"m","prompt":")" + text + "\"}";
+}
+
+TEST_CASE("a request that crashes servers reaches two, and no other suffers") {
+  const bool held = CheckSchedules([](std::uint64_t seed) {
+    world sim(seed, 2, 8);
+    std::set<std::string> poisoned;
+    sim.on_run = [&](const std::string& agent, const wire::submit& work) {
+      if (work.body.find(kPoison) != std::string::npos) {
+        poisoned.insert(agent + std::to_string(sim.now()));
+        sim.At(1'000 + static_cast<base::time_us>(sim.Random(100'000)),
+               [&sim, agent] { sim.Crash(agent, 500'000); });
+      }
+    };
+    std::vector<std::uint64_t> innocent;
+    for (int i = 0; i < 12; ++i) {
+      sim.At(static_cast<base::time_us>(sim.Random(600'000)), [&, i] {
+        innocent.push_back(sim.Send(static_cast<int>(sim.Random(2)), "POST",
+                                    "/v1/completions",
+                                    Prompt(std::to_string(i))));
+      });
+    }
+    std::uint64_t culprit = 0;
+    sim.At(static_cast<base::time_us>(sim.Random(400'000)), [&] {
+      culprit = sim.Send(0, "POST", "/v1/completions", Prompt(kPoison));
+    });
+    sim.RunFor(20'000'000);
+    // Sent again through both entries once its end is known.
+    const std::uint64_t again[] = {
+        sim.Send(0, "POST", "/v1/completions", Prompt(kPoison)),
+        sim.Send(1, "POST", "/v1/completions", Prompt(kPoison))};
+    sim.RunFor(20'000'000);
+    RC_ASSERT(poisoned.size() <= 2U);
+    RC_ASSERT(sim.exchanges[culprit].status == 422U);
+    RC_ASSERT(OutcomeIn(sim.exchanges[culprit]) == "unknown" ||
+              OutcomeIn(sim.exchanges[culprit]) == "ran");
+    for (const std::uint64_t id : again) {
+      RC_ASSERT(sim.exchanges[id].status == 422U);
+    }
+    for (const std::uint64_t id : innocent) {
+      RC_ASSERT(sim.exchanges[id].status == 200U);
+    }
+    RC_ASSERT(sim.control.quarantine.size() == 1U);
+    CheckClean(sim);
+  });
+  CHECK(held);
+}
+
 }  // namespace wisteriaroute::entry_test
--- a/tests/entry/entry_test.cc
+++ b/tests/entry/entry_test.cc
@@ -68,6 +68,21 @@
   }
 }
 
+TEST_CASE("a lost link is no reason to run a request again") {
+  world sim(3, 2, 2);
+  const auto stream = sim.Send(0, "POST", "/v1/chat/completions", kChat);
+  const auto order = sim.Send(1, "POST", "/s/orders", "x", "key-1");
+  sim.RunFor(60'000);
+  sim.CutLink(0, "agent-0", 500'000);
+  sim.CutLink(1, "agent-1", 500'000);
+  sim.RunFor(4'000'000);
+  CHECK(sim.exchanges[stream].received.ends_with("data: [DONE]\n\n"));
+  CHECK(StreamedText(sim.exchanges[stream].received) == WholeText(kChat));
+  CHECK(sim.exchanges[order].received == "done:x" + WholeText("x"));
+  CHECK(sim.runs_of_body[kChat] == 1);
+  CHECK(sim.runs_of_body["x"] == 1);
+}
+
 TEST_CASE("bad input is refused and nothing is dispatched") {
   world sim(2, 1, 2);
   struct refusal {
--- a/tests/entry/fake_agent.h
+++ b/tests/entry/fake_agent.h
@@ -56,6 +56,8 @@
   std::function<bool()> refuses;
   std::set<std::uint64_t> links;
   std::map<wire::attempt_id, run> runs;
+  /** Attempts whose text so far wasn't that of the response. */
+  unsigned wrong_resumes = 0;
 
   wire::agent_state State() const {
     return {.name = name,
@@ -92,8 +94,10 @@
     }
   }
 
-  /** The backend server dies with everything that runs there. */
-  void Crash() {
+  /**
+   * The backend server dies. Returns the fingerprints of what ran there.
+   */
+  std::vector<base::digest128> Crash() {
     std::vector<base::digest128> beside;
     for (const auto& [id, each] : runs) {
       if (each.at == phase::kRunning) {
@@ -112,6 +116,7 @@
     healthy = false;
     ++incarnation;
     SendState();
+    return beside;
   }
 
   void Recover() {
@@ -166,7 +171,12 @@
   }
 
   void Handle(std::uint64_t link, const wire::submit& work) {
-    if (runs.contains(work.attempt)) {
+    const auto known = runs.find(work.attempt);
+    if (known != runs.end()) {
+      if (known->second.at == phase::kNeverRuns) {
+        send(link,
+             wire::refused{work.attempt, wire::refusal_reason::kQueriedBefore});
+      }
       return;
     }
     run& added = runs[work.attempt];
@@ -182,6 +192,10 @@
     }
     added.links.insert(link);
     added.produced = work.resume_offset;
+    if (work.resume_text !=
+        WholeText(work.body).substr(0, work.resume_text.size())) {
+      ++wrong_resumes;
+    }
     on_run(work);
     Publish(added, wire::head{work.attempt, 200, {{"x-test", "1"}}});
     if (!Plain(added) && added.produced >= TokenCount(work.body)) {
--- a/tests/entry/fake_control.h
+++ b/tests/entry/fake_control.h
@@ -1,15 +1,18 @@
 #ifndef TESTS_ENTRY_FAKE_CONTROL_H_
 #define TESTS_ENTRY_FAKE_CONTROL_H_
 
+#include <algorithm>
+#include <iterator>
 #include <map>
 #include <optional>
 #include <utility>
+#include <vector>
 
 #include "libwisteriaroute/wire/control_messages.h"
 
 namespace wisteriaroute::entry_test {
 
-/** The claim table of control, one compare-and-set at a time. */
+/** Control's tables, one compare-and-set at a time. */
 class fake_control {
  public:
   /** The reply to a claim message, or nothing for other messages. */
@@ -24,9 +27,29 @@
     if (const auto* end = std::get_if<wire::claim_outcome>(&message)) {
       return End(*end);
     }
+    if (const auto* cleared = std::get_if<wire::suspect_cleared>(&message)) {
+      quarantine.erase(cleared->fingerprint);
+    }
     return std::nullopt;
   }
 
+  /** An agent's report that its backend server was lost. */
+  void ReportCrash(const std::vector<base::digest128>& running) {
+    std::vector<base::digest128> known;
+    std::ranges::copy_if(
+        running, std::back_inserter(known),
+        [&](const auto& each) { return quarantine.contains(each); });
+    for (const base::digest128& each : known.empty() ? running : known) {
+      wire::quarantine_entry& entry = quarantine[each];
+      entry.fingerprint = each;
+      if (++entry.crashes >= 2 && known.size() == 1) {
+        entry.state = wire::quarantine_state::kQuarantined;
+      }
+    }
+  }
+
+  std::map<base::digest128, wire::quarantine_entry> quarantine;
+
  private:
   struct claim {
     base::digest128 body;
--- a/tests/entry/world.h
+++ b/tests/entry/world.h
@@ -176,8 +176,23 @@
   }
 
   void Crash(const std::string& name, base::time_us down_us) {
-    agents.at(name).Crash();
+    if (!agents.at(name).healthy) {
+      return;
+    }
+    control.ReportCrash(agents.at(name).Crash());
     At(down_us, [this, name] { agents.at(name).Recover(); });
+    At(5'000 + static_cast<base::time_us>(Random(50'000)),
+       [this] { SendQuarantine(); });
+  }
+
+  void SendQuarantine() {
+    wire::quarantine_update update{.full = true};
+    for (const auto& [fingerprint, entry] : control.quarantine) {
+      update.changed.push_back(entry);
+    }
+    for (std::size_t i = 0; i < entries.size(); ++i) {
+      Feed(static_cast<int>(i), control_received{update});
+    }
   }
 
  private:
