--- a/src/libwisteriaroute/agent/attempts.cc
+++ b/src/libwisteriaroute/agent/attempts.cc
@@ -260,8 +260,13 @@
       DropBody(state, it->second);
     }
   }
-  // What is left is in progress; the longest ones lose their beginning.
-  while (state.kept_bytes > state.options.kept_bytes) {
+  if (state.kept_bytes <= state.options.kept_bytes) {
+    return;
+  }
+  // What is left is in progress; the longest ones lose their beginning, a
+  // little more than needed, because finding them takes time.
+  const std::size_t wanted = state.options.kept_bytes / 16 * 15;
+  while (state.kept_bytes > wanted) {
     kept_response* longest = nullptr;
     for (const wire::attempt_id& id : state.running) {
       kept_response& each = state.attempts.at(id).body->response;
@@ -273,9 +278,12 @@
     if (longest == nullptr) {
       return;
     }
-    state.kept_bytes -= longest->bytes;
-    DropOldest(*longest);
-    state.kept_bytes += longest->bytes;
+    const std::size_t shorter = longest->bytes / 4 * 3;
+    const std::size_t others = state.kept_bytes - longest->bytes;
+    while (longest->bytes > shorter && others + longest->bytes > wanted &&
+           DropOldest(*longest)) {
+    }
+    state.kept_bytes = others + longest->bytes;
   }
 }
 
--- a/tests/process/agent_process_test.cc
+++ b/tests/process/agent_process_test.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <csignal>
+#include <fstream>
 
 #include <nlohmann/json.hpp>
 
@@ -107,6 +108,16 @@
   }
 }
 
+double ResidentKib(int pid) {
+  std::ifstream status("/proc/" + std::to_string(pid) + "/status");
+  std::string word;
+  while (status >> word && word != "VmRSS:") {
+  }
+  double kib = 0;
+  status >> kib;
+  return kib;
+}
+
 TEST_CASE("an agent beside an engine") {
   auto backend = std::make_unique<child_process>(
       "wisteriaroute-standin",
@@ -135,6 +146,15 @@
         harness.at(work.attempt).text.ends_with(harness.at(rest.attempt).text));
   }
 
+#ifndef __SANITIZE_ADDRESS__
+  SUBCASE("is small while it is idle") {
+    harness.RunFor(4'000'000);
+    const double resident = ResidentKib(harness.agent().pid());
+    MESSAGE("resident KiB with two links: ", resident);
+    CHECK(resident < 16 * 1024);
+  }
+#endif
+
   SUBCASE("opens a stream again that went silent") {
     harness.Http("POST", "/faults", R"({"silent_streams": 1})");
     const wire::submit work = Completion(harness, "a prompt", 40);
