--- a/tests/raft/cluster.h
+++ b/tests/raft/cluster.h
@@ -149,7 +149,9 @@
       batch.swap(network);
       for (const packet& one : batch) {
         if (!cut.contains({one.from, one.to}) && !lost(one)) {
-          Run(Get(one.to), received{one.from, one.message});
+          wire::raft_message copy = wire::DecodeRaft(wire::Encode(one.message));
+          Require(copy == one.message, "encoding of a message");
+          Run(Get(one.to), received{one.from, std::move(copy)});
         }
       }
     }
