--- a/src/libwisteriaroute/entry/agents.cc
+++ b/src/libwisteriaroute/entry/agents.cc
@@ -161,6 +161,7 @@
   of->link = event.link;
   of->state.reset();
   of->load = {};
+  ++of->report;
   of->sent_since_report = 0;
   of->cached_blocks.clear();
   step.state.agent_of_link[event.link] = event.agent;
@@ -218,6 +219,7 @@
                 const wire::load_report& message) {
   if (agent* of = ByLink(step, link)) {
     of->load = message;
+    ++of->report;
     of->sent_since_report = 0;
   }
 }
--- a/src/libwisteriaroute/entry/api.cc
+++ b/src/libwisteriaroute/entry/api.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "libwisteriaroute/agent/prefix_blocks.h"
+
 namespace wisteriaroute::entry {
 
 namespace {
@@ -14,6 +16,8 @@
 // Nested input costs stack in the parser; no request needs more.
 constexpr int kMaxDepth = 32;
 constexpr std::size_t kBytesPerToken = 4;
+// 16 KiB of shared prefix; further blocks change no decision but cost time.
+constexpr std::size_t kMaxPrefixBlocks = 256;
 
 std::string Quoted(std::string_view text) {
   std::string out = "\"";
@@ -152,6 +156,10 @@
     if (!fault.empty()) {
       return fault;
     }
+    out.prefix_blocks = agent::PrefixBlockHashes(agent::PromptText(parsed));
+    if (out.prefix_blocks.size() > kMaxPrefixBlocks) {
+      out.prefix_blocks.resize(kMaxPrefixBlocks);
+    }
     out.prompt_tokens = static_cast<std::uint32_t>(
         std::max<std::size_t>(text_bytes / kBytesPerToken, 1));
     return out;
--- a/src/libwisteriaroute/entry/api.h
+++ b/src/libwisteriaroute/entry/api.h
@@ -19,6 +19,8 @@
   bool stream = false;
   std::uint32_t prompt_tokens = 0;
   std::uint32_t max_tokens = 0;
+  /** Hashes of the prompt's blocks, as in the agents' cache hints. */
+  std::vector<std::uint64_t> prefix_blocks;
 };
 
 /** Reads the body of a generation request, or says what is wrong with it. */
--- a/src/libwisteriaroute/entry/attempts.cc
+++ b/src/libwisteriaroute/entry/attempts.cc
@@ -105,6 +105,8 @@
   step.state.request_of_attempt[target.attempt] = of.number;
   if (agent* at = FindAgent(step.state, target.agent)) {
     ++at->in_flight;
+    ++at->sent_since_report;
+    of.current->report = at->report;
     at->suspects += of.suspect ? 1 : 0;
   }
   SetPhase(step, of, request_phase::kRunning);
@@ -133,7 +135,6 @@
   of.held_attempt.reset();
   SetCurrent(step, of, target);
   of.running = wire::outcome::kUnknown;
-  ++to.sent_since_report;
   Note(step, of, "submitted", target.agent, base::ToString(target.attempt));
   step.Emit(send_work{to.link, MakeSubmit(step, of, target)});
 }
@@ -155,6 +156,11 @@
   step.state.request_of_attempt.erase(of.current->id);
   if (agent* at = FindAgent(step.state, of.current->agent)) {
     at->in_flight -= std::min(at->in_flight, 1U);
+    // Reports come only when the load changes, so they don't reset the count
+    // of attempts that were short.
+    if (of.current->report == at->report) {
+      at->sent_since_report -= std::min(at->sent_since_report, 1U);
+    }
     at->suspects -= of.suspect ? std::min(at->suspects, 1U) : 0;
   }
   of.current.reset();
--- a/src/libwisteriaroute/entry/queue.cc
+++ b/src/libwisteriaroute/entry/queue.cc
@@ -17,6 +17,8 @@
 // A server that refused or failed a request may get it again after this, if
 // there is no other.
 constexpr base::time_us kAvoidUs = 250'000;
+// Blocks of 64 bytes, at 4 bytes a token.
+constexpr std::uint32_t kTokensPerBlock = 16;
 
 bool IsAllowed(const step_context& step,
                const agent& candidate,
@@ -27,8 +29,17 @@
          (avoided_too || !of.avoided.contains(candidate.member.name));
 }
 
+std::uint32_t CachedTokens(const agent& at, const request& of) {
+  const auto missing = std::find_if(
+      of.prefix_blocks.begin(), of.prefix_blocks.end(),
+      [&](std::uint64_t hash) { return !at.cached_blocks.contains(hash); });
+  return static_cast<std::uint32_t>(missing - of.prefix_blocks.begin()) *
+         kTokensPerBlock;
+}
+
 policy::routing_candidate Describe(const entry_state& state,
-                                   const agent& from) {
+                                   const agent& from,
+                                   const request& of) {
   return {.reported_queued = from.load.queued,
           .reported_running = from.load.running,
           .slots = from.load.slots,
@@ -37,7 +48,8 @@
           .sent_since_report = from.sent_since_report,
           .same_data_center = from.member.data_center == state.data_center,
           .same_region = from.member.region == state.region,
-          .failures = from.failures};
+          .failures = from.failures,
+          .cached_tokens = CachedTokens(from, of)};
 }
 
 agent* ChooseAgent(step_context& step, const pool& from, const request& of) {
@@ -50,7 +62,7 @@
     }
     for (agent* candidate : from.agents) {
       if (IsAllowed(step, *candidate, of, again)) {
-        candidates.push_back(Describe(step.state, *candidate));
+        candidates.push_back(Describe(step.state, *candidate, of));
         agents.push_back(candidate);
       }
     }
--- a/src/libwisteriaroute/entry/request.h
+++ b/src/libwisteriaroute/entry/request.h
@@ -48,6 +48,8 @@
   std::uint64_t backend_incarnation = 0;
   std::uint64_t window = 0;
   base::time_us started_us = 0;
+  /** The agent's last load report when this was sent. */
+  std::uint64_t report = 0;
   /** When the link to the agent was lost; 0 while it is up. */
   base::time_us detached_us = 0;
 };
@@ -100,6 +102,7 @@
   bool stream = false;
   std::uint32_t prompt_tokens = 0;
   std::uint32_t max_tokens = 0;
+  std::vector<std::uint64_t> prefix_blocks;
   std::uint8_t priority = 5;
   base::time_us arrived_us = 0;
   base::time_us deadline_us = 0;
--- a/src/libwisteriaroute/entry/state.h
+++ b/src/libwisteriaroute/entry/state.h
@@ -32,7 +32,10 @@
   std::optional<wire::agent_state> state;
   wire::load_report load;
   std::uint32_t in_flight = 0;
+  /** Open attempts that the last load report can't include. */
   std::uint32_t sent_since_report = 0;
+  /** Number of the last load report. */
+  std::uint64_t report = 0;
   std::uint32_t suspects = 0;
   /** Failures in a row, and until when they keep it out of rotation. */
   std::uint32_t failures = 0;
--- a/src/libwisteriaroute/entry/validation.cc
+++ b/src/libwisteriaroute/entry/validation.cc
@@ -74,7 +74,7 @@
   if (out.method != "POST") {
     return NotRun(405, "method_not_allowed", "use POST");
   }
-  auto parsed = ParseGeneration(kind, out.body);
+  const auto parsed = ParseGeneration(kind, out.body);
   if (const auto* fault = std::get_if<std::string>(&parsed)) {
     return NotRun(400, "invalid_request", *fault);
   }
@@ -100,6 +100,7 @@
   out.stream = body.stream;
   out.prompt_tokens = body.prompt_tokens;
   out.max_tokens = body.max_tokens;
+  out.prefix_blocks = body.prefix_blocks;
   out.pool = "model/" + body.model;
   return std::nullopt;
 }
--- a/src/libwisteriaroute/policy/routing.cc
+++ b/src/libwisteriaroute/policy/routing.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <vector>
 
 namespace wisteriaroute::policy {
 
@@ -48,7 +49,8 @@
   // A request beyond the slots waits until one of them is free.
   const double tokens = std::max<double>(request.expected_tokens, 1);
   const double queued = std::max(0.0, occupied + 1 - slots);
-  const double wait = queued * tokens * step / slots;
+  const double per_slot = step / slots;
+  const double wait = queued * tokens * per_slot;
   const std::uint32_t cached =
       std::min(candidate.cached_tokens, request.prompt_tokens);
   const double prefill = (request.prompt_tokens - cached) * kPrefillUsPerToken;
@@ -58,35 +60,35 @@
   } else if (!candidate.same_data_center) {
     place = kOtherDataCenterUs;
   }
-  return wait + step * (1 + occupied / slots) + prefill + place +
+  return wait + step + occupied * per_slot + prefill + place +
          candidate.failures * kFailureUs;
 }
 
 std::optional<std::size_t> Choose(std::span<const routing_candidate> candidates,
                                   const routing_request& request,
                                   std::uint64_t random) {
-  double least = std::numeric_limits<double>::infinity();
-  for (const routing_candidate& candidate : candidates) {
-    if (HasRoom(candidate)) {
-      least = std::min(least, ExpectedWaitUs(candidate, request));
-    }
+  constexpr double kNever = std::numeric_limits<double>::infinity();
+  std::vector<double> waits(candidates.size());
+  double least = kNever;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    waits[i] = HasRoom(candidates[i]) ? ExpectedWaitUs(candidates[i], request)
+                                      : kNever;
+    least = std::min(least, waits[i]);
+  }
+  if (least == kNever) {
+    return std::nullopt;
   }
   const double limit = least * kNearFactor + kNearUs;
-  std::optional<std::size_t> chosen;
-  std::uint64_t near = 0;
-  // Reservoir sampling: each near candidate ends up chosen equally often.
-  for (std::size_t i = 0; i < candidates.size(); ++i) {
-    if (!HasRoom(candidates[i]) ||
-        ExpectedWaitUs(candidates[i], request) > limit) {
-      continue;
-    }
-    ++near;
-    random = random * 6364136223846793005ULL + 1442695040888963407ULL;
-    if ((random >> 33) % near == 0) {
-      chosen = i;
+  const auto near =
+      std::count_if(waits.begin(), waits.end(),
+                    [limit](double wait) { return wait <= limit; });
+  auto left = static_cast<std::int64_t>(random % near);
+  for (std::size_t i = 0; i < waits.size(); ++i) {
+    if (waits[i] <= limit && left-- == 0) {
+      return i;
     }
   }
-  return chosen;
+  return std::nullopt;
 }
 
 }  // namespace wisteriaroute::policy
--- a/tests/entry/entry_test.cc
+++ b/tests/entry/entry_test.cc
@@ -68,6 +68,15 @@
   }
 }
 
+TEST_CASE("a server that sends no load reports is used again and again") {
+  world sim(4, 1, 2);
+  for (int i = 0; i < 200; ++i) {
+    const auto id = sim.Send(0, "GET", "/s/status", std::to_string(i));
+    sim.RunFor(500'000);
+    REQUIRE(sim.exchanges[id].status == 200);
+  }
+}
+
 TEST_CASE("a lost link is no reason to run a request again") {
   world sim(3, 2, 2);
   const auto stream = sim.Send(0, "POST", "/v1/chat/completions", kChat);
