tests: whole systems of real processes under kills, freezes and restarts

Cause: the promises are proved on the reducers; the path through sockets, disks and signals was not tried under failure. Orders: entry, agent, control leader killed and backend server frozen during the call, at most one booking each. Streams: backend server, agent killed or frozen, agent and entry stopped, all of control killed: the text equals the undisturbed one.

--- /dev/null
+++ b/tests/process/control_failure_test.cc
@@ -0,0 +1,160 @@
+// Guards the promises on configuration: in force everywhere within seconds,
+// never reverted, whatever happens to control hosts; and what entries do that
+// can't hear a quorum.
+
+#include <doctest/doctest.h>
+#include <signal.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <string>
+#include <vector>
+
+#include "tests/process/demo_system.h"
+
+namespace wisteriaroute::testing {
+namespace {
+
+bool Ready(demo_system& system, std::size_t entry) {
+  return system.Get(system.Entry(entry) + "/readyz")->status == 200;
+}
+
+std::string Publish(demo_system& system, int base, const std::string& id) {
+  return system
+      .Wrctl("publish " + system.Example("regie") + " --operation-id " + id +
+             " --base " + std::to_string(base))
+      .output;
+}
+
+/** Runs the loop until a new leader answers; microseconds that it took. */
+base::time_us WaitForLeader(demo_system& system, const std::string& old) {
+  const base::time_us start = base::MonotonicUs();
+  system.RunUntil(
+      [&] {
+        const std::string leader = system.Leader();
+        return !leader.empty() && leader != old;
+      },
+      10'000'000);
+  return base::MonotonicUs() - start;
+}
+
+/** Whether the leader counts the replica and the replica holds the log. */
+bool VotesAgain(demo_system& system, const std::string& name) {
+  const nlohmann::json members = system.Read("members");
+  std::uint64_t last = 0;
+  std::uint64_t held = 0;
+  bool voter = false;
+  for (const auto& replica : members["replicas"]) {
+    const std::uint64_t match = replica["match_index"];
+    last = std::max(last, match);
+    if (replica["name"] == name) {
+      held = match;
+      voter = replica["voter"];
+    }
+  }
+  return voter && held > 0 && held == last;
+}
+
+TEST_CASE("control hosts fail") {
+  demo_system system;
+  const std::string leader = system.Leader();
+
+  SUBCASE("a killed leader is replaced within 3 s and no request fails") {
+    std::vector<std::shared_ptr<call>> calls;
+    system.Kill(leader);
+    const base::time_us killed = base::MonotonicUs();
+    base::time_us taken = 0;
+    while (base::MonotonicUs() < killed + 4'000'000) {
+      calls.push_back(system.Stream(calls.size() % 2, "x", 2));
+      system.RunFor(50'000);
+      if (taken == 0 && !system.Leader().empty()) {
+        taken = base::MonotonicUs() - killed;
+      }
+    }
+    MESSAGE("a new leader answered after ", taken / 1'000, " ms");
+    CHECK(taken > 0);
+    CHECK(taken < 3'000'000);
+    REQUIRE(system.RunUntil([&] {
+      return std::all_of(calls.begin(), calls.end(),
+                         [](const auto& each) { return each->done; });
+    }));
+    for (const auto& each : calls) {
+      CHECK(each->status == 200);
+    }
+  }
+
+  SUBCASE("a frozen leader that wakes up reverts nothing") {
+    CHECK(Publish(system, 1, "before").find("revision 2") != std::string::npos);
+    system.Signal(leader, SIGSTOP);
+    WaitForLeader(system, leader);
+    CHECK(Publish(system, 2, "after").find("revision 3") != std::string::npos);
+    CHECK(system.Wrctl("status --wait --timeout-s 10").status == 0);
+    system.Signal(leader, SIGCONT);
+    system.RunFor(3'000'000);
+    const auto status = system.Read("status");
+    CHECK(status["revision"] == 3);
+    for (const auto& process : status["processes"]) {
+      CHECK(process["revision"] == 3);
+    }
+    CHECK(Publish(system, 2, "before").find("revision 2") != std::string::npos);
+  }
+
+  SUBCASE("without a quorum entries take no new work and say so") {
+    const auto stream = system.Stream(0, "a long letter", 600);
+    REQUIRE(system.RunUntil([&] { return stream->body.size() > 1'000; }));
+    for (const std::string& name : system.Names("control-")) {
+      system.Signal(name, SIGSTOP);
+    }
+    system.RunFor(3'000'000);
+    CHECK_FALSE(Ready(system, 0));
+    CHECK_FALSE(Ready(system, 1));
+    const auto refused = system.Stream(1, "x", 2);
+    const auto order = system.Order(1, "no-quorum", "{}");
+    REQUIRE(system.RunUntil([&] { return refused->done && order->done; }));
+    CHECK(refused->status == 503);
+    CHECK(refused->Outcome() == "not_run");
+    // Without control the entry can't know whether an earlier call with this
+    // key ran, so "not_run" would be a guess.
+    CHECK(order->status == 503);
+    CHECK(order->Outcome() == "unknown");
+    REQUIRE(system.RunUntil([&] { return stream->done; }));
+    CHECK(stream->StreamEnded());
+    for (const std::string& name : system.Names("control-")) {
+      system.Signal(name, SIGCONT);
+    }
+    bool ready = false;
+    for (int i = 0; i < 50 && !ready; ++i) {
+      system.RunFor(100'000);
+      ready = Ready(system, 0) && Ready(system, 1);
+    }
+    CHECK(ready);
+    CHECK(system.BookingsOf("no-quorum") == 0);
+  }
+
+  SUBCASE("a replica that lost its disk comes back, and another may fail") {
+    CHECK(Publish(system, 1, "first").find("revision 2") != std::string::npos);
+    std::string follower;
+    std::string other;
+    for (const std::string& name : system.Names("control-")) {
+      if (name != leader) {
+        (follower.empty() ? follower : other) = name;
+      }
+    }
+    system.Kill(follower);
+    std::filesystem::remove_all(system.directory() + "/data/" + follower);
+    system.Restart(follower, true);
+    const bool votes =
+        system.RunUntil([&] { return VotesAgain(system, follower); });
+    INFO(system.Read("members")["replicas"].dump());
+    REQUIRE(votes);
+    system.RunFor(2'000'000);
+    system.Kill(leader);
+    WaitForLeader(system, leader);
+    CHECK(system.Read("status")["revision"] == 2);
+    CHECK(Publish(system, 2, "second").find("revision 3") != std::string::npos);
+    CHECK(system.Wrctl("status --wait --timeout-s 10").status == 0);
+  }
+}
+
+}  // namespace
+}  // namespace wisteriaroute::testing
--- /dev/null
+++ b/tests/process/orders_failure_test.cc
@@ -0,0 +1,123 @@
+// Guards the promise that a call that may not be repeated runs at most once,
+// and that a caller who is told "not run" can rely on it, with real processes
+// that are killed and frozen while the call is under way.
+
+#include <doctest/doctest.h>
+#include <signal.h>
+
+#include <string>
+#include <vector>
+
+#include "tests/process/demo_system.h"
+
+namespace wisteriaroute::testing {
+namespace {
+
+const std::vector<std::string> kOrderStandins = {
+    "standin-orders-1", "standin-orders-2", "standin-orders-3"};
+
+void DelayOrders(demo_system& system, int delay_ms) {
+  for (const std::string& name : kOrderStandins) {
+    system.SetFaults(name, {{"delay_ms", delay_ms}});
+  }
+}
+
+/** Sends a key again until its outcome is known or final. */
+std::shared_ptr<call> Resend(demo_system& system,
+                             std::size_t entry,
+                             const std::string& key,
+                             const std::string& body) {
+  std::shared_ptr<call> last;
+  system.RunUntil(
+      [&] {
+        if (last == nullptr ||
+            (last->done && (!last->ok || last->status == 503))) {
+          last = system.Order(entry, key, body);
+        }
+        return last->done && last->ok && last->status != 503;
+      },
+      20'000'000);
+  return last;
+}
+
+TEST_CASE("an order runs at most once while processes fail") {
+  demo_system system;
+
+  SUBCASE("when its entry is killed, a resend elsewhere gets the answer") {
+    DelayOrders(system, 700);
+    const auto first = system.Order(0, "killed-entry", "{}");
+    system.RunFor(300'000);
+    system.Kill("entry-1");
+    const auto resent = Resend(system, 1, "killed-entry", "{}");
+    CHECK(resent->status == 201);
+    CHECK(system.BookingsOf("killed-entry") == 1);
+  }
+
+  SUBCASE("when its agent is killed, the outcome is unknown for good") {
+    DelayOrders(system, 700);
+    const auto first = system.Order(0, "killed-agent", "{}");
+    system.RunFor(300'000);
+    for (const std::string& name : system.Names("agent-orders")) {
+      system.Kill(name);
+    }
+    REQUIRE(system.RunUntil([&] { return first->done; }));
+    CHECK(first->Outcome() == "unknown");
+    for (const std::string& name : system.Names("agent-orders")) {
+      system.Restart(name);
+    }
+    system.RunFor(1'000'000);
+    const auto resent = Resend(system, 1, "killed-agent", "{}");
+    CHECK(resent->Outcome() == "unknown");
+    CHECK(system.BookingsOf("killed-agent") <= 1);
+  }
+
+  SUBCASE("when the control leader is killed, resends in parallel agree") {
+    DelayOrders(system, 400);
+    const auto first = system.Order(0, "killed-leader", "{}");
+    system.RunFor(100'000);
+    system.Kill(system.Leader());
+    const auto second = system.Order(1, "killed-leader", "{}");
+    const auto resent = Resend(system, 1, "killed-leader", "{}");
+    REQUIRE(system.RunUntil([&] { return first->done && second->done; }));
+    CHECK(resent->status == 201);
+    CHECK(system.BookingsOf("killed-leader") == 1);
+  }
+
+  SUBCASE("when its backend server is frozen, nothing is said too early") {
+    const auto before = system.Order(0, "warm-up", "{}");
+    REQUIRE(system.RunUntil([&] { return before->done; }));
+    for (const std::string& name : kOrderStandins) {
+      system.Signal(name, SIGSTOP);
+    }
+    const auto first = system.Order(0, "frozen", "{}");
+    REQUIRE(system.RunUntil([&] { return first->done; }, 40'000'000));
+    CHECK(first->status != 201);
+    for (const std::string& name : kOrderStandins) {
+      system.Signal(name, SIGCONT);
+    }
+    system.RunFor(2'000'000);
+    const std::size_t executed = system.BookingsOf("frozen");
+    CHECK(executed <= 1);
+    if (first->Outcome() == "not_run") {
+      CHECK(executed == 0);
+    }
+    const auto resent = Resend(system, 1, "frozen", "{}");
+    CHECK(system.BookingsOf("frozen") <= 1);
+    if (resent->Outcome() == "not_run") {
+      CHECK(system.BookingsOf("frozen") == 0);
+    }
+  }
+
+  SUBCASE("and another body under the same key is refused") {
+    const auto first = system.Order(0, "reused", "{}");
+    REQUIRE(system.RunUntil([&] { return first->done; }));
+    const auto other = system.Order(1, "reused", R"({"machine":2})");
+    REQUIRE(system.RunUntil([&] { return other->done; }));
+    CHECK(other->status == 422);
+    CHECK(other->ErrorCode() == "key_reused");
+    CHECK(system.BookingsOf("reused") == 1);
+  }
+}
+
+}  // namespace
+}  // namespace wisteriaroute::testing
--- /dev/null
+++ b/tests/process/rolling_restart_test.cc
@@ -0,0 +1,91 @@
+// Guards the promise that a planned stop cuts off no request in progress: every
+// process is stopped with SIGTERM and started again, one after the other, under
+// load from callers that, like the platform's balancer, use ready entries only.
+
+#include <doctest/doctest.h>
+#include <signal.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "tests/process/demo_system.h"
+
+namespace wisteriaroute::testing {
+namespace {
+
+struct load {
+  demo_system& system;
+  std::vector<std::shared_ptr<call>> calls = {};
+  std::vector<std::shared_ptr<call>> probes = {nullptr, nullptr};
+  std::vector<bool> ready = {true, true};
+
+  // One round of what callers and the balancer do in 50 ms.
+  void Round() {
+    for (std::size_t entry = 0; entry < 2; ++entry) {
+      if (probes[entry] == nullptr || probes[entry]->done) {
+        if (probes[entry] != nullptr) {
+          ready[entry] = probes[entry]->ok && probes[entry]->status == 200;
+        }
+        probes[entry] = system.Start("GET", system.Entry(entry) + "/readyz");
+      }
+      if (ready[entry]) {
+        const std::string number = std::to_string(calls.size());
+        calls.push_back(system.Stream(entry, "letter " + number, 40));
+        calls.push_back(system.Order(entry, "order-" + number, "{}"));
+      }
+    }
+    system.RunFor(50'000);
+  }
+};
+
+TEST_CASE("every process is restarted under load and no request fails") {
+  demo_system system;
+  load running{system};
+  std::vector<std::string> names = {"agent-orders-1", "agent-assistant-a-0",
+                                    "agent-assistant-b-1"};
+  for (const char* prefix : {"entry-", "control-"}) {
+    for (const std::string& name : system.Names(prefix)) {
+      names.push_back(name);
+    }
+  }
+  for (const std::string& name : names) {
+    CAPTURE(name);
+    system.Signal(name, SIGTERM);
+    for (int i = 0; i < 60; ++i) {
+      running.Round();
+    }
+    system.Terminate(name);
+    system.Restart(name);
+    for (int i = 0; i < 40; ++i) {
+      running.Round();
+    }
+  }
+  const bool all_done = system.RunUntil([&] {
+    return std::all_of(running.calls.begin(), running.calls.end(),
+                       [](const auto& each) { return each->done; });
+  });
+  for (std::size_t i = 0; i < running.calls.size(); ++i) {
+    const call& each = *running.calls[i];
+    if (!each.done) {
+      MESSAGE((i % 2 == 0 ? "stream " : "order "), i - i % 2,
+              " not done after ",
+              (base::MonotonicUs() - each.started_us) / 1'000, " ms");
+    }
+  }
+  REQUIRE(all_done);
+  MESSAGE(running.calls.size(), " requests");
+  int shown = 0;
+  for (const auto& each : running.calls) {
+    const bool answered =
+        each->ok &&
+        (each->status == 201 || (each->status == 200 && each->StreamEnded()));
+    if (!answered && ++shown <= 5) {
+      MESSAGE("status ", each->status, " ", each->body.substr(0, 300));
+    }
+    CHECK(answered);
+  }
+}
+
+}  // namespace
+}  // namespace wisteriaroute::testing
--- /dev/null
+++ b/tests/process/streams_failure_test.cc
@@ -0,0 +1,118 @@
+// Guards the promise that a caller gets the whole answer to its own request:
+// streams must go on without gap or repeat when their backend server, agent or
+// connection is lost, and end with an explicit error where they can't.
+
+#include <doctest/doctest.h>
+#include <signal.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "tests/process/demo_system.h"
+
+namespace wisteriaroute::testing {
+namespace {
+
+constexpr int kTokens = 300;
+
+/** Names of the processes of a kind that run attempts now. */
+std::string ServerOf(demo_system& system, const std::string& request_id) {
+  const auto timeline = system.Read("timeline --request " + request_id);
+  std::string server;
+  for (const auto& event : timeline["events"]) {
+    if (event["kind"] == "submitted") {
+      server = event["server"];
+    }
+  }
+  return server;
+}
+
+std::shared_ptr<call> StartStream(demo_system& system,
+                                  const std::string& request_id,
+                                  const std::string& prompt) {
+  const nlohmann::json body = {
+      {"model", "assistant"},
+      {"stream", true},
+      {"max_tokens", kTokens},
+      {"messages", {{{"role", "user"}, {"content", prompt}}}}};
+  return system.Start("POST", system.Entry(0) + "/v1/chat/completions",
+                      body.dump(), {{"X-Request-Id", request_id}});
+}
+
+TEST_CASE("a stream survives the loss of what serves it") {
+  demo_system system;
+  // The stand-ins produce the same tokens for the same prompt everywhere.
+  const auto whole = StartStream(system, "undisturbed", "a long letter");
+  REQUIRE(system.RunUntil([&] { return whole->done; }));
+  REQUIRE(whole->StreamEnded());
+  const std::string expected = whole->StreamText();
+  REQUIRE(expected.size() > kTokens);
+
+  const auto stream = StartStream(system, "disturbed", "a long letter");
+  REQUIRE(system.RunUntil([&] { return stream->body.size() > 2'000; }));
+  const std::string agent = ServerOf(system, "disturbed");
+  REQUIRE(agent.starts_with("agent-"));
+  const std::string standin = "standin-" + agent.substr(6);
+
+  SUBCASE("when its backend server is killed") {
+    system.Kill(standin);
+  }
+  SUBCASE("when its backend server is frozen") {
+    system.Signal(standin, SIGSTOP);
+  }
+  SUBCASE("when its agent is killed") {
+    system.Kill(agent);
+  }
+  SUBCASE("when its agent is frozen") {
+    system.Signal(agent, SIGSTOP);
+  }
+  SUBCASE("when its agent is stopped in a planned way") {
+    system.Signal(agent, SIGTERM);
+  }
+  SUBCASE("when its entry is stopped in a planned way") {
+    system.Signal("entry-1", SIGTERM);
+  }
+  SUBCASE("when all of control is killed") {
+    for (const std::string& name : system.Names("control-")) {
+      system.Kill(name);
+    }
+  }
+  REQUIRE(system.RunUntil([&] { return stream->done; }, 20'000'000));
+  CHECK(stream->ok);
+  CHECK(stream->StreamEnded());
+  CHECK(stream->StreamText() == expected);
+  system.Signal(agent, SIGCONT);
+}
+
+// Target: out of rotation in 2 s. The request after that must not be sent to
+// the dead server, and no request in between may fail.
+TEST_CASE("a dead backend server leaves rotation") {
+  demo_system system;
+  std::vector<std::shared_ptr<call>> calls;
+  system.Kill("standin-orders-2");
+  for (int i = 0; i < 30; ++i) {
+    calls.push_back(system.Order(static_cast<std::size_t>(i % 2),
+                                 "dead-" + std::to_string(i), "{}"));
+    system.RunFor(100'000);
+  }
+  REQUIRE(system.RunUntil([&] {
+    return std::all_of(calls.begin(), calls.end(),
+                       [](const auto& each) { return each->done; });
+  }));
+  int failed = 0;
+  for (const auto& each : calls) {
+    failed += each->status == 201 ? 0 : 1;
+    if (each->started_us > calls[0]->started_us + 2'000'000) {
+      CHECK(each->status == 201);
+    }
+    if (each->status != 201) {
+      MESSAGE("status ", each->status, " ", each->body);
+      CHECK(each->Outcome() != "");
+    }
+  }
+  CHECK(failed == 0);
+}
+
+}  // namespace
+}  // namespace wisteriaroute::testing
