raft: a removed leader may campaign until its removal is committed

A leader that crashed after it appended its own removal wasn't a voter in its newest replica set and never campaigned, while the remaining voter lacked the entry and couldn't win. It now campaigns as long as the removal isn't known to be committed.

--- a/src/libwisteriaroute/raft/election.cc
+++ b/src/libwisteriaroute/raft/election.cc
@@ -1,5 +1,7 @@
 #include "libwisteriaroute/raft/election.h"
 
+#include <algorithm>
+
 #include "libwisteriaroute/raft/replication.h"
 
 namespace wisteriaroute::raft {
@@ -40,6 +42,26 @@
   }
 }
 
+bool IsVoterIn(const raft_state& state, const wire::replica_list& replicas) {
+  return std::any_of(replicas.begin(), replicas.end(),
+                     [&](const wire::replica& one) {
+                       return one.voter && one.name == state.self &&
+                              one.identity == state.hard.identity;
+                     });
+}
+
+/**
+ * A voter whose removal may not be committed must be able to lead, because it
+ * may be the only one whose log is long enough.
+ */
+bool MayCampaign(const raft_state& state) {
+  const std::uint64_t changed_at = state.log.replicas_index();
+  return IsVoterIn(state, Replicas(state)) ||
+         (changed_at > state.commit_index &&
+          changed_at >= state.log.first_index() &&
+          IsVoterIn(state, state.log.ReplicasAt(changed_at - 1)));
+}
+
 bool HasLiveLeader(const step_context& step) {
   const raft_state& state = step.state;
   if (state.current_role == role::kLeader) {
@@ -97,7 +119,7 @@
 
 void ElectionTick(step_context& step) {
   raft_state& state = step.state;
-  if (state.election_deadline_us == 0 || !IsVoter(state)) {
+  if (state.election_deadline_us == 0 || !MayCampaign(state)) {
     ResetElectionDeadline(step);
   } else if (step.now_us >= state.election_deadline_us) {
     StartPreVote(step);
--- a/tests/raft/raft_scenario_test.cc
+++ b/tests/raft/raft_scenario_test.cc
@@ -179,6 +179,27 @@
   CHECK(Replicas(replicas.Leader()->state).size() == 4);
 }
 
+// Only a holds the entry, so b can't lead; without a's candidacy nobody could.
+TEST_CASE("a leader that crashes while it removes itself completes that") {
+  cluster replicas(2, 0, {});
+  cluster::node& a = replicas.Get("a");
+  Elect(replicas, "a");
+  replicas.RunCalm(kSecond / 2);
+  REQUIRE(replicas.Leader() == &a);
+  Partition(replicas, {});
+  replicas.Run(a, change_replicas{.proposal_id = 101,
+                                  .change = replica_change::kRemove,
+                                  .name = "a"});
+  replicas.Settle();
+  replicas.Crash(a);
+  replicas.Start(a);
+  replicas.cut.clear();
+  replicas.RunCalm(4 * kSecond);
+  REQUIRE(replicas.Leader() != nullptr);
+  CHECK(replicas.Leader()->name == "b");
+  CHECK(Replicas(replicas.Leader()->state).size() == 1);
+}
+
 // b, which lost its disk, must not help a in place of the vote that it gave d.
 TEST_CASE("a wiped voter can't help an isolated old leader") {
   cluster replicas(5, 0, {});
