--- /dev/null
+++ b/tests/process/demo_test.cc
@@ -0,0 +1,74 @@
+// Guards the whole path from the operator's files to a caller's answer: starts
+// the demo system and operates it as its page (docs/OPERATING.md) says.
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "tests/process/demo_system.h"
+
+namespace wisteriaroute::testing {
+namespace {
+
+TEST_CASE("an operator runs a whole system") {
+  demo_system system;
+
+  // A generation request and an order are answered.
+  const auto generation =
+      system.Start("POST", system.Entry(0) + "/v1/chat/completions",
+                   R"({"model":"assistant","max_tokens":4,)"
+                   R"("messages":[{"role":"user","content":"x"}]})");
+  const net::http_headers order_headers = {{"Idempotency-Key", "k1"},
+                                           {"X-Request-Id", "t-call"}};
+  const auto first = system.Start("POST", system.Entry(0) + "/orders/bookings",
+                                  "{}", order_headers);
+  REQUIRE(system.RunUntil([&] { return generation->done && first->done; }));
+  CHECK(generation->status == 200);
+  CHECK(first->status == 201);
+
+  // A resend through the other entry gets the recorded response.
+  const auto resent = system.Start("POST", system.Entry(1) + "/orders/bookings",
+                                   "{}", order_headers);
+  REQUIRE(system.RunUntil([&] { return resent->done; }));
+  CHECK(resent->status == 201);
+  CHECK(resent->body == first->body);
+  CHECK(system.BookingsOf("k1") == 1);
+
+  // The time line shows both the entry and the agent.
+  const nlohmann::json timeline = system.Read("timeline --request t-call");
+  std::string kinds;
+  for (const nlohmann::json& event : timeline["events"]) {
+    kinds += event["kind"].get<std::string>() + " ";
+  }
+  CHECK(kinds.find("attempt_started") != std::string::npos);
+  CHECK(kinds.find("answered") != std::string::npos);
+  CHECK(timeline["silent"].empty());
+
+  // Publishing is compare-and-set, and a resend gets the first answer.
+  const std::string publish =
+      "publish " + system.Example("regie") + " --operation-id op-1 --base ";
+  CHECK(system.Wrctl(publish + "1").status == 0);
+  CHECK(system.Wrctl(publish + "1").output.find("as revision 2") !=
+        std::string::npos);
+  CHECK(system
+            .Wrctl("publish " + system.Example("clearsight") +
+                   " --operation-id op-1 --base 2")
+            .status == 3);
+  CHECK(
+      system.Wrctl("publish " + system.Example("regie") + " --base 1").status ==
+      3);
+  CHECK(system.Wrctl("status --wait --timeout-s 10").status == 0);
+  CHECK(system.Read("status")["in_force"] == 2);
+
+  // Draining, refusals and changes of replicas.
+  CHECK(system.Wrctl("drain agent-orders-1").status == 0);
+  CHECK(system.Read("members")["drained"] ==
+        nlohmann::json::array({"agent-orders-1"}));
+  CHECK(system.Wrctl("undrain agent-orders-1").status == 0);
+  CHECK(system.Wrctl("rebalance no-such-group").status == 3);
+  CHECK(system.Wrctl("members remove control-9").status == 3);
+  CHECK(system.Read("groups")["groups"].size() == 3);
+}
+
+}  // namespace
+}  // namespace wisteriaroute::testing
