--- a/src/wrctl/leader_commands.cc
+++ b/src/wrctl/leader_commands.cc
@@ -14,10 +14,10 @@
 namespace {
 
 constexpr double kDefaultLimitS = 10;
-constexpr std::array<std::string_view, 12> kColumns = {
-    "revision",     "name",    "group",       "role",
-    "fingerprint",  "state",   "time_ms",     "since_ms",
-    "operation_id", "address", "data_center", "healthy"};
+constexpr std::array<std::string_view, 11> kColumns = {
+    "name",    "agent",       "role",      "fingerprint",
+    "state",   "revision",    "time_ms",   "operation_id",
+    "address", "data_center", "generation"};
 
 wire::admin_reply Ask(wire::admin_call call) {
   admin_client client(ReadClientSettings());
--- a/src/wrctl/report.cc
+++ b/src/wrctl/report.cc
@@ -71,27 +71,31 @@
          });
 }
 
-table_row Columns(const nlohmann::json& table,
-                  std::span<const std::string_view> preferred) {
-  table_row columns;
-  const auto add = [&](const std::string& key) {
-    if (std::ranges::find(columns, key) == columns.end()) {
-      columns.push_back(key);
-    }
-  };
+/** The keys of an object, the preferred ones first. */
+table_row Keys(const nlohmann::json& object,
+               std::span<const std::string_view> preferred) {
+  table_row keys;
   for (const std::string_view key : preferred) {
-    const bool used = std::ranges::any_of(
-        table, [&](const auto& row) { return row.contains(std::string(key)); });
-    if (used) {
-      add(std::string(key));
+    if (object.contains(std::string(key))) {
+      keys.emplace_back(key);
     }
   }
-  for (const nlohmann::json& row : table) {
-    for (auto item = row.begin(); item != row.end(); ++item) {
-      add(item.key());
+  for (auto item = object.begin(); item != object.end(); ++item) {
+    if (std::ranges::find(preferred, item.key()) == preferred.end()) {
+      keys.push_back(item.key());
     }
   }
-  return columns;
+  return keys;
+}
+
+/** The keys of all rows. */
+table_row Columns(const nlohmann::json& table,
+                  std::span<const std::string_view> preferred) {
+  nlohmann::json all = nlohmann::json::object();
+  for (const nlohmann::json& row : table) {
+    all.update(row);
+  }
+  return Keys(all, preferred);
 }
 
 std::string FormatRows(const nlohmann::json& table,
@@ -141,15 +145,16 @@
   }
   std::string values;
   std::string tables;
-  for (auto item = report.begin(); item != report.end(); ++item) {
-    if (HasInnerTables(*item)) {
-      for (const nlohmann::json& row : *item) {
+  for (const std::string& key : Keys(report, columns)) {
+    const nlohmann::json& value = report[key];
+    if (HasInnerTables(value)) {
+      for (const nlohmann::json& row : value) {
         tables += "\n" + FormatReport(row, columns);
       }
-    } else if (IsTable(*item)) {
-      tables += "\n" + item.key() + ":\n" + FormatRows(*item, columns);
+    } else if (IsTable(value)) {
+      tables += "\n" + key + ":\n" + FormatRows(value, columns);
     } else {
-      values += item.key() + ": " + Cell(item.key(), *item) + "\n";
+      values += key + ": " + Cell(key, value) + "\n";
     }
   }
   return values.empty() ? tables.substr(std::min<std::size_t>(1, tables.size()))
--- a/tests/config/config_parse_test.cc
+++ b/tests/config/config_parse_test.cc
@@ -190,6 +190,8 @@
         "workspace/x: 'models' must hold strings only\n");
   CHECK(report("workspace", "[]") ==
         "workspace/x: the body is not a JSON object\n");
+  CHECK(report("workspace", std::string(1'000'000, '[')) ==
+        "workspace/x: the body is not a JSON object\n");
   CHECK(report("zone", "{}").starts_with("zone/x: unknown kind 'zone'"));
 }
 
--- a/tests/process/wrctl_test.cc
+++ b/tests/process/wrctl_test.cc
@@ -184,6 +184,14 @@
   }
 }
 
+TEST_CASE("the example sets have no findings") {
+  const char* bin = std::getenv("WR_BIN_DIR");
+  const std::string examples =
+      std::string(bin == nullptr ? "build" : bin) + "/../examples/";
+  CHECK(Execute("check " + examples + "regie").status == 0);
+  CHECK(Execute("check " + examples + "clearsight").status == 0);
+}
+
 TEST_CASE("wrctl with a control replica") {
   scratch_directory scratch;
   const std::string key = scratch.Write("key", kKey);
