control: groups without an open order are shown as settled

The phase in the log is that of the last order, so a group that had been formed long ago was shown as forming. Run: wrctl groups on a demo system shows settled for its three groups one second after the start.

--- a/src/libwisteriaroute/control/admin_json.cc
+++ b/src/libwisteriaroute/control/admin_json.cc
@@ -117,9 +117,13 @@
     }
     ranks.push_back(std::move(item));
   }
+  // The log keeps the last order; without a pending change, nothing is left to
+  // do once every rank has answered it.
+  const bool settled = !group.change && drive != leader.groups.end() &&
+                       drive->second.done.size() == group.ranks.size();
   json result{{"name", name},
               {"generation", group.generation},
-              {"phase", PhaseName(group.phase)},
+              {"phase", settled ? "settled" : PhaseName(group.phase)},
               {"epoch", group.epoch},
               {"step", group.step},
               {"ranks", std::move(ranks)}};
