--- a/tests/config/config_parse_test.cc
+++ b/tests/config/config_parse_test.cc
@@ -212,6 +212,43 @@
   });
 }
 
+/** A set without findings, with random objects and values. */
+rc::Gen<std::string> CleanText() {
+  return rc::gen::exec([] {
+    std::string text = kValid;
+    const auto number = [](std::int64_t min, std::int64_t max) {
+      return std::to_string(*rc::gen::inRange(min, max + 1));
+    };
+    const int count = *rc::gen::inRange(1, 6);
+    for (int i = 0; i < count; ++i) {
+      const std::string name = "x" + std::to_string(i);
+      text += "[workspace." + name + "]\n";
+      text += i == 0 ? "" : "parent = \"x" + number(0, i - 1) + "\"\n";
+      text += "share = " + number(1, 1'000) + "." + number(0, 999'999) + "\n";
+      text += "max_concurrency = " + number(1, 1'000'000) + "\n";
+      text += "tokens_per_minute = " + number(0, 1'000'000'000'000) + "\n";
+      text += "highest_priority = " + number(0, 9) + "\n";
+      text += "[model_group." + name + "]\nmodel = \"assistant\"\n";
+      text += "backend_class = \"engine\"\nexperts = 1\n";
+      text += "skew_weight = " + number(0, 1'000'000) + "\n";
+      text += "cost_weight = " + number(0, 9) + "e-" + number(0, 9) + "\n";
+      text += "expert_bytes = " + number(0, std::int64_t{1} << 50) + "\n";
+    }
+    return text;
+  });
+}
+
+TEST_CASE("what is published reads back as the set that was written") {
+  CHECK(rc::check("any clean set", [] {
+    const parsed_set parsed = ParseText(*CleanText());
+    RC_ASSERT(Report(parsed) == "");
+    const parsed_set again = ParseObjects(parsed.objects);
+    RC_ASSERT(Report(again) == "");
+    RC_ASSERT(again.set == parsed.set);
+    RC_ASSERT(again.objects == parsed.objects);
+  }));
+}
+
 TEST_CASE("no text makes the reader fail, and what it accepts reads back") {
   const auto check = [](const std::string& text) {
     const parsed_set parsed = ParseText(text);
