standin, agent: expert tokens of a rank

GET /group?take_tokens=1 gives tokens per layer and expert since the last such request, with a popularity that drifts every minute; the agent reads them into group reports. Generations are requested without Accept-Encoding, because a compressed stream couldn't be parsed.

--- a/src/libwisteriaroute/agent/engine_client.cc
+++ b/src/libwisteriaroute/agent/engine_client.cc
@@ -30,13 +30,18 @@
          std::string_view::npos;
 }
 
-bool PassedOn(const std::string& name, const std::string& value) {
-  std::string lower(name);
-  std::ranges::transform(lower, lower.begin(), [](unsigned char c) {
-    return static_cast<char>(std::tolower(c));
+bool EqualsIgnoringCase(std::string_view a, std::string_view b) {
+  return std::ranges::equal(a, b, [](unsigned char x, unsigned char y) {
+    return std::tolower(x) == std::tolower(y);
   });
-  return std::ranges::find(kDroppedHeaders, lower) == kDroppedHeaders.end() &&
-         !name.empty() && !HasLineBreak(name) && !HasLineBreak(value);
+}
+
+bool PassedOn(std::string_view name, std::string_view value) {
+  const bool dropped = std::ranges::any_of(
+      kDroppedHeaders,
+      [name](std::string_view each) { return EqualsIgnoringCase(each, name); });
+  return !dropped && !name.empty() && !HasLineBreak(name) &&
+         !HasLineBreak(value);
 }
 
 wire::header_list ResponseHeaders(const net::http_headers& headers) {
@@ -74,6 +79,10 @@
     return request;
   }
   request.method = "POST";
+  // A compressed stream couldn't be parsed.
+  std::erase_if(request.headers, [](const auto& header) {
+    return EqualsIgnoringCase(header.first, "accept-encoding");
+  });
   request.url =
       options_.backend_url + (work.kind == wire::work_kind::kChatCompletion
                                   ? "/v1/chat/completions"
@@ -288,7 +297,7 @@
       });
       return;
     case poll_kind::kGroup:
-      request.url += "/group";
+      request.url += "/group?take_tokens=1";
       Fetch(std::move(request), [this](const net::http_client_result& result,
                                        const std::string& body) {
         const auto report = result.ok ? ParseGroup(body) : std::nullopt;
--- a/src/libwisteriaroute/agent/engine_protocol.cc
+++ b/src/libwisteriaroute/agent/engine_protocol.cc
@@ -207,12 +207,20 @@
   if (parsed.is_null()) {
     return std::nullopt;
   }
-  return wire::group_report{
+  wire::group_report report{
       .generation = Get<std::uint64_t>(parsed, "generation"),
       .step = Get<std::uint64_t>(parsed, "step"),
       .map_epoch = Get<std::uint64_t>(parsed, "map_epoch"),
       .staged_epoch = Get<std::uint64_t>(parsed, "staged_epoch"),
       .step_time_us = Get<std::uint32_t>(parsed, "step_time_us")};
+  const auto tokens = parsed.find("expert_tokens");
+  if (tokens != parsed.end() && tokens->is_array()) {
+    for (const json& count : *tokens) {
+      report.expert_tokens.push_back(
+          count.is_number_unsigned() ? count.get<std::uint32_t>() : 0);
+    }
+  }
+  return report;
 }
 
 std::string ParseInstance(std::string_view body) {
--- a/src/standin/rank.cc
+++ b/src/standin/rank.cc
@@ -1,6 +1,7 @@
 #include "standin/rank.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "libwisteriaroute/base/digest.h"
 
@@ -9,6 +10,9 @@
 namespace {
 
 constexpr std::size_t kKeptEpochs = 1'024;
+constexpr std::uint64_t kMaxExperts = 1'000'000;
+constexpr std::uint64_t kTopTokensPerStep = 64;
+constexpr base::time_us kDriftPeriodUs = 60'000'000;
 
 std::uint64_t Number(const nlohmann::json& object, const char* key) {
   const auto it = object.find(key);
@@ -58,6 +62,7 @@
     }
     next_step_us_ += settings_.step_time_us;
     ++step_;
+    ++all_steps_;
     if (armed_ && step_ == armed_->step && armed_->commit) {
       if (*armed_->commit && staging_) {
         BeginEpoch(staging_->epoch, staging_->map_digest);
@@ -193,11 +198,37 @@
     armed_.reset();
     staging_.reset();
     staged_epoch_ = Number(order, "epoch");
+    const auto map = order.find("map");
+    if (map != order.end() && map->is_object()) {
+      layers_ = Number(*map, "layers");
+      experts_ = Number(*map, "experts");
+    }
     BeginEpoch(staged_epoch_, MapDigest(order));
   }
   return Answer(200, "done");
 }
 
+std::vector<std::uint32_t> rank::TakeExpertTokens(base::time_us now_us) {
+  const std::uint64_t steps =
+      all_steps_ - std::exchange(taken_steps_, all_steps_);
+  std::vector<std::uint32_t> tokens;
+  if (layers_ * experts_ > kMaxExperts) {
+    return tokens;
+  }
+  // Popularity falls like 1/n from one expert per layer, which drifts.
+  const auto drift = static_cast<std::uint64_t>(now_us / kDriftPeriodUs);
+  for (std::uint64_t layer = 0; layer < layers_; ++layer) {
+    for (std::uint64_t expert = 0; expert < experts_; ++expert) {
+      const std::uint64_t place = (expert + layer * 5 + drift) % experts_;
+      const std::uint64_t noise =
+          base::Hash64(std::to_string(layer * experts_ + expert), steps) % 8;
+      tokens.push_back(static_cast<std::uint32_t>(
+          steps * (kTopTokensPerStep + noise) / (place + 1)));
+    }
+  }
+  return tokens;
+}
+
 nlohmann::json rank::Report() const {
   nlohmann::json history = nlohmann::json::array();
   for (const epoch_start& start : history_) {
--- a/src/standin/rank.h
+++ b/src/standin/rank.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <nlohmann/json.hpp>
 
@@ -42,6 +43,9 @@
   /** `GET /group`. */
   nlohmann::json Report() const;
 
+  /** Tokens per layer and expert, flattened, since the last call. */
+  std::vector<std::uint32_t> TakeExpertTokens(base::time_us now_us);
+
   /** Whether the rank waits at an armed step. */
   bool waiting() const;
 
@@ -76,6 +80,8 @@
   rank_settings settings_;
   std::uint64_t generation_ = 0;
   std::uint64_t step_ = 0;
+  /** Steps in all generations. */
+  std::uint64_t all_steps_ = 0;
   base::time_us next_step_us_ = 0;
   std::uint64_t staged_epoch_ = 0;
   std::optional<staged_map> staging_;
@@ -87,6 +93,9 @@
   std::uint64_t stale_applied_ = 0;
   nlohmann::json models_ = nlohmann::json::array();
   std::string role_ = "mixed";
+  std::uint64_t layers_ = 0;
+  std::uint64_t experts_ = 0;
+  std::uint64_t taken_steps_ = 0;
 };
 
 }  // namespace wisteriaroute::standin
--- a/src/standin/server.cc
+++ b/src/standin/server.cc
@@ -207,7 +207,11 @@
       Reply(id, 200, CacheEvents(request.query));
     } else if (path == "/group") {
       rank_.Advance(base::MonotonicUs());
-      Reply(id, 200, rank_.Report());
+      nlohmann::json report = rank_.Report();
+      if (QueryNumber(request.query, "take_tokens") == 1) {
+        report["expert_tokens"] = rank_.TakeExpertTokens(base::MonotonicUs());
+      }
+      Reply(id, 200, report);
     } else if (path == "/v1/models") {
       Reply(id, 200,
             {{"object", "list"},
