agent: keep tokens of all group polls; excuse the process's own pause

Polls come four times a second and reports once, so the tokens of the polls in between were lost; they are summed now. A paused agent process took its backend server for silent when it went on, reported everything that ran as suspects and cut it; pauses of 700 ms or more between ticks are no longer counted.

--- a/src/libwisteriaroute/agent/agent.cc
+++ b/src/libwisteriaroute/agent/agent.cc
@@ -8,6 +8,9 @@
 
 namespace {
 
+// Ticks come every 50 ms, so a pause this long isn't the machine's load alone.
+constexpr base::time_us kOwnPauseUs = 700'000;
+
 void Handle(step_context& context, const entry_up& event) {
   context.state.reports.entries.insert(event.link);
   GreetEntry(context, event.link);
@@ -93,11 +96,32 @@
   }
 }
 
+/**
+ * After a pause of this process nothing was polled or read, so the backend
+ * server must not be taken for silent.
+ */
+void ExcuseOwnPause(step_context& context) {
+  agent_state& state = context.state;
+  const base::time_us pause_us = context.now_us - state.last_tick_us;
+  if (state.last_tick_us != 0 && pause_us >= kOwnPauseUs) {
+    state.health.last_ok_us += pause_us;
+    for (const wire::attempt_id& id : state.running) {
+      state.attempts.at(id).body->last_data_us += pause_us;
+    }
+    context.Emit(
+        record_event{.kind = "process_paused",
+                     .detail = std::to_string(pause_us / 1'000) + " ms",
+                     .state_change = true});
+  }
+  state.last_tick_us = context.now_us;
+}
+
 void Handle(step_context& context, const tick&) {
   if (context.now_us >= context.state.window_until_us ||
       context.state.ids_in_window >= context.state.options.window_ids) {
     BeginWindow(context);
   }
+  ExcuseOwnPause(context);
   CheckHealth(context);
   CheckAttempts(context);
   CheckGroup(context);
--- a/src/libwisteriaroute/agent/agent.h
+++ b/src/libwisteriaroute/agent/agent.h
@@ -120,6 +120,8 @@
   /** Stage orders whose copying isn't complete, by order id. */
   std::map<std::uint64_t, staging_order> staging;
   wire::group_report last_report;
+  /** Of polls since the last report. */
+  std::vector<std::uint32_t> expert_tokens;
   base::time_us next_report_us = 0;
   base::time_us next_poll_us = 0;
 };
@@ -159,6 +161,7 @@
   bool stopping = false;
   base::time_us stop_until_us = 0;
   bool stopped = false;
+  base::time_us last_tick_us = 0;
   std::uint64_t revision = 0;
 
   std::unordered_map<wire::attempt_id, attempt> attempts;
--- a/src/libwisteriaroute/agent/orders.cc
+++ b/src/libwisteriaroute/agent/orders.cc
@@ -67,6 +67,16 @@
   }
 }
 
+void AddTokens(std::vector<std::uint32_t>& sums,
+               const std::vector<std::uint32_t>& added) {
+  if (sums.size() != added.size()) {
+    sums.assign(added.size(), 0);  // Another shape of the group.
+  }
+  for (std::size_t i = 0; i < added.size(); ++i) {
+    sums[i] += added[i];
+  }
+}
+
 /** Answers stage orders whose map has been copied, or never will be. */
 void AnswerStaged(step_context& context, const wire::group_report& report) {
   order_state& orders = context.state.orders;
@@ -158,6 +168,7 @@
   report.rank = state.options.rank;
   report.backend_incarnation = state.incarnation;
   AnswerStaged(context, report);
+  AddTokens(orders.expert_tokens, report.expert_tokens);
   const wire::group_report& last = orders.last_report;
   const bool changed = report.generation != last.generation ||
                        report.map_epoch != last.map_epoch ||
@@ -166,7 +177,10 @@
   if (!state.options.group.empty() &&
       (changed || context.now_us >= orders.next_report_us)) {
     orders.next_report_us = context.now_us + kGroupReportUs;
+    report.expert_tokens = std::move(orders.expert_tokens);
+    orders.expert_tokens.clear();
     orders.last_report = report;
+    orders.last_report.expert_tokens.clear();
     context.Emit(send_control{std::move(report)});
   }
 }
--- a/tests/process/agent_process_test.cc
+++ b/tests/process/agent_process_test.cc
@@ -178,6 +178,22 @@
     CHECK(harness.RunUntil([&] { return harness.at(next.attempt).finished; }));
   }
 
+  // Guards against suspects that did nothing but run while the agent paused.
+  SUBCASE("doesn't take its own pause for a loss of the server") {
+    const std::uint64_t before = harness.state().backend_incarnation;
+    const wire::submit work = Completion(harness, "a prompt", 2'000);
+    harness.Send(work);
+    REQUIRE(harness.RunUntil(
+        [&] { return harness.at(work.attempt).end_offset > 3; }));
+    harness.agent().Signal(SIGSTOP);
+    harness.RunFor(2'500'000);
+    harness.agent().Signal(SIGCONT);
+    REQUIRE(harness.Ready());
+    harness.RunFor(1'000'000);
+    CHECK(harness.state().backend_incarnation == before);
+    CHECK(Of<wire::suspect_report>(harness).empty());
+  }
+
   SUBCASE("takes a frozen server out of rotation") {
     const std::uint64_t before = harness.state().backend_incarnation;
     backend->Signal(SIGSTOP);
