--- a/src/libwisteriaroute/entry/attempts.cc
+++ b/src/libwisteriaroute/entry/attempts.cc
@@ -105,6 +105,8 @@
   step.state.request_of_attempt[target.attempt] = of.number;
   if (agent* at = FindAgent(step.state, target.agent)) {
     ++at->in_flight;
+    ++at->sent_since_report;
+    of.current->report = at->report;
     at->suspects += of.suspect ? 1 : 0;
   }
   SetPhase(step, of, request_phase::kRunning);
@@ -133,7 +135,6 @@
   of.held_attempt.reset();
   SetCurrent(step, of, target);
   of.running = wire::outcome::kUnknown;
-  ++to.sent_since_report;
   Note(step, of, "submitted", target.agent, base::ToString(target.attempt));
   step.Emit(send_work{to.link, MakeSubmit(step, of, target)});
 }
@@ -155,6 +156,11 @@
   step.state.request_of_attempt.erase(of.current->id);
   if (agent* at = FindAgent(step.state, of.current->agent)) {
     at->in_flight -= std::min(at->in_flight, 1U);
+    // Reports come only when the load changes, so they don't reset the count
+    // of attempts that were short.
+    if (of.current->report == at->report) {
+      at->sent_since_report -= std::min(at->sent_since_report, 1U);
+    }
     at->suspects -= of.suspect ? std::min(at->suspects, 1U) : 0;
   }
   of.current.reset();
@@ -184,9 +190,10 @@
   // A plain body that was sent on in part can't be continued elsewhere.
   const bool resumable =
       of.kind != wire::work_kind::kPlain || !of.stream_started;
-  // Suspects are bounded by their crashes, and innocent ones must be answered.
+  // A crash takes many requests at once, which must all be answered; attempts
+  // and crashes bound them without the budget.
   if (!resumable || of.attempts >= kMaxAttempts || !in_time ||
-      (!of.suspect && !TakeRetry(step))) {
+      (!of.ran_at_crash && !of.suspect && !TakeRetry(step))) {
     GiveUp(step, of, std::move(otherwise));
     return;
   }
--- a/src/libwisteriaroute/entry/state.h
+++ b/src/libwisteriaroute/entry/state.h
@@ -32,7 +32,10 @@
   std::optional<wire::agent_state> state;
   wire::load_report load;
   std::uint32_t in_flight = 0;
+  /** Open attempts that the last load report can't include. */
   std::uint32_t sent_since_report = 0;
+  /** Number of the last load report. */
+  std::uint64_t report = 0;
   std::uint32_t suspects = 0;
   /** Failures in a row, and until when they keep it out of rotation. */
   std::uint32_t failures = 0;
@@ -65,6 +68,13 @@
   std::uint32_t finished_before = 0;
 };
 
+/** The loss of a backend server, and the suspects that ran there. */
+struct crash {
+  std::string agent;
+  std::uint64_t backend_incarnation = 0;
+  std::vector<base::digest128> known;
+};
+
 struct entry_state {
   entry_settings settings;
   std::string name;
@@ -104,6 +114,8 @@
   std::size_t queued = 0;
 
   std::unordered_map<base::digest128, wire::quarantine_entry> quarantine;
+  /** The last ones. */
+  std::deque<crash> crashes;
   /** Times of requests and retries of the last 10 s, by second. */
   std::map<base::time_us, std::pair<std::uint32_t, std::uint32_t>> recent;
   base::time_us rate_window_us = 0;
--- a/tests/process/agent_process_test.cc
+++ b/tests/process/agent_process_test.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <csignal>
+#include <fstream>
 
 #include <nlohmann/json.hpp>
 
@@ -107,6 +108,16 @@
   }
 }
 
+double ResidentKib(int pid) {
+  std::ifstream status("/proc/" + std::to_string(pid) + "/status");
+  std::string word;
+  while (status >> word && word != "VmRSS:") {
+  }
+  double kib = 0;
+  status >> kib;
+  return kib;
+}
+
 TEST_CASE("an agent beside an engine") {
   auto backend = std::make_unique<child_process>(
       "wisteriaroute-standin",
@@ -135,6 +146,15 @@
         harness.at(work.attempt).text.ends_with(harness.at(rest.attempt).text));
   }
 
+#ifndef __SANITIZE_ADDRESS__
+  SUBCASE("is small while it is idle") {
+    harness.RunFor(4'000'000);
+    const double resident = ResidentKib(harness.agent().pid());
+    MESSAGE("resident KiB with two links: ", resident);
+    CHECK(resident < 16 * 1024);
+  }
+#endif
+
   SUBCASE("opens a stream again that went silent") {
     harness.Http("POST", "/faults", R"({"silent_streams": 1})");
     const wire::submit work = Completion(harness, "a prompt", 40);
@@ -158,6 +178,22 @@
     CHECK(harness.RunUntil([&] { return harness.at(next.attempt).finished; }));
   }
 
+  // Guards against suspects that did nothing but run while the agent paused.
+  SUBCASE("doesn't take its own pause for a loss of the server") {
+    const std::uint64_t before = harness.state().backend_incarnation;
+    const wire::submit work = Completion(harness, "a prompt", 2'000);
+    harness.Send(work);
+    REQUIRE(harness.RunUntil(
+        [&] { return harness.at(work.attempt).end_offset > 3; }));
+    harness.agent().Signal(SIGSTOP);
+    harness.RunFor(2'500'000);
+    harness.agent().Signal(SIGCONT);
+    REQUIRE(harness.Ready());
+    harness.RunFor(1'000'000);
+    CHECK(harness.state().backend_incarnation == before);
+    CHECK(Of<wire::suspect_report>(harness).empty());
+  }
+
   SUBCASE("takes a frozen server out of rotation") {
     const std::uint64_t before = harness.state().backend_incarnation;
     backend->Signal(SIGSTOP);
