--- a/scripts/demo_system.py
+++ b/scripts/demo_system.py
@@ -169,8 +169,11 @@
                 replica["name"], data_center, replica["address"], "control",
                 {"data_dir": str(self.directory / "data" / replica["name"]),
                  "replicas": replicas})
-            self.start(replica["name"], "wisteriaroute-control",
-                       ["--settings", str(path), "--bootstrap"])
+            program = "wisteriaroute-control"
+            subprocess.run([str(self.build / program), "--settings", str(path),
+                            "--bootstrap"], check=True,
+                           stdout=subprocess.DEVNULL)
+            self.start(replica["name"], program, ["--settings", str(path)])
 
     def start_servers(self):
         shape = self.shape
--- a/src/control/daemon.cc
+++ b/src/control/daemon.cc
@@ -20,7 +20,7 @@
 
 }  // namespace
 
-daemon::daemon(net::loop& event_loop, control_settings settings, bool bootstrap)
+daemon::daemon(net::loop& event_loop, control_settings settings)
     : event_loop_(event_loop),
       settings_(std::move(settings)),
       incarnation_(base::RandomU64()),
@@ -46,7 +46,6 @@
                              std::string_view) { HandleDown(link); }}),
       raft_(event_loop,
             settings_,
-            bootstrap,
             {.on_effect =
                  [this](const raft::effect& effect) { HandleRaft(effect); },
              .on_failed = [this](const std::string& reason) { Fail(reason); }}),
--- a/src/control/daemon.h
+++ b/src/control/daemon.h
@@ -20,7 +20,7 @@
 class daemon {
  public:
   /** Opens the data directory. Throws if it is damaged or in use. */
-  daemon(net::loop& event_loop, control_settings settings, bool bootstrap);
+  daemon(net::loop& event_loop, control_settings settings);
 
   /** Accepts links and joins the other replicas. */
   void Start();
--- a/src/control/main.cc
+++ b/src/control/main.cc
@@ -5,6 +5,7 @@
 #include <iostream>
 #include <string>
 
+#include "control/bootstrap.h"
 #include "control/daemon.h"
 #include "libwisteriaroute/base/log.h"
 #include "libwisteriaroute/base/toml_reader.h"
@@ -14,8 +15,8 @@
 DEFINE_bool(check_settings, false, "check the settings file and exit");
 DEFINE_bool(bootstrap,
             false,
-            "first start of a new cluster only: begin as a voter with an empty "
-            "data directory; never use it for a replica that lost its disk");
+            "make the data directory of a first voter of a new cluster and "
+            "exit; never use it for a replica that lost its disk");
 
 namespace {
 
@@ -24,7 +25,8 @@
 constexpr char kUsage[] =
     "A replica of wisteriaroute's control: the replicated log, sessions of\n"
     "entries and agents, configuration and claims.\n\n"
-    "  wisteriaroute-control --settings FILE [--bootstrap]\n"
+    "  wisteriaroute-control --settings FILE --bootstrap\n"
+    "  wisteriaroute-control --settings FILE\n"
     "  wisteriaroute-control --settings FILE --check-settings\n\n"
     "The settings file:\n\n"
     "  [process]\n"
@@ -46,7 +48,7 @@
 int RunDaemon(control::control_settings settings) {
   base::InitializeLog(settings.process.name, settings.process.log_level);
   net::loop event_loop;
-  control::daemon daemon(event_loop, std::move(settings), FLAGS_bootstrap);
+  control::daemon daemon(event_loop, std::move(settings));
   event_loop.OnSignal(SIGTERM, [&] { daemon.Shutdown(); });
   event_loop.OnSignal(SIGINT, [&] { daemon.Shutdown(); });
   daemon.Start();
@@ -72,6 +74,14 @@
     std::cout << FLAGS_settings << ": no faults\n";
     return 0;
   }
+  if (FLAGS_bootstrap) {
+    // A step of its own, so that the flag can't stay in a unit file: with it a
+    // replica that lost its disk would vote again in terms it voted in before.
+    control::Bootstrap(settings);
+    std::cout << settings.data_dir << ": made for " << settings.process.name
+              << "\n";
+    return 0;
+  }
   return RunDaemon(std::move(settings));
 }
 
--- a/src/control/raft_runner.cc
+++ b/src/control/raft_runner.cc
@@ -9,11 +9,10 @@
 
 raft_runner::raft_runner(net::loop& event_loop,
                          const control_settings& settings,
-                         bool bootstrap,
                          raft_runner_callbacks callbacks)
     : callbacks_(std::move(callbacks)),
       store_(settings.data_dir),
-      state_(raft::MakeState(settings.process.name, Open(settings, bootstrap))),
+      state_(raft::MakeState(settings.process.name, Open(settings))),
       writer_(event_loop.ev(),
               store_,
               {.on_persisted =
@@ -26,32 +25,15 @@
                    }}),
       tick_(event_loop.ev(), [this] { Post(raft::tick{}); }) {}
 
-raft::stored_state raft_runner::Open(const control_settings& settings,
-                                     bool bootstrap) {
+raft::stored_state raft_runner::Open(const control_settings& settings) {
   if (!store_.empty()) {
-    if (bootstrap) {
-      base::LogWarning("bootstrap_ignored",
-                       {{"reason", "the data directory isn't empty"}});
-    }
     return store_.TakeContent();
   }
-  raft::stored_state initial;
-  if (bootstrap) {
-    wire::replica_list voters;
-    for (const replica_address& replica : settings.replicas) {
-      voters.push_back({.name = replica.name,
-                        .address = replica.address,
-                        .identity = raft::kBootstrapIdentity,
-                        .voter = true});
-    }
-    initial = raft::MakeBootstrapped(voters);
-  } else {
-    initial = raft::MakeEmpty(base::RandomU64());
-  }
+  const raft::stored_state initial = raft::MakeEmpty(base::RandomU64());
   store_.Initialize(initial);
-  base::LogInfo("data_directory_created",
-                {{"path", settings.data_dir},
-                 {"voter", bootstrap ? "yes" : "not until it holds the log"}});
+  base::LogInfo(
+      "data_directory_created",
+      {{"path", settings.data_dir}, {"voter", "not until it holds the log"}});
   return initial;
 }
 
--- a/src/control/raft_runner.h
+++ b/src/control/raft_runner.h
@@ -26,7 +26,6 @@
   /** Opens the data directory. Throws if it is damaged. */
   raft_runner(net::loop& event_loop,
               const control_settings& settings,
-              bool bootstrap,
               raft_runner_callbacks callbacks);
 
   /** Begins elections. The snapshot, if any, was read by `stored_snapshot`. */
@@ -41,7 +40,7 @@
   const raft::raft_state& state() const { return state_; }
 
  private:
-  raft::stored_state Open(const control_settings& settings, bool bootstrap);
+  raft::stored_state Open(const control_settings& settings);
   void Handle(const raft::event& event);
 
   raft_runner_callbacks callbacks_;
--- a/src/libwisteriaroute/storage/log_store.cc
+++ b/src/libwisteriaroute/storage/log_store.cc
@@ -69,7 +69,7 @@
           metadata.string() +
           " is missing, so it isn't known how this replica voted. If the "
           "other replicas are in order, empty the directory and start it "
-          "again without --bootstrap.");
+          "again.");
     }
     return;
   }
--- a/tests/process/control_failure_test.cc
+++ b/tests/process/control_failure_test.cc
@@ -142,7 +142,7 @@
     }
     system.Kill(follower);
     std::filesystem::remove_all(system.directory() + "/data/" + follower);
-    system.Restart(follower, true);
+    system.Restart(follower);
     const bool votes =
         system.RunUntil([&] { return VotesAgain(system, follower); });
     INFO(system.Read("members")["replicas"].dump());
--- a/tests/process/control_process_harness.cc
+++ b/tests/process/control_process_harness.cc
@@ -112,17 +112,28 @@
       << "\"\nsnapshot_entries = 200\nreplicas = [" << replicas << "]\n";
 }
 
+void control_harness::Bootstrap(std::size_t replica) {
+  const std::string line = ProgramPath() + " --settings " +
+                           Path(replica, ".toml") + " --bootstrap > /dev/null";
+  if (std::system(line.c_str()) != 0) {
+    throw std::runtime_error("the data directory can't be made");
+  }
+}
+
 void control_harness::Start(std::size_t replica, bool bootstrap) {
   const std::string program = ProgramPath();
   const std::string settings = Path(replica, ".toml");
   const std::string log = Path(replica, ".log");
+  if (bootstrap) {
+    Bootstrap(replica);
+  }
   const pid_t pid = fork();
   if (pid == 0) {
     const int output = open(log.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0600);
     dup2(output, STDOUT_FILENO);
     dup2(output, STDERR_FILENO);
     execl(program.c_str(), program.c_str(), "--settings", settings.c_str(),
-          bootstrap ? "--bootstrap" : nullptr, nullptr);
+          nullptr);
     _exit(127);
   }
   pids_[replica] = pid;
--- a/tests/process/control_process_harness.h
+++ b/tests/process/control_process_harness.h
@@ -64,6 +64,7 @@
   std::vector<std::string> addresses;
 
  private:
+  void Bootstrap(std::size_t replica);
   struct member_process;
 
   void WriteSettings(std::size_t replica);
--- a/tests/process/demo_system.cc
+++ b/tests/process/demo_system.cc
@@ -289,12 +289,9 @@
   processes_.at(name).is_child = false;
 }
 
-void demo_system::Restart(const std::string& name, bool without_bootstrap) {
+void demo_system::Restart(const std::string& name) {
   process& target = processes_.at(name);
   std::vector<std::string> command = target.command;
-  if (without_bootstrap) {
-    std::erase(command, "--bootstrap");
-  }
   const std::string log = directory_ + "/log/" + name + ".log";
   target.pid = fork();
   target.is_child = true;
--- a/tests/process/demo_system.h
+++ b/tests/process/demo_system.h
@@ -87,7 +87,7 @@
   /** Sends SIGTERM and waits for the end. */
   void Terminate(const std::string& process);
   /** Starts a process that has ended, with its first command line. */
-  void Restart(const std::string& process, bool without_bootstrap = false);
+  void Restart(const std::string& process);
 
  private:
   struct process {
