agent: don't end an attempt through a reference into the queue

AddressSanitizer reported a heap use after free in agent_property_test: when the backend server was lost, waiting attempts were ended by the id inside the queue's first entry, which is erased on the way. Ids are now passed by value.

--- a/src/libwisteriaroute/agent/attempts.cc
+++ b/src/libwisteriaroute/agent/attempts.cc
@@ -201,7 +201,7 @@
 }
 
 void EndNeverRun(step_context& context,
-                 const wire::attempt_id& id,
+                 wire::attempt_id id,
                  wire::refusal_reason reason) {
   attempt& target = context.state.attempts.at(id);
   EndWork(context, id);
@@ -214,7 +214,7 @@
 }
 
 void EndFailed(step_context& context,
-               const wire::attempt_id& id,
+               wire::attempt_id id,
                wire::failure_reason reason,
                wire::outcome ran,
                const std::vector<base::digest128>& ran_beside) {
--- a/src/libwisteriaroute/agent/step_context.h
+++ b/src/libwisteriaroute/agent/step_context.h
@@ -38,11 +38,13 @@
 void Publish(step_context& context,
              const attempt& target,
              const wire::work_message& message);
+/** Ids are passed by value: callers name those in the containers that change.
+ */
 void EndNeverRun(step_context& context,
-                 const wire::attempt_id& id,
+                 wire::attempt_id id,
                  wire::refusal_reason reason);
 void EndFailed(step_context& context,
-               const wire::attempt_id& id,
+               wire::attempt_id id,
                wire::failure_reason reason,
                wire::outcome ran,
                const std::vector<base::digest128>& ran_beside = {});
