--- a/src/libwisteriaroute/entry/attempts.cc
+++ b/src/libwisteriaroute/entry/attempts.cc
@@ -101,7 +101,8 @@
                        .agent = target.agent,
                        .backend_incarnation = target.backend_incarnation,
                        .window = target.window,
-                       .started_us = step.now_us};
+                       .started_us = step.now_us,
+                       .heard_us = step.now_us};
   step.state.request_of_attempt[target.attempt] = of.number;
   if (agent* at = FindAgent(step.state, target.agent)) {
     ++at->in_flight;
--- a/src/libwisteriaroute/entry/request.h
+++ b/src/libwisteriaroute/entry/request.h
@@ -50,6 +50,8 @@
   base::time_us started_us = 0;
   /** The agent's last load report when this was sent. */
   std::uint64_t report = 0;
+  /** When the agent last sent something of it, or was asked about it. */
+  base::time_us heard_us = 0;
   /** When the link to the agent was lost; 0 while it is up. */
   base::time_us detached_us = 0;
 };
@@ -69,6 +71,8 @@
   std::optional<wire::finish> end;
   /** Parts of `text` were dropped after they were sent on. */
   bool forwarded = false;
+  /** Events of a plain service, sent on as they come. */
+  bool live = false;
   std::uint64_t acked = 0;
   /** Since when a part is missing; 0: none is. */
   base::time_us missing_since_us = 0;
--- a/src/libwisteriaroute/entry/resend.cc
+++ b/src/libwisteriaroute/entry/resend.cc
@@ -19,6 +19,14 @@
           .message = "the call was dispatched and its outcome isn't known"};
 }
 
+// An attempt of which nothing is heard for this long on a link that is up may
+// have missed its agent. Prefilling takes less.
+constexpr base::time_us kSilentUs = 10'000'000;
+
+wire::query QueryOf(const attempt& of) {
+  return {of.id, of.backend_incarnation, of.window};
+}
+
 void Ask(step_context& step, request& of, const agent& at) {
   of.query_sent = true;
   step.Emit(send_work{
@@ -129,6 +137,15 @@
   }
 }
 
+void AskIfSilent(step_context& step, request& of) {
+  const agent* at = FindAgent(step.state, of.current->agent);
+  if (at != nullptr && at->link != 0 && of.current->detached_us == 0 &&
+      step.now_us - of.current->heard_us >= kSilentUs) {
+    of.current->heard_us = step.now_us;
+    step.Emit(send_work{at->link, QueryOf(*of.current)});
+  }
+}
+
 void CheckLocating(step_context& step, request& of) {
   if (of.phase != request_phase::kLocating ||
       step.now_us - of.phase_since_us <
--- a/src/libwisteriaroute/entry/resend.h
+++ b/src/libwisteriaroute/entry/resend.h
@@ -14,6 +14,9 @@
 /** Answer of an agent to cancel, query or attach. */
 void HandleStatus(step_context& step, const wire::attempt_status& status);
 
+/** Asks about an attempt of which nothing was heard for long. */
+void AskIfSilent(step_context& step, request& of);
+
 /** Ends a search that took too long, or whose agent is gone. */
 void CheckLocating(step_context& step, request& of);
 
--- a/src/libwisteriaroute/entry/streaming.cc
+++ b/src/libwisteriaroute/entry/streaming.cc
@@ -1,6 +1,7 @@
 #include "libwisteriaroute/entry/streaming.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "libwisteriaroute/entry/admission.h"
@@ -39,24 +40,35 @@
   return CountsTokens(of) && of.stream;
 }
 
+std::string Lower(std::string_view text) {
+  std::string out(text);
+  for (char& c : out) {
+    c = static_cast<char>(c >= 'A' && c <= 'Z' ? c + 32 : c);
+  }
+  return out;
+}
+
 wire::header_list ForCaller(const wire::header_list& headers) {
+  constexpr std::string_view kHopByHop[] = {
+      "connection", "keep-alive", "transfer-encoding", "content-length",
+      "trailer",    "upgrade",    "proxy-connection",  "x-request-id"};
   wire::header_list out;
-  for (const auto& [name, value] : headers) {
-    std::string lower(name);
-    std::transform(
-        lower.begin(), lower.end(), lower.begin(), [](unsigned char c) {
-          return static_cast<char>(c >= 'A' && c <= 'Z' ? c + 32 : c);
-        });
-    if (lower != "connection" && lower != "keep-alive" &&
-        lower != "transfer-encoding" && lower != "content-length" &&
-        lower != "trailer" && lower != "upgrade" && lower != "x-request-id" &&
-        lower != "proxy-connection") {
-      out.emplace_back(name, value);
+  for (const auto& header : headers) {
+    if (std::find(std::begin(kHopByHop), std::end(kHopByHop),
+                  Lower(header.first)) == std::end(kHopByHop)) {
+      out.push_back(header);
     }
   }
   return out;
 }
 
+bool IsLive(const wire::header_list& headers) {
+  return std::any_of(headers.begin(), headers.end(), [](const auto& header) {
+    return Lower(header.first) == "content-type" &&
+           Lower(header.second).starts_with("text/event-stream");
+  });
+}
+
 void AckPlain(step_context& step, request& of) {
   response_state& response = of.response;
   if (of.non_repeatable || response.offset - response.acked < kAckBytes) {
@@ -73,7 +85,8 @@
 void ForwardPlain(step_context& step, request& of) {
   response_state& response = of.response;
   if (of.non_repeatable || of.answered || !response.head_seen ||
-      (!of.stream_started && response.text.size() <= kBufferedBytes)) {
+      (!of.stream_started && !response.live &&
+       response.text.size() <= kBufferedBytes)) {
     return;
   }
   StartStream(step, of, response.status, response.headers);
@@ -182,6 +195,7 @@
     return nullptr;
   }
   of->running = wire::outcome::kRan;
+  of->current->heard_us = step.now_us;
   return of;
 }
 
@@ -207,6 +221,7 @@
   response.head_seen = true;
   response.status = message.status;
   response.headers = ForCaller(message.headers);
+  response.live = plain && IsLive(response.headers);
   step.Emit(latency_metric{"wisteriaroute_head_seconds",
                            step.now_us - of->arrived_us});
   if (IsEventStream(*of)) {
--- a/src/libwisteriaroute/entry/timeouts.cc
+++ b/src/libwisteriaroute/entry/timeouts.cc
@@ -60,6 +60,7 @@
   }
   KeepAlive(step, of);
   RequestMissing(step, of);
+  AskIfSilent(step, of);
   CheckDetached(step, of);
 }
 
--- a/src/libwisteriaroute/entry/validation.cc
+++ b/src/libwisteriaroute/entry/validation.cc
@@ -53,6 +53,28 @@
   return true;
 }
 
+bool Lists(std::string_view connection, std::string_view name) {
+  while (!connection.empty()) {
+    const std::size_t comma = std::min(connection.find(','), connection.size());
+    std::string_view option = connection.substr(0, comma);
+    connection.remove_prefix(std::min(comma + 1, connection.size()));
+    while (option.starts_with(' ')) {
+      option.remove_prefix(1);
+    }
+    while (option.ends_with(' ')) {
+      option.remove_suffix(1);
+    }
+    if (option.size() == name.size() &&
+        std::equal(option.begin(), option.end(), name.begin(),
+                   [](char a, char b) {
+                     return (a >= 'A' && a <= 'Z' ? a + 32 : a) == b;
+                   })) {
+      return true;
+    }
+  }
+  return false;
+}
+
 // Headers named by Connection apply to the first hop only, too.
 wire::header_list Forwarded(const net::http_headers& headers,
                             std::string_view connection) {
@@ -60,7 +82,7 @@
   for (const auto& [name, value] : headers) {
     const bool listed = std::find(kNotForwarded.begin(), kNotForwarded.end(),
                                   name) != kNotForwarded.end();
-    if (!listed && connection.find(name) == std::string_view::npos) {
+    if (!listed && !Lists(connection, name)) {
       out.emplace_back(name, value);
     }
   }
@@ -201,8 +223,8 @@
                       std::all_of(given.begin(), given.end(),
                                   [](char c) { return c > ' ' && c < 0x7f; });
   return usable ? std::string(given)
-                : "req-" + base::ToString(base::digest128{state.incarnation,
-                                                          state.next_request});
+                : "req-" + base::ToString(base::digest128{
+                               state.incarnation, state.next_request_id++});
 }
 
 std::variant<request, error_reply> Validate(const entry_state& state,
--- a/tests/entry/fake_agent.h
+++ b/tests/entry/fake_agent.h
@@ -192,8 +192,11 @@
     }
     added.links.insert(link);
     added.produced = work.resume_offset;
-    if (work.resume_text !=
-        WholeText(work.body).substr(0, work.resume_text.size())) {
+    std::string so_far;
+    for (std::uint64_t i = 0; i < work.resume_offset; ++i) {
+      so_far += Token(work.body, i);
+    }
+    if (work.resume_text != so_far) {
       ++wrong_resumes;
     }
     on_run(work);
