entry: agents restart in the random schedules

Cause: with the answer for a forgotten attempt taken as never run, all properties still passed, because the fake agent never forgot. Change: agents also restart and forget.

--- a/tests/entry/entry_property_test.cc
+++ b/tests/entry/entry_property_test.cc
@@ -158,7 +158,12 @@
   }
   for (int i = 0; i < crashes; ++i) {
     sim.At(static_cast<base::time_us>(sim.Random(1'500'000)), [&sim] {
-      sim.Crash("agent-" + std::to_string(sim.Random(4)), 500'000);
+      const auto agent = "agent-" + std::to_string(sim.Random(4));
+      if (sim.Chance(50)) {
+        sim.Crash(agent, 500'000);
+      } else {
+        sim.Restart(agent);
+      }
     });
   }
 }
--- a/tests/entry/world.h
+++ b/tests/entry/world.h
@@ -185,6 +185,16 @@
        [this] { SendQuarantine(); });
   }
 
+  /** The agent's process starts anew and remembers nothing. */
+  void Restart(const std::string& name) {
+    fake_agent& of = agents.at(name);
+    of.runs.clear();
+    ++of.incarnation;
+    for (std::size_t i = 0; i < entries.size(); ++i) {
+      CutLink(static_cast<int>(i), name, 200'000);
+    }
+  }
+
   void SendQuarantine() {
     wire::quarantine_update update{.full = true};
     for (const auto& [fingerprint, entry] : control.quarantine) {
