--- a/bench/agent_bench.cc
+++ b/bench/agent_bench.cc
@@ -13,6 +13,7 @@
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <string>
@@ -219,6 +220,7 @@
     kill(child, SIGTERM);
     waitpid(child, nullptr, 0);
   }
+  std::filesystem::remove_all(folder);
   return kib;
 }
 
--- a/tests/process/agent_process_harness.cc
+++ b/tests/process/agent_process_harness.cc
@@ -6,6 +6,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <filesystem>
 #include <fstream>
 #include <stdexcept>
 
@@ -116,6 +117,11 @@
   dial_ = hub_->Dial(agent_->address());
 }
 
+agent_harness::~agent_harness() {
+  std::error_code ignored;
+  std::filesystem::remove_all(folder_, ignored);
+}
+
 bool agent_harness::RunUntil(const std::function<bool()>& condition,
                              base::time_us limit_us) {
   const base::time_us limit = base::MonotonicUs() + limit_us;
--- a/tests/process/agent_process_harness.h
+++ b/tests/process/agent_process_harness.h
@@ -56,6 +56,9 @@
   /** Starts an agent for a stand-in with these lines in `[agent]`. */
   agent_harness(const std::string& backend_address,
                 const std::string& agent_lines);
+  ~agent_harness();
+  agent_harness(const agent_harness&) = delete;
+  agent_harness& operator=(const agent_harness&) = delete;
 
   bool RunUntil(const std::function<bool()>& condition,
                 base::time_us limit_us = 10'000'000);
