--- a/tests/entry/entry_property_test.cc
+++ b/tests/entry/entry_property_test.cc
@@ -182,6 +182,8 @@
 
 }  // namespace
 
+// Guards against lost, repeated or mixed-up parts of responses, wrong resumes,
+// and state that is left behind.
 TEST_CASE("every caller gets its own whole response exactly once") {
   const bool held = CheckSchedules([](std::uint64_t seed) {
     world sim(seed, 2, 4);
@@ -205,6 +207,8 @@
   CHECK(held);
 }
 
+// Guards against a second run of an order, and against `not_run` for one that
+// ran or runs later.
 TEST_CASE("an order runs at most once, through any entry, under faults") {
   const bool held = CheckSchedules([](std::uint64_t seed) {
     world sim(seed, 3, 4);
@@ -235,6 +239,8 @@
   return R"({"model":"m","prompt":")" + text + "\"}";
 }
 
+// Guards against culprits that reach a third server, and against innocent
+// requests that are given up with them.
 TEST_CASE("a request that crashes servers reaches two, and no other suffers") {
   const bool held = CheckSchedules([](std::uint64_t seed) {
     world sim(seed, 2, 8);
