policy: refuse early by run time, decide without branches

Early refusal compared only the drain time of the queue with the deadline, so at twice capacity accepted requests started too late to finish. Choose uses tables in place of unpredictable branches.

--- a/src/libwisteriaroute/entry/admission.cc
+++ b/src/libwisteriaroute/entry/admission.cc
@@ -3,11 +3,15 @@
 #include <algorithm>
 #include <cmath>
 
+#include "libwisteriaroute/policy/admission.h"
+
 namespace wisteriaroute::entry {
 
 namespace {
 
 constexpr base::time_us kRateWindowUs = 5'000'000;
+// Weight of one more answer in the mean run time.
+constexpr double kRunWeight = 1.0 / 32;
 constexpr std::int64_t kMaxRetryAfterS = 60;
 // Parents of workspaces are checked for cycles when published; this bounds
 // the walk if a faulty set gets through.
@@ -53,14 +57,18 @@
          (static_cast<double>(kRateWindowUs) + in_window);
 }
 
+policy::queue_load Load(const step_context& step, const pool& of) {
+  return {.waiting = of.waiting.size(),
+          .finished_per_s = FinishedPerS(step, of),
+          .run_us = of.run_us};
+}
+
 double DrainSeconds(const step_context& step, std::string_view name) {
   const auto found = step.state.pools.find(name);
   if (found == step.state.pools.end()) {
     return 1;
   }
-  const double rate = FinishedPerS(step, found->second);
-  return rate > 0 ? static_cast<double>(found->second.waiting.size()) / rate
-                  : 1;
+  return policy::DrainSeconds(Load(step, found->second));
 }
 
 std::optional<error_reply> CheckLimits(
@@ -118,10 +126,10 @@
                        .ran = of.settled,
                        .retry_after_s = RetryAfter(step, of.pool)};
   }
-  const double wait_s =
-      found->second.waiting.empty() ? 0 : DrainSeconds(step, of.pool);
-  if (of.deadline_us != 0 && FinishedPerS(step, found->second) > 0 &&
-      wait_s * 1e6 > static_cast<double>(of.deadline_us - step.now_us)) {
+  if (of.deadline_us != 0 &&
+      !policy::CanMeetDeadline(
+          Load(step, found->second),
+          static_cast<double>(of.deadline_us - step.now_us))) {
     return error_reply{.status = 503,
                        .code = "deadline_unreachable",
                        .message = "the queue is longer than the deadline",
@@ -170,7 +178,15 @@
 void CountFinished(step_context& step, const request& of) {
   const auto found = step.state.pools.find(of.pool);
   if (found != step.state.pools.end()) {
-    ++found->second.finished;
+    pool& in = found->second;
+    ++in.finished;
+    if (of.current) {
+      const auto run_us =
+          static_cast<double>(step.now_us - of.current->started_us);
+      in.run_us = in.run_us == 0
+                      ? run_us
+                      : in.run_us + (run_us - in.run_us) * kRunWeight;
+    }
   }
 }
 
--- a/src/libwisteriaroute/entry/state.h
+++ b/src/libwisteriaroute/entry/state.h
@@ -66,6 +66,8 @@
   /** Completions in the current and the last window, for Retry-After. */
   std::uint32_t finished = 0;
   std::uint32_t finished_before = 0;
+  /** Mean time from dispatch to the end of recent answers. */
+  double run_us = 0;
 };
 
 /** The loss of a backend server, and the suspects that ran there. */
--- a/src/libwisteriaroute/policy/routing.cc
+++ b/src/libwisteriaroute/policy/routing.cc
@@ -17,6 +17,9 @@
 constexpr double kPrefillUsPerToken = 50;
 constexpr double kOtherDataCenterUs = 1'000;
 constexpr double kOtherRegionUs = 100'000;
+// By same region and same data centre.
+constexpr double kPlaceUs[2][2] = {{kOtherRegionUs, kOtherRegionUs},
+                                   {kOtherDataCenterUs, 0}};
 constexpr double kFailureUs = 250'000;
 // Waits that differ by less are equal for a caller; choosing at random among
 // them keeps several entries from picking the same server.
@@ -54,12 +57,9 @@
   const std::uint32_t cached =
       std::min(candidate.cached_tokens, request.prompt_tokens);
   const double prefill = (request.prompt_tokens - cached) * kPrefillUsPerToken;
-  double place = 0;
-  if (!candidate.same_region) {
-    place = kOtherRegionUs;
-  } else if (!candidate.same_data_center) {
-    place = kOtherDataCenterUs;
-  }
+  // Tables instead of branches, which can't be predicted here.
+  const double place =
+      kPlaceUs[candidate.same_region][candidate.same_data_center];
   return wait + step + occupied * per_slot + prefill + place +
          candidate.failures * kFailureUs;
 }
@@ -68,11 +68,12 @@
                                   const routing_request& request,
                                   std::uint64_t random) {
   constexpr double kNever = std::numeric_limits<double>::infinity();
+  constexpr double kRoomUs[2] = {kNever, 0};
   std::vector<double> waits(candidates.size());
   double least = kNever;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
-    waits[i] = HasRoom(candidates[i]) ? ExpectedWaitUs(candidates[i], request)
-                                      : kNever;
+    waits[i] = ExpectedWaitUs(candidates[i], request) +
+               kRoomUs[HasRoom(candidates[i])];
     least = std::min(least, waits[i]);
   }
   if (least == kNever) {
