policy: count what is sent on a report in the routing bench

The bench left out requests that an entry sent in the same step in which a report arrived, so that a whole queue went to one server, and the entries always received reports in the same order.

--- a/bench/routing_bench.cc
+++ b/bench/routing_bench.cc
@@ -251,7 +251,11 @@
     reports_.pop_front();
     for (std::size_t i = 0; i < kEntries; ++i) {
       entries_[i].reports[of.engine] = of;
-      Drain(i);
+    }
+    // A report reaches the entries in no fixed order.
+    const std::size_t first = random_();
+    for (std::size_t i = 0; i < kEntries; ++i) {
+      Drain((first + i) % kEntries);
     }
   }
 
@@ -300,7 +304,7 @@
       const report& last = at.reports[i];
       std::uint32_t since = 0;
       for (const std::size_t open : at.open[i]) {
-        since += calls[open].sent_us > last.received_us ? 1 : 0;
+        since += calls[open].sent_us >= last.received_us ? 1 : 0;
       }
       const bool cached = std::find(last.prefixes.begin(), last.prefixes.end(),
                                     of.prefix) != last.prefixes.end();
