control: expert maps are planned from reported tokens; failed orders resolved

Cause: 'rebalance' was answered and nothing happened, because no policy was connected; a rank that answered an arm, a decision or a formation with 'failed' left its group waiting for good. Change: the leader observes the tokens of each group once a map period (30 s) or on rebalance and stages a change that pays for itself; a failed arm is aborted and tried again at a later step; a failed decision or formation forms the group anew, at most once a second.

--- a/src/control/daemon_effects.cc
+++ b/src/control/daemon_effects.cc
@@ -53,8 +53,6 @@
     void operator()(const answer_timeline& request) const {
       self.AnswerTimeline(request);
     }
-    // No policy is linked yet; a wanted map comes as map_wanted.
-    void operator()(const consider_map&) const {}
     void operator()(const note_event& note) const { self.Note(note.event); }
   };
   std::visit(visitor{*this}, effect);
--- a/src/libwisteriaroute/control/admin.cc
+++ b/src/libwisteriaroute/control/admin.cc
@@ -93,7 +93,7 @@
       Refuse("not_found", "this group has not been formed");
       return;
     }
-    out.push_back(consider_map{request.group});
+    state.leading->groups[request.group].next_plan_us = 0;
     Reply(link, correlation,
           {.result = wire::admin_result::kOk, .json = R"({"asked":true})"},
           out);
--- a/src/libwisteriaroute/control/group_drive.cc
+++ b/src/libwisteriaroute/control/group_drive.cc
@@ -16,6 +16,8 @@
 constexpr base::time_us kArmLeadUs = 500'000;
 constexpr std::uint64_t kMinMarginSteps = 8;
 constexpr std::uint64_t kMaxMarginSteps = 100'000;
+// A group whose ranks can't carry out orders must not fill the log.
+constexpr base::time_us kFormPeriodUs = 1'000'000;
 
 /** The agent that serves a rank now. */
 struct rank_server {
@@ -179,13 +181,25 @@
                                    .retry = retry});
   }
 
+  /**
+   * Whether a rank failed to carry out a logged decision. It can't be taken
+   * back, so all ranks start again from the decided map in a new generation.
+   */
+  bool FormFailed(const group_state& group) const {
+    return drive.failed && (group.phase == group_phase::kForming ||
+                            group.phase == group_phase::kDeciding);
+  }
+
   /** Begins the next phase when all ranks have carried out this one's. */
   void Advance(const group_state& group) {
     if (drive.failed && group.phase == group_phase::kStaging) {
       ProposeDecision(group, false, false);
       return;
     }
-    if (drive.too_late && group.phase == group_phase::kArming) {
+    // A rank whose answer to an arm was lost may hold at the step; the abort
+    // under a new number frees it.
+    if ((drive.too_late || drive.failed) &&
+        group.phase == group_phase::kArming) {
       drive.margin_steps = std::min(drive.margin_steps * 2, kMaxMarginSteps);
       ProposeDecision(group, false, true);
       return;
@@ -259,6 +273,13 @@
       return;
     }
     EnterPhase(found->second);
+    if (FormFailed(found->second)) {
+      if (Complete(servers) && now.now_us >= drive.next_form_us) {
+        drive.next_form_us = now.now_us + kFormPeriodUs;
+        Form(wanted, servers);
+      }
+      return;
+    }
     SendOrders(found->second, servers);
     Advance(found->second);
   }
--- /dev/null
+++ b/src/libwisteriaroute/control/group_policy.cc
@@ -0,0 +1,119 @@
+#include "libwisteriaroute/control/group_policy.h"
+
+#include <algorithm>
+#include <limits>
+#include <vector>
+
+#include "libwisteriaroute/control/proposals.h"
+
+namespace wisteriaroute::control {
+
+namespace {
+
+// A first map would be changed on noise alone with fewer observations.
+constexpr std::uint64_t kMinObservations = 3;
+// Bounds of a rank's relative speed; outside them a report is taken as wrong.
+constexpr double kMinSpeed = 0.2;
+constexpr double kMaxSpeed = 2.0;
+
+std::vector<std::uint32_t> TakeTokens(group_drive& drive) {
+  std::vector<std::uint32_t> tokens;
+  tokens.reserve(drive.tokens.size());
+  for (const std::uint64_t count : drive.tokens) {
+    tokens.push_back(static_cast<std::uint32_t>(std::min<std::uint64_t>(
+        count, std::numeric_limits<std::uint32_t>::max())));
+  }
+  drive.tokens.clear();
+  return tokens;
+}
+
+base::time_us MedianStepTime(const group_drive& drive) {
+  std::vector<base::time_us> times;
+  for (const auto& [rank, report] : drive.reports) {
+    if (report.step_time_us > 0) {
+      times.push_back(report.step_time_us);
+    }
+  }
+  if (times.empty()) {
+    return 0;
+  }
+  const auto middle =
+      times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
+  std::nth_element(times.begin(), middle, times.end());
+  return *middle;
+}
+
+std::vector<double> RankSpeeds(const group_drive& drive,
+                               std::uint32_t ranks,
+                               base::time_us median_us) {
+  std::vector<double> speed(ranks, 1.0);
+  for (const auto& [rank, report] : drive.reports) {
+    if (rank < ranks && report.step_time_us > 0) {
+      speed[rank] =
+          std::clamp(static_cast<double>(median_us) / report.step_time_us,
+                     kMinSpeed, kMaxSpeed);
+    }
+  }
+  return speed;
+}
+
+void ConsiderMap(group_drive& drive,
+                 const group_state& group,
+                 const config::model_group& wanted) {
+  const std::size_t size =
+      static_cast<std::size_t>(wanted.layers * wanted.experts);
+  if (drive.tokens.size() != size || group.map.slots.empty()) {
+    drive.tokens.clear();
+    return;
+  }
+  if (drive.load.share.size() != size) {
+    drive.load =
+        policy::MakeExpertLoad(static_cast<std::uint32_t>(wanted.layers),
+                               static_cast<std::uint32_t>(wanted.experts));
+  }
+  policy::Observe(drive.load, TakeTokens(drive));
+  const base::time_us step_us = MedianStepTime(drive);
+  if (drive.load.observations < kMinObservations || step_us == 0) {
+    return;
+  }
+  const auto change = policy::PlanChange(
+      group.map, drive.load, RankSpeeds(drive, group.map.ranks, step_us),
+      PlanSettings(wanted, step_us));
+  if (change) {
+    drive.wanted = change->map;
+  }
+}
+
+}  // namespace
+
+policy::plan_settings PlanSettings(const config::model_group& group,
+                                   base::time_us step_time_us) {
+  const double step_s = static_cast<double>(step_time_us) / 1e6;
+  // Without a rate the weight store doesn't limit, so copies cost no time.
+  const bool limited = group.store_bytes_per_s > 0;
+  return {.skew_weight = group.skew_weight,
+          .cost_weight = group.cost_weight,
+          .expert_bytes = limited ? static_cast<double>(group.expert_bytes) : 0,
+          .store_bytes_per_s =
+              limited ? static_cast<double>(group.store_bytes_per_s) : 1,
+          .switch_pause_s = static_cast<double>(group.switch_pause_ms) / 1e3,
+          .layer_seconds = step_s / static_cast<double>(group.layers) *
+                           static_cast<double>(group.ranks),
+          .steps_per_s = 1 / step_s,
+          .max_copies = static_cast<std::uint32_t>(group.max_moves_per_change)};
+}
+
+void ConsiderMaps(replica_state& state, const step_time& now) {
+  for (const auto& [name, wanted] : CurrentConfig(state).model_groups) {
+    const auto found = state.durable.groups.groups.find(name);
+    group_drive& drive = state.leading->groups[name];
+    if (found == state.durable.groups.groups.end() ||
+        now.now_us < drive.next_plan_us || found->second.change) {
+      continue;
+    }
+    drive.next_plan_us = now.now_us + state.options.map_period_us;
+    ConsiderMap(drive, found->second, wanted);
+  }
+}
+
+}  // namespace wisteriaroute::control
--- a/src/libwisteriaroute/control/replica.cc
+++ b/src/libwisteriaroute/control/replica.cc
@@ -4,6 +4,7 @@
 
 #include "libwisteriaroute/control/admin.h"
 #include "libwisteriaroute/control/group_drive.h"
+#include "libwisteriaroute/control/group_policy.h"
 #include "libwisteriaroute/control/proposals.h"
 #include "libwisteriaroute/control/sessions.h"
 #include "libwisteriaroute/control/updates.h"
@@ -244,6 +245,7 @@
     ExpireSessions(state, now, out);
     FlushMembers(state, now, out);
     BeginConfirm(state, now, out);
+    ConsiderMaps(state, now);
     DriveGroups(state, now, out);
     if (now.now_us >= state.leading->next_clock_tick_us) {
       state.leading->next_clock_tick_us =
--- a/src/libwisteriaroute/control/replica.h
+++ b/src/libwisteriaroute/control/replica.h
@@ -14,6 +14,7 @@
 #include "libwisteriaroute/config/named_set.h"
 #include "libwisteriaroute/control/control_state.h"
 #include "libwisteriaroute/net/link_hub.h"
+#include "libwisteriaroute/policy/expert_load.h"
 #include "libwisteriaroute/wire/control_messages.h"
 
 namespace wisteriaroute::control {
@@ -32,6 +33,8 @@
   base::time_us confirm_interval_us = 10'000;
   base::time_us order_retry_us = 200'000;
   base::time_us clock_tick_us = 10'000'000;
+  /** Time between two looks at the expert map of a group. */
+  base::time_us map_period_us = 30'000'000;
 };
 
 /** The leader's view of one member. */
@@ -113,6 +116,10 @@
   std::map<std::uint32_t, rank_report> reports;
   /** Tokens per layer and expert since the last decision on the map. */
   std::vector<std::uint64_t> tokens;
+  policy::expert_load load;
+  base::time_us next_plan_us = 0;
+  /** Earliest time of the next attempt to form the group. */
+  base::time_us next_form_us = 0;
   std::optional<wire::expert_map> wanted;
 };
 
@@ -267,10 +274,6 @@
   std::uint64_t correlation = 0;
   base::timeline_filter filter;
 };
-/** A new map should be considered; may be answered by map_wanted. */
-struct consider_map {
-  std::string group;
-};
 /** A change of state for the time line and the log. */
 struct note_event {
   base::timeline_event event;
@@ -281,7 +284,6 @@
                                     confirm_leader,
                                     change_replica,
                                     answer_timeline,
-                                    consider_map,
                                     note_event>;
 using replica_effects = std::vector<replica_effect>;
 
--- a/tests/process/demo_system.cc
+++ b/tests/process/demo_system.cc
@@ -9,6 +9,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <filesystem>
+#include <fstream>
 #include <stdexcept>
 
 #include "libwisteriaroute/base/toml_reader.h"
@@ -235,6 +236,47 @@
   return count;
 }
 
+std::size_t demo_system::BookingCount(const std::string& standin) {
+  const auto list = Get(Standin(standin) + "/bookings");
+  return nlohmann::json::parse(list->body).at("count");
+}
+
+std::vector<std::string> demo_system::Controls() const {
+  return endpoints_["controls"];
+}
+
+std::string demo_system::AgentAddress(const std::string& agent) const {
+  for (const auto& each : endpoints_["agents"]) {
+    if (each["name"] == agent) {
+      return each["address"];
+    }
+  }
+  throw std::out_of_range("no agent " + agent);
+}
+
+std::string demo_system::SettingsPath(const std::string& name) const {
+  return directory_ + "/settings/" + name + ".toml";
+}
+
+void demo_system::AddSetting(const std::string& name,
+                             const std::string& key,
+                             const std::string& value) {
+  std::string text = base::ReadFile(SettingsPath(name));
+  const std::string header = "[process]\n";
+  text.insert(text.find(header) + header.size(), key + " = " + value + "\n");
+  std::ofstream(SettingsPath(name)) << text;
+}
+
+void demo_system::ReplaceSetting(const std::string& name,
+                                 const std::string& key,
+                                 const std::string& value) {
+  std::string text = base::ReadFile(SettingsPath(name));
+  const std::size_t first = text.find("\n" + key + " = ") + 1;
+  const std::size_t end = text.find('\n', first);
+  text.replace(first, end - first, key + " = " + value);
+  std::ofstream(SettingsPath(name)) << text;
+}
+
 bool demo_system::RunUntil(const std::function<bool()>& condition,
                            base::time_us limit_us) {
   const base::time_us limit = base::MonotonicUs() + limit_us;
@@ -268,6 +310,10 @@
   return status.is_object() ? status.value("leader", "") : "";
 }
 
+bool demo_system::IsRunning(const std::string& name) {
+  return !IsGone(processes_.at(name));
+}
+
 void demo_system::Signal(const std::string& name, int signal_number) {
   kill(processes_.at(name).pid, signal_number);
 }
@@ -293,6 +339,12 @@
   process& target = processes_.at(name);
   std::vector<std::string> command = target.command;
   const std::string log = directory_ + "/log/" + name + ".log";
+  // Closed by exec. Before that the child still has this program's signal
+  // handlers, and a signal for the daemon would end up in them.
+  int started[2];
+  if (pipe2(started, O_CLOEXEC) != 0) {
+    throw std::runtime_error("pipe failed");
+  }
   target.pid = fork();
   target.is_child = true;
   if (target.pid == 0) {
@@ -307,6 +359,10 @@
     execv(raw[0], raw.data());
     _exit(127);
   }
+  close(started[1]);
+  char unused = 0;
+  (void)!read(started[0], &unused, 1);
+  close(started[0]);
 }
 
 }  // namespace wisteriaroute::testing
--- a/tests/process/demo_system.h
+++ b/tests/process/demo_system.h
@@ -72,6 +72,20 @@
   /** Bookings that all plain stand-ins executed with this key. */
   std::size_t BookingsOf(const std::string& idempotency_key);
 
+  /** Bookings that a plain stand-in executed. */
+  std::size_t BookingCount(const std::string& standin);
+
+  std::vector<std::string> Controls() const;
+  std::string AgentAddress(const std::string& agent) const;
+  /** Adds a line to `[process]` of a process's settings. */
+  void AddSetting(const std::string& process,
+                  const std::string& key,
+                  const std::string& value);
+  /** Replaces a line of a process's settings. */
+  void ReplaceSetting(const std::string& process,
+                      const std::string& key,
+                      const std::string& value);
+
   /** Runs the loop until the condition holds; false after the limit. */
   bool RunUntil(const std::function<bool()>& condition,
                 base::time_us limit_us = 15'000'000);
@@ -81,6 +95,7 @@
   std::vector<std::string> Names(const std::string& prefix) const;
   std::string Leader() const;
 
+  bool IsRunning(const std::string& process);
   void Signal(const std::string& process, int signal_number);
   /** Sends SIGKILL and waits until the process is gone. */
   void Kill(const std::string& process);
@@ -98,6 +113,7 @@
   };
 
   command_result Script(const std::string& arguments) const;
+  std::string SettingsPath(const std::string& process) const;
   bool IsGone(process& target) const;
 
   std::string bin_;
--- /dev/null
+++ b/tests/process/silence_test.cc
@@ -0,0 +1,149 @@
+// Guards against connections that go silent for good while new ones work, and
+// against a part that is cut off without noticing: work must go on over a new
+// connection without being run again, and no new work may reach a server that
+// is leaving.
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+#include "tests/process/demo_system.h"
+#include "tests/process/forwarder.h"
+
+namespace wisteriaroute::testing {
+namespace {
+
+/** Gives the agent's links to entries a forwarder that can be silenced. */
+std::unique_ptr<forwarder> PutBefore(demo_system& system,
+                                     const std::string& agent) {
+  auto before = std::make_unique<forwarder>(system.AgentAddress(agent));
+  system.Terminate(agent);
+  system.AddSetting(agent, "advertise", "\"" + before->address() + "\"");
+  system.Restart(agent);
+  return before;
+}
+
+/** Gives a process's links to control forwarders that can be silenced. */
+std::vector<std::unique_ptr<forwarder>> PutBeforeControl(
+    demo_system& system,
+    const std::string& process) {
+  std::vector<std::unique_ptr<forwarder>> between;
+  std::string list;
+  for (const std::string& control : system.Controls()) {
+    between.push_back(std::make_unique<forwarder>(control));
+    list += (list.empty() ? "\"" : ", \"") + between.back()->address() + "\"";
+  }
+  system.Terminate(process);
+  system.ReplaceSetting(process, "controls", "[" + list + "]");
+  system.Restart(process);
+  return between;
+}
+
+/** Waits until both entries send orders to all three order runners. */
+void WaitForRotation(demo_system& system) {
+  system.RunFor(2'500'000);
+}
+
+TEST_CASE("connections go silent") {
+  demo_system system;
+
+  SUBCASE("between entries and an agent while orders are under way") {
+    std::vector<std::unique_ptr<forwarder>> between;
+    for (const std::string& agent : system.Names("agent-orders")) {
+      between.push_back(PutBefore(system, agent));
+    }
+    WaitForRotation(system);
+    for (int i = 1; i <= 3; ++i) {
+      system.SetFaults("standin-orders-" + std::to_string(i),
+                       {{"delay_ms", 1'000}});
+    }
+    std::vector<std::shared_ptr<call>> calls;
+    for (int i = 0; i < 6; ++i) {
+      calls.push_back(system.Order(static_cast<std::size_t>(i % 2),
+                                   "silent-" + std::to_string(i), "{}"));
+    }
+    system.RunFor(300'000);
+    const base::time_us silenced = base::MonotonicUs();
+    for (const auto& each : between) {
+      each->SilenceOpen();
+    }
+    for (std::size_t i = 0; i < calls.size(); ++i) {
+      REQUIRE(system.RunUntil([&] { return calls[i]->done; }));
+      CHECK(calls[i]->status == 201);
+      // 3 s is the target for replacing a silent connection.
+      CHECK(calls[i]->ended_us - silenced < 3'000'000);
+      CHECK(system.BookingsOf("silent-" + std::to_string(i)) == 1);
+    }
+  }
+
+  SUBCASE("between an entry and control while an order is claimed") {
+    const auto between = PutBeforeControl(system, "entry-1");
+    WaitForRotation(system);
+    const auto before = system.Order(0, "before", "{}");
+    REQUIRE(system.RunUntil([&] { return before->done; }));
+    REQUIRE(before->status == 201);
+    const base::time_us silenced = base::MonotonicUs();
+    for (const auto& each : between) {
+      each->SilenceOpen();
+    }
+    const auto during = system.Order(0, "during", "{}");
+    REQUIRE(system.RunUntil([&] { return during->done; }));
+    MESSAGE("status ", during->status, " after ",
+            (during->ended_us - silenced) / 1'000, " ms ", during->body);
+    // The lease of 2.5 s outlasts the replacement of the connection, or the
+    // caller is told to come back.
+    CHECK((during->status == 201 || during->status == 503));
+    system.RunFor(3'000'000);
+    const auto resent = system.Order(0, "during", "{}");
+    REQUIRE(system.RunUntil([&] { return resent->done; }));
+    CHECK(resent->status == 201);
+    CHECK(system.BookingsOf("during") == 1);
+  }
+
+  SUBCASE("between a draining agent and control, and its entries") {
+    const auto to_control = PutBeforeControl(system, "agent-orders-1");
+    const auto to_entries = PutBefore(system, "agent-orders-1");
+    WaitForRotation(system);
+    for (const auto& each : to_control) {
+      each->Partition(true);
+    }
+    // Neither the agent nor, say, a partitioned entry hears of the drain.
+    CHECK(system.Wrctl("drain agent-orders-1").status == 0);
+    system.RunFor(3'000'000);
+    const std::size_t executed = system.BookingCount("standin-orders-1");
+    for (int i = 0; i < 30; ++i) {
+      const auto order = system.Order(static_cast<std::size_t>(i % 2),
+                                      "drained-" + std::to_string(i), "{}");
+      REQUIRE(system.RunUntil([&] { return order->done; }));
+      CHECK(order->status == 201);
+    }
+    CHECK(system.BookingCount("standin-orders-1") == executed);
+  }
+
+  SUBCASE("between an entry and all of control, for longer than its lease") {
+    const auto between = PutBeforeControl(system, "entry-1");
+    WaitForRotation(system);
+    REQUIRE(system.Get(system.Entry(0) + "/readyz")->status == 200);
+    for (const auto& each : between) {
+      each->Partition(true);
+    }
+    CHECK(system.Wrctl("drain agent-orders-1").status == 0);
+    system.RunFor(3'000'000);
+    CHECK(system.Get(system.Entry(0) + "/readyz")->status == 503);
+    CHECK(system.Get(system.Entry(1) + "/readyz")->status == 200);
+    const std::size_t executed = system.BookingCount("standin-orders-1");
+    const auto order = system.Order(0, "cut-off", "{}");
+    REQUIRE(system.RunUntil([&] { return order->done; }));
+    CHECK(order->status == 503);
+    CHECK(system.BookingCount("standin-orders-1") == executed);
+    for (const auto& each : between) {
+      each->Partition(false);
+    }
+    system.RunFor(4'000'000);
+    CHECK(system.Get(system.Entry(0) + "/readyz")->status == 200);
+  }
+}
+
+}  // namespace
+}  // namespace wisteriaroute::testing
