policy: collect near candidates in one pass

Choose counted the near candidates and then scanned for the one selected, with a branch per candidate. It now collects their indices without branches. The choice for a given random number is the same.

--- a/src/libwisteriaroute/policy/routing.cc
+++ b/src/libwisteriaroute/policy/routing.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <limits>
-#include <vector>
+#include <memory>
 
 namespace wisteriaroute::policy {
 
@@ -69,7 +69,8 @@
                                   std::uint64_t random) {
   constexpr double kNever = std::numeric_limits<double>::infinity();
   constexpr double kRoomUs[2] = {kNever, 0};
-  std::vector<double> waits(candidates.size());
+  const auto waits =
+      std::make_unique_for_overwrite<double[]>(candidates.size());
   double least = kNever;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     waits[i] = ExpectedWaitUs(candidates[i], request) +
@@ -80,16 +81,15 @@
     return std::nullopt;
   }
   const double limit = least * kNearFactor + kNearUs;
+  // Stores each index and advances only past near ones, without a branch.
   const auto near =
-      std::count_if(waits.begin(), waits.end(),
-                    [limit](double wait) { return wait <= limit; });
-  auto left = static_cast<std::int64_t>(random % near);
-  for (std::size_t i = 0; i < waits.size(); ++i) {
-    if (waits[i] <= limit && left-- == 0) {
-      return i;
-    }
+      std::make_unique_for_overwrite<std::uint32_t[]>(candidates.size());
+  std::size_t count = 0;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    near[count] = static_cast<std::uint32_t>(i);
+    count += waits[i] <= limit ? 1 : 0;
   }
-  return std::nullopt;
+  return near[random % count];
 }
 
 }  // namespace wisteriaroute::policy
