--- a/src/control/raft_runner.cc
+++ b/src/control/raft_runner.cc
@@ -29,7 +29,7 @@
   if (!store_.empty()) {
     return store_.TakeContent();
   }
-  const raft::stored_state initial = raft::MakeEmpty(base::RandomU64());
+  raft::stored_state initial = raft::MakeEmpty(base::RandomU64());
   store_.Initialize(initial);
   base::LogInfo(
       "data_directory_created",
--- a/tests/process/control_failure_test.cc
+++ b/tests/process/control_failure_test.cc
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <filesystem>
+#include <fstream>
 #include <string>
 #include <vector>
 
@@ -38,6 +39,22 @@
   return base::MonotonicUs() - start;
 }
 
+/** Publishes `count` revisions, each with another value of one field. */
+void PublishMany(demo_system& system, int base, int count) {
+  const std::string set = system.directory() + "/set";
+  std::filesystem::copy(system.Example("regie"), set,
+                        std::filesystem::copy_options::recursive);
+  for (int i = 0; i < count; ++i) {
+    std::ofstream(set + "/extra.toml")
+        << "[model.extra]\nversion = \"" << i << "\"\n";
+    REQUIRE(system
+                .Wrctl("publish " + set + " --base " +
+                       std::to_string(base + i) + " --operation-id many-" +
+                       std::to_string(i))
+                .status == 0);
+  }
+}
+
 /** Whether the leader counts the replica and the replica holds the log. */
 bool VotesAgain(demo_system& system, const std::string& name) {
   const nlohmann::json members = system.Read("members");
@@ -131,6 +148,24 @@
     CHECK(system.BookingsOf("no-quorum") == 0);
   }
 
+  SUBCASE("an entry that missed 500 changes is ready within 2 s") {
+    system.Terminate("entry-2");
+    PublishMany(system, 1, 500);
+    system.Restart("entry-2");
+    const base::time_us started = base::MonotonicUs();
+    bool ready = false;
+    while (!ready && base::MonotonicUs() < started + 10'000'000) {
+      ready = Ready(system, 1);
+      system.RunFor(10'000);
+    }
+    const base::time_us taken = base::MonotonicUs() - started;
+    MESSAGE("ready after ", taken / 1'000, " ms");
+    CHECK(ready);
+    CHECK(taken < 2'000'000);
+    CHECK(system.Wrctl("status --wait --timeout-s 10").status == 0);
+    CHECK(system.Read("status")["in_force"] == 501);
+  }
+
   SUBCASE("a replica that lost its disk comes back, and another may fail") {
     CHECK(Publish(system, 1, "first").find("revision 2") != std::string::npos);
     std::string follower;
