net, tests: link context and loop waiting stand once

Cause: three daemons built the same link context, and five tests waited on the loop with the same code; some comments used figurative words. Change: net::MakeLinkContext, tests/run_until.h, wording.

--- a/src/control/daemon.cc
+++ b/src/control/daemon.cc
@@ -5,6 +5,7 @@
 
 #include "libwisteriaroute/base/digest.h"
 #include "libwisteriaroute/base/log.h"
+#include "libwisteriaroute/net/link_context.h"
 
 namespace wisteriaroute::control {
 
@@ -25,15 +26,11 @@
       settings_(std::move(settings)),
       incarnation_(base::RandomU64()),
       hub_(
-          {.event_loop = &event_loop,
-           .self = {.name = settings_.process.name,
-                    .role = std::string(kControlRole),
-                    .incarnation = incarnation_,
-                    .data_center = settings_.process.data_center,
-                    .address = settings_.process.advertise},
-           .cluster_key =
-               base::ReadClusterKey(settings_.process.cluster_key_file),
-           .clock = &clock_},
+          net::MakeLinkContext(event_loop,
+                               settings_.process,
+                               kControlRole,
+                               incarnation_,
+                               clock_),
           {.on_up =
                [this](net::link_id link,
                       net::dial_id,
--- a/src/entry/daemon.cc
+++ b/src/entry/daemon.cc
@@ -7,6 +7,7 @@
 #include "libwisteriaroute/base/log.h"
 #include "libwisteriaroute/config/parse.h"
 #include "libwisteriaroute/entry/api.h"
+#include "libwisteriaroute/net/link_context.h"
 
 namespace wisteriaroute::entry {
 
@@ -18,20 +19,6 @@
 // A caller that reads this much slower than its tokens come is cut.
 constexpr std::size_t kMaxBufferedBytes = 16 * 1024 * 1024;
 
-net::link_context LinkContext(net::loop& event_loop,
-                              const base::process_settings& process,
-                              std::uint64_t incarnation,
-                              base::hybrid_clock& clock) {
-  return {.event_loop = &event_loop,
-          .self = {.name = process.name,
-                   .role = "entry",
-                   .incarnation = incarnation,
-                   .data_center = process.data_center,
-                   .address = process.advertise},
-          .cluster_key = base::ReadClusterKey(process.cluster_key_file),
-          .clock = &clock};
-}
-
 net::http_server_limits HttpLimits(const entry_settings& settings) {
   return {.header_bytes = static_cast<std::size_t>(settings.max_header_bytes),
           .body_bytes = static_cast<std::size_t>(settings.max_body_bytes),
@@ -44,7 +31,11 @@
     : loop_(event_loop),
       settings_(settings),
       incarnation_(base::RandomU64()),
-      hub_(LinkContext(event_loop, settings.process, incarnation_, clock_),
+      hub_(net::MakeLinkContext(event_loop,
+                                settings.process,
+                                "entry",
+                                incarnation_,
+                                clock_),
            HubCallbacks()),
       http_(event_loop, HttpLimits(settings.entry), HttpCallbacks()),
       tick_(event_loop.ev(),
--- a/src/libwisteriaroute/agent/attempts.cc
+++ b/src/libwisteriaroute/agent/attempts.cc
@@ -118,7 +118,7 @@
     }
     attempt& target = it->second;
     if (Started(target) || target.stage == attempt_stage::kQueued) {
-      continue;  // Remembered anew when it ends.
+      continue;  // Remembered again when it ends.
     }
     DropBody(state, target);
     state.attempts.erase(it);
--- a/src/libwisteriaroute/agent/daemon.cc
+++ b/src/libwisteriaroute/agent/daemon.cc
@@ -2,6 +2,7 @@
 
 #include "libwisteriaroute/agent/startup_pages.h"
 #include "libwisteriaroute/base/log.h"
+#include "libwisteriaroute/net/link_context.h"
 
 namespace wisteriaroute::agent {
 
@@ -13,20 +14,6 @@
 // Time for the last messages to leave before the process ends.
 constexpr base::time_us kFlushUs = 300'000;
 
-net::link_context LinkContext(net::loop& event_loop,
-                              const base::process_settings& process,
-                              std::uint64_t incarnation,
-                              base::hybrid_clock& clock) {
-  return {.event_loop = &event_loop,
-          .self = {.name = process.name,
-                   .role = "agent",
-                   .incarnation = incarnation,
-                   .data_center = process.data_center,
-                   .address = process.advertise},
-          .cluster_key = base::ReadClusterKey(process.cluster_key_file),
-          .clock = &clock};
-}
-
 }  // namespace
 
 daemon::daemon(net::loop& event_loop, agent_settings settings)
@@ -38,10 +25,11 @@
       engine_(event_loop,
               settings_.backend,
               [this](agent_event event) { Handle(std::move(event)); }),
-      hub_(LinkContext(event_loop,
-                       settings_.process,
-                       process_incarnation_,
-                       clock_),
+      hub_(net::MakeLinkContext(event_loop,
+                                settings_.process,
+                                "agent",
+                                process_incarnation_,
+                                clock_),
            HubCallbacks()),
       address_(hub_.Listen(settings_.process.listen)),
       tick_(event_loop.ev(), [this] { Handle(tick{}); }),
--- a/src/libwisteriaroute/base/hlc.h
+++ b/src/libwisteriaroute/base/hlc.h
@@ -16,7 +16,7 @@
   /** Returns the time stamp of a local event or of a message to send. */
   std::uint64_t Tick(time_ms wall_ms);
 
-  /** Takes up the time stamp of a received message. */
+  /** Merges the timestamp of a received message. */
   void Observe(std::uint64_t remote, time_ms wall_ms);
 
  private:
--- a/src/libwisteriaroute/config/named_set.h
+++ b/src/libwisteriaroute/config/named_set.h
@@ -100,7 +100,7 @@
   double share = 1;
   /** The highest priority (lowest number, 0 to 9) that it may ask for. */
   std::int64_t highest_priority = 3;
-  /** Idempotency keys without a time that are kept for good. */
+  /** Idempotency keys without a timestamp that are kept permanently. */
   std::int64_t max_undated_keys = 1'000'000;
 
   bool operator==(const workspace&) const = default;
--- a/src/libwisteriaroute/control/config_history.h
+++ b/src/libwisteriaroute/control/config_history.h
@@ -94,7 +94,7 @@
 
 /**
  * Digest of a request, to tell a resend from a reused operation id. It leaves
- * out the base, which a resend reads anew.
+ * out the base, which a resend reads again.
  */
 base::digest128 ContentDigest(const wire::publish_request& request);
 
--- a/src/libwisteriaroute/control/group_drive.cc
+++ b/src/libwisteriaroute/control/group_drive.cc
@@ -246,7 +246,7 @@
       return;
     }
     if (group.phase == group_phase::kForming) {
-      // Steps are counted anew in each generation.
+      // Steps restart from 0 in each generation.
       drive.highest_step = 0;
       drive.margin_steps = 0;
       drive.reports.clear();
--- a/src/libwisteriaroute/control/group_policy.h
+++ b/src/libwisteriaroute/control/group_policy.h
@@ -12,9 +12,9 @@
                                    base::time_us step_time_us);
 
 /**
- * Takes up the tokens that the ranks reported and sets `wanted` where a change
- * of the map pays for itself. Looks at each group once a map period, and at
- * once after `rebalance`.
+ * Updates the load estimates with the reported tokens and sets `wanted` where a
+ * change of the map pays for itself. Looks at each group once a map period, and
+ * at once after `rebalance`.
  */
 void ConsiderMaps(replica_state& state, const step_time& now);
 
--- a/src/libwisteriaroute/entry/admission.h
+++ b/src/libwisteriaroute/entry/admission.h
@@ -13,7 +13,7 @@
  */
 std::optional<error_reply> Admit(step_context& step, request& of);
 
-/** Gives back what the request holds of its workspaces' limits. */
+/** Releases the request's usage of its workspaces' limits. */
 void ReleaseUsage(step_context& step, request& of);
 
 /** Seconds for Retry-After: the queue's drain time, spread at random. */
--- a/src/libwisteriaroute/entry/attempts.cc
+++ b/src/libwisteriaroute/entry/attempts.cc
@@ -113,7 +113,7 @@
   SetPhase(step, of, request_phase::kRunning);
 }
 
-// A plain response that failed half-way starts anew; a generation goes on
+// A plain response that failed midway restarts; a generation continues
 // after the tokens that arrived.
 void ResetResponse(request& of) {
   response_state& response = of.response;
--- a/src/libwisteriaroute/entry/claims.cc
+++ b/src/libwisteriaroute/entry/claims.cc
@@ -20,7 +20,7 @@
 constexpr base::time_us kClaimWaitUs = 5'000'000;
 // The caller gets its response after this even if it isn't recorded.
 constexpr base::time_us kRecordWaitUs = 1'000'000;
-// Recording goes on this long after the caller was answered.
+// Recording is retried for this long after the caller was answered.
 constexpr base::time_us kRecordLimitUs = 60'000'000;
 constexpr std::size_t kMaxRecordedBytes = 64 * 1024;
 
--- a/src/libwisteriaroute/policy/expert_load.h
+++ b/src/libwisteriaroute/policy/expert_load.h
@@ -35,8 +35,9 @@
 bool IsSettled(const expert_load& load, std::uint32_t layer);
 
 /**
- * Takes up the tokens that each expert got in one interval. Layers without
- * tokens are left as they are. Throws std::invalid_argument on a wrong size.
+ * Updates the estimate with the tokens that each expert received in one
+ * interval. Layers without tokens are left as they are. Throws
+ * std::invalid_argument on a wrong size.
  */
 void Observe(expert_load& load, std::span<const std::uint32_t> tokens);
 
--- a/tests/net/http_test.cc
+++ b/tests/net/http_test.cc
@@ -12,23 +12,12 @@
 #include "libwisteriaroute/net/address.h"
 #include "libwisteriaroute/net/http_client.h"
 #include "libwisteriaroute/net/http_server.h"
+#include "tests/run_until.h"
 
 namespace wisteriaroute::net {
 namespace {
 
-constexpr base::time_us kLimitUs = 10'000'000;
-
-bool RunUntil(loop& event_loop, const std::function<bool()>& condition) {
-  const base::time_us limit = base::MonotonicUs() + kLimitUs;
-  timer poll(event_loop.ev(), [&] {
-    if (condition() || base::MonotonicUs() > limit) {
-      event_loop.Stop();
-    }
-  });
-  poll.Start(1'000, 1'000);
-  event_loop.Run();
-  return condition();
-}
+using testing::RunUntil;
 
 struct recorded_response {
   unsigned status = 0;
--- a/tests/net/link_hub_test.cc
+++ b/tests/net/link_hub_test.cc
@@ -8,11 +8,12 @@
 #include <vector>
 
 #include "libwisteriaroute/net/address.h"
+#include "tests/run_until.h"
 
 namespace wisteriaroute::net {
 namespace {
 
-constexpr base::time_us kLimitUs = 10'000'000;
+using testing::RunUntil;
 
 struct endpoint {
   endpoint(loop& event_loop, std::string name, std::string key)
@@ -46,18 +47,6 @@
   link_hub hub;
 };
 
-bool RunUntil(loop& event_loop, const std::function<bool()>& condition) {
-  const base::time_us limit = base::MonotonicUs() + kLimitUs;
-  timer poll(event_loop.ev(), [&] {
-    if (condition() || base::MonotonicUs() > limit) {
-      event_loop.Stop();
-    }
-  });
-  poll.Start(1'000, 1'000);
-  event_loop.Run();
-  return condition();
-}
-
 TEST_CASE("two processes exchange messages over a link") {
   loop event_loop;
   endpoint server(event_loop, "server", "a shared cluster key");
--- a/tests/process/agent_process_harness.cc
+++ b/tests/process/agent_process_harness.cc
@@ -9,6 +9,7 @@
 #include <filesystem>
 #include <fstream>
 #include <stdexcept>
+#include "tests/run_until.h"
 
 namespace wisteriaroute::testing {
 
@@ -124,15 +125,7 @@
 
 bool agent_harness::RunUntil(const std::function<bool()>& condition,
                              base::time_us limit_us) {
-  const base::time_us limit = base::MonotonicUs() + limit_us;
-  net::timer poll(loop_.ev(), [&] {
-    if (condition() || base::MonotonicUs() > limit) {
-      loop_.Stop();
-    }
-  });
-  poll.Start(1'000, 1'000);
-  loop_.Run();
-  return condition();
+  return testing::RunUntil(loop_, condition, limit_us);
 }
 
 void agent_harness::RunFor(base::time_us duration_us) {
--- a/tests/process/control_process_harness.cc
+++ b/tests/process/control_process_harness.cc
@@ -11,6 +11,7 @@
 #include <stdexcept>
 
 #include "libwisteriaroute/net/address.h"
+#include "tests/run_until.h"
 
 namespace wisteriaroute::testing {
 
@@ -162,15 +163,7 @@
 
 bool control_harness::RunUntil(const std::function<bool()>& condition,
                                base::time_us limit_us) {
-  const base::time_us limit = base::MonotonicUs() + limit_us;
-  net::timer poll(loop_.ev(), [&] {
-    if (condition() || base::MonotonicUs() > limit) {
-      loop_.Stop();
-    }
-  });
-  poll.Start(1'000, 1'000);
-  loop_.Run();
-  return condition();
+  return testing::RunUntil(loop_, condition, limit_us);
 }
 
 void control_harness::RunFor(base::time_us duration_us) {
--- a/tests/process/demo_system.cc
+++ b/tests/process/demo_system.cc
@@ -13,6 +13,7 @@
 #include <stdexcept>
 
 #include "libwisteriaroute/base/toml_reader.h"
+#include "tests/run_until.h"
 
 namespace wisteriaroute::testing {
 
@@ -279,15 +280,7 @@
 
 bool demo_system::RunUntil(const std::function<bool()>& condition,
                            base::time_us limit_us) {
-  const base::time_us limit = base::MonotonicUs() + limit_us;
-  net::timer poll(loop_.ev(), [&] {
-    if (condition() || base::MonotonicUs() > limit) {
-      loop_.Stop();
-    }
-  });
-  poll.Start(1'000, 1'000);
-  loop_.Run();
-  return condition();
+  return testing::RunUntil(loop_, condition, limit_us);
 }
 
 void demo_system::RunFor(base::time_us duration_us) {
