--- a/tests/process/wrctl_test.cc
+++ b/tests/process/wrctl_test.cc
@@ -1,12 +1,9 @@
 // Runs the real wrctl against a control replica whose answers are scripted.
 
 #include <doctest/doctest.h>
-#include <sys/wait.h>
 #include <unistd.h>
 
-#include <array>
 #include <atomic>
-#include <cstdio>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -19,33 +16,19 @@
 #include "libwisteriaroute/net/link_hub.h"
 #include "libwisteriaroute/net/loop.h"
 #include "libwisteriaroute/wire/control_messages.h"
+#include "tests/process/demo_system.h"
 
 namespace wisteriaroute {
 namespace {
 
 constexpr char kKey[] = "a cluster key for tests";
 
-struct command_result {
-  int status = -1;
-  /** Standard output and standard error. */
-  std::string output;
-};
+using testing::command_result;
 
 command_result Execute(const std::string& arguments) {
   const char* bin = std::getenv("WR_BIN_DIR");
-  const std::string line = std::string(bin == nullptr ? "build" : bin) +
-                           "/wrctl " + arguments + " 2>&1";
-  command_result result;
-  FILE* pipe = popen(line.c_str(), "r");
-  REQUIRE(pipe != nullptr);
-  std::array<char, 4'096> buffer{};
-  while (const std::size_t count =
-             fread(buffer.data(), 1, buffer.size(), pipe)) {
-    result.output.append(buffer.data(), count);
-  }
-  const int status = pclose(pipe);
-  result.status = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
-  return result;
+  return testing::Execute(std::string(bin == nullptr ? "build" : bin) +
+                          "/wrctl " + arguments);
 }
 
 /** A directory that is removed at the end of the test. */
