--- a/src/libwisteriaroute/net/http_client.cc
+++ b/src/libwisteriaroute/net/http_client.cc
@@ -1,272 +1,537 @@
 #include "libwisteriaroute/net/http_client.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <algorithm>
-#include <cctype>
+#include <array>
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+#include <limits>
 #include <stdexcept>
+#include <utility>
+
+#include "libwisteriaroute/net/address.h"
+#include "libwisteriaroute/net/http_parser.h"
 
 namespace wisteriaroute::net {
 
 namespace {
 
-// Idle connections that are kept for reuse.
-constexpr long kMaxIdleConnections = 64;
+constexpr std::size_t kReadBytes = 16 * 1024;
+constexpr std::size_t kMaxHeaderBytes = 64 * 1024;
+constexpr std::size_t kMaxIdlePerAddress = 16;
+// Idle connections of servers that don't state their timeout.
+constexpr base::time_us kDefaultIdleUs = 2'000'000;
+// Taken off a stated timeout, which is in whole seconds of the server's clock.
+constexpr base::time_us kIdleMarginUs = 400'000;
+// A peer that acknowledges nothing for this long is gone.
+constexpr int kUserTimeoutMs = 3'000;
+constexpr int kKeepAliveIdleS = 1;
+constexpr int kKeepAliveIntervalS = 1;
+constexpr int kKeepAliveProbes = 3;
 
-std::string LowerCase(std::string_view text) {
-  std::string lower(text);
-  std::transform(lower.begin(), lower.end(), lower.begin(),
-                 [](unsigned char c) { return std::tolower(c); });
-  return lower;
+constexpr std::string_view kScheme = "http://";
+
+struct url_parts {
+  std::string address;
+  std::string target;
+};
+
+url_parts ParseUrl(std::string_view url) {
+  if (!url.starts_with(kScheme)) {
+    throw std::invalid_argument("'" + std::string(url) +
+                                "' is not an http:// URL");
+  }
+  url.remove_prefix(kScheme.size());
+  const std::size_t slash = std::min(url.find('/'), url.size());
+  std::string target(url.substr(slash));
+  return {.address = std::string(url.substr(0, slash)),
+          .target = target.empty() ? "/" : std::move(target)};
 }
 
-std::string_view TrimSpace(std::string_view text) {
-  const std::size_t first = text.find_first_not_of(" \t\r\n");
-  if (first == std::string_view::npos) {
-    return {};
+void SetSocketOptions(int fd) {
+  const auto set = [fd](int level, int name, int value) {
+    setsockopt(fd, level, name, &value, sizeof value);
+  };
+  set(IPPROTO_TCP, TCP_NODELAY, 1);
+  set(IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
+  set(SOL_SOCKET, SO_KEEPALIVE, 1);
+  set(IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleS);
+  set(IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalS);
+  set(IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+}
+
+/** Time for which the server keeps an idle connection. */
+base::time_us IdleTime(const http_headers& headers) {
+  const std::string_view value = FindHeader(headers, "keep-alive");
+  const std::size_t at = value.find("timeout=");
+  if (at == value.npos) {
+    return kDefaultIdleUs;
   }
-  return text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1);
+  const std::string_view digits = value.substr(at + std::strlen("timeout="));
+  std::int64_t seconds = 0;
+  std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  return std::max<base::time_us>(seconds * 1'000'000 - kIdleMarginUs, 0);
+}
+
+std::string Serialize(const http_client_request& request,
+                      const url_parts& url) {
+  std::string text = request.method + " " + url.target + " HTTP/1.1\r\n";
+  bool has_host = false;
+  for (const auto& [name, value] : request.headers) {
+    has_host = has_host || LowerCase(name) == "host";
+    text += name + ": " + value + "\r\n";
+  }
+  if (!has_host) {
+    text += "Host: " + url.address + "\r\n";
+  }
+  const bool may_omit_length =
+      request.method == "GET" || request.method == "HEAD";
+  if (!request.body.empty() || !may_omit_length) {
+    text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+  }
+  if (!request.reuse_connection) {
+    text += "Connection: close\r\n";
+  }
+  return text + "\r\n" + request.body;
 }
 
 }  // namespace
 
-struct http_client::transfer {
+struct http_client::connection {
   http_client* client = nullptr;
+  int fd = -1;
+  ev_io watcher;
+  int watched = 0;
+  std::string address;
+  bool connecting = true;
+  bool reused = false;
+  /** Whether other requests may use it afterwards. */
+  bool may_keep = false;
+  std::string out;
+  std::size_t sent = 0;
+  std::string in;
+  std::unique_ptr<http_response_parser> parser;
+  bool head_delivered = false;
+  /** The response belongs to another request. */
+  bool discarding = false;
+  transfer* current = nullptr;
+  base::time_us idle_since_us = 0;
+  base::time_us idle_until_us = 0;
+};
+
+struct http_client::transfer {
+  transfer(http_client& owner, struct ev_loop* event_loop)
+      : client(&owner), timeout(event_loop, [this] { HandleTimeout(); }) {}
+
+  http_client* client;
   transfer_id id = 0;
   http_client_request request;
   http_client_callbacks callbacks;
-  CURL* easy = nullptr;
-  curl_slist* header_list = nullptr;
-  http_headers response_headers;
-  bool head_reported = false;
-  bool cancelled = false;
+  connection* on = nullptr;
+  timer timeout;
+  base::time_us deadline_us = 0;
+  bool finished = false;
+  unsigned status = 0;
+  std::string match_value;
 
-  ~transfer() {
-    curl_easy_cleanup(easy);
-    curl_slist_free_all(header_list);
-  }
-
-  void ReportHead() {
-    if (head_reported) {
-      return;
-    }
-    head_reported = true;
-    long status = 0;
-    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
-    if (callbacks.on_head && !cancelled) {
-      callbacks.on_head(static_cast<unsigned>(status), response_headers);
-    }
+  void HandleTimeout() {
+    const bool connecting = on == nullptr || on->connecting;
+    client->Fail(*this, connecting ? "connect timed out" : "timed out",
+                 connecting);
   }
 };
 
 http_client::http_client(loop& event_loop)
-    : event_loop_(event_loop),
-      multi_(curl_multi_init()),
-      timer_(event_loop.ev(),
-             [this] { SocketAction(CURL_SOCKET_TIMEOUT, 0); }) {
-  if (multi_ == nullptr) {
-    throw std::runtime_error("can't initialize curl");
-  }
-  curl_multi_setopt(multi_, CURLMOPT_SOCKETFUNCTION, &HandleSocket);
-  curl_multi_setopt(multi_, CURLMOPT_SOCKETDATA, this);
-  curl_multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, &HandleTimer);
-  curl_multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
-  curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, kMaxIdleConnections);
-}
+    : event_loop_(event_loop), later_(event_loop.ev(), [this] {
+        closed_.clear();
+        ended_.clear();
+      }) {}
 
 http_client::~http_client() {
-  for (const auto& [id, target] : transfers_) {
-    curl_multi_remove_handle(multi_, target->easy);
-  }
   transfers_.clear();
-  curl_multi_cleanup(multi_);
-  for (const auto& [fd, socket] : sockets_) {
-    ev_io_stop(event_loop_.ev(), &socket->watcher);
+  while (!connections_.empty()) {
+    Destroy(*connections_.begin()->second);
   }
 }
 
 transfer_id http_client::Start(http_client_request request,
                                http_client_callbacks callbacks) {
-  auto owned = std::make_unique<transfer>();
+  const url_parts url = ParseUrl(request.url);
+  auto owned = std::make_unique<transfer>(*this, event_loop_.ev());
   transfer& target = *owned;
-  target.client = this;
   target.id = next_id_++;
   target.request = std::move(request);
   target.callbacks = std::move(callbacks);
-  target.easy = curl_easy_init();
   const http_client_request& wanted = target.request;
-  for (const auto& [name, value] : wanted.headers) {
-    target.header_list = curl_slist_append(
-        target.header_list,
-        (name + (value.empty() ? ";" : ": " + value)).c_str());
-  }
-  // Without this curl waits a second for 100 Continue before large bodies.
-  target.header_list = curl_slist_append(target.header_list, "Expect:");
-  CURL* easy = target.easy;
-  curl_easy_setopt(easy, CURLOPT_URL, wanted.url.c_str());
-  curl_easy_setopt(easy, CURLOPT_HTTPHEADER, target.header_list);
-  if (wanted.method == "HEAD") {
-    curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
-  } else if (!wanted.body.empty() || wanted.method == "POST") {
-    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
-                     static_cast<curl_off_t>(wanted.body.size()));
-    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, wanted.body.data());
-  }
-  curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, wanted.method.c_str());
-  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt(easy, CURLOPT_PROXY, "");
-  curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
-  if (!wanted.reuse_connection) {
-    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
-    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
-  }
-  curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
-                   static_cast<long>(wanted.connect_timeout_ms));
-  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
-                   static_cast<long>(wanted.timeout_ms));
-  curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &HandleHeader);
-  curl_easy_setopt(easy, CURLOPT_HEADERDATA, &target);
-  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &HandleData);
-  curl_easy_setopt(easy, CURLOPT_WRITEDATA, &target);
-  curl_easy_setopt(easy, CURLOPT_PRIVATE, &target);
-  const transfer_id id = target.id;
-  transfers_[id] = std::move(owned);
-  curl_multi_add_handle(multi_, easy);
-  return id;
+  if (!wanted.match_header.empty()) {
+    for (const auto& [name, value] : wanted.headers) {
+      if (LowerCase(name) == wanted.match_header) {
+        target.match_value = value;
+      }
+    }
+  }
+  transfers_[target.id] = std::move(owned);
+  std::string error;
+  connection* on = wanted.reuse_connection
+                       ? TakeIdle(url.address, wanted.max_idle_ms)
+                       : nullptr;
+  if (on == nullptr) {
+    on = Connect(url.address, error);
+  }
+  const base::time_us now = base::MonotonicUs();
+  if (wanted.timeout_ms > 0) {
+    target.deadline_us = now + wanted.timeout_ms * 1'000;
+  }
+  if (on == nullptr) {
+    // Reported later: the caller doesn't know the id yet.
+    target.timeout.Start(0);
+    return target.id;
+  }
+  target.on = on;
+  on->current = &target;
+  on->parser = std::make_unique<http_response_parser>(
+      kMaxHeaderBytes, std::numeric_limits<std::int64_t>::max());
+  on->parser->skip(wanted.method == "HEAD");
+  on->head_delivered = false;
+  on->discarding = false;
+  on->may_keep = wanted.reuse_connection;
+  on->out = Serialize(wanted, url);
+  on->sent = 0;
+  if (on->connecting) {
+    std::int64_t limit_ms = wanted.connect_timeout_ms;
+    if (wanted.timeout_ms > 0) {
+      limit_ms = std::min(limit_ms, wanted.timeout_ms);
+    }
+    target.timeout.Start(limit_ms * 1'000);
+  } else {
+    if (wanted.timeout_ms > 0) {
+      target.timeout.Start(wanted.timeout_ms * 1'000);
+    }
+    HandleWritable(*on);
+  }
+  return target.id;
 }
 
 void http_client::Cancel(transfer_id id) {
-  auto node = transfers_.extract(id);
-  if (node.empty()) {
+  const auto found = transfers_.find(id);
+  if (found == transfers_.end()) {
     return;
   }
-  // The caller may run in one of the callbacks, so they must live on.
-  node.mapped()->cancelled = true;
-  // curl forbids removing a transfer inside one of its callbacks.
-  event_loop_.Defer(
-      [this, dead = std::shared_ptr<transfer>(std::move(node.mapped()))] {
-        curl_multi_remove_handle(multi_, dead->easy);
-      });
+  transfer& target = *found->second;
+  target.finished = true;
+  target.timeout.Stop();
+  if (target.on != nullptr) {
+    target.on->current = nullptr;
+    Destroy(*target.on);
+    target.on = nullptr;
+  }
+  ended_.push_back(std::move(found->second));
+  transfers_.erase(found);
+  later_.Start(0);
+}
+
+http_client::connection* http_client::TakeIdle(const std::string& address,
+                                               std::int64_t max_idle_ms) {
+  const auto found = idle_.find(address);
+  if (found == idle_.end()) {
+    return nullptr;
+  }
+  const base::time_us now = base::MonotonicUs();
+  while (!found->second.empty()) {
+    connection* on = found->second.back();
+    if (now >= on->idle_until_us) {
+      Destroy(*on);
+      continue;
+    }
+    if (now - on->idle_since_us > max_idle_ms * 1'000) {
+      return nullptr;
+    }
+    found->second.pop_back();
+    on->reused = true;
+    return on;
+  }
+  return nullptr;
 }
 
-int http_client::HandleSocket(CURL*,
-                              curl_socket_t fd,
-                              int what,
-                              void* self,
-                              void*) {
-  auto* client = static_cast<http_client*>(self);
-  auto& slot = client->sockets_[fd];
-  if (slot != nullptr) {
-    ev_io_stop(client->event_loop_.ev(), &slot->watcher);
-  }
-  if (what == CURL_POLL_REMOVE) {
-    client->sockets_.erase(fd);
-    return 0;
-  }
-  if (slot == nullptr) {
-    slot = std::make_unique<socket_watcher>();
-    slot->client = client;
-  }
-  const int events = ((what & CURL_POLL_IN) != 0 ? EV_READ : 0) |
-                     ((what & CURL_POLL_OUT) != 0 ? EV_WRITE : 0);
+http_client::connection* http_client::Connect(const std::string& address,
+                                              std::string& error) {
+  const socket_address to = ParseAddress(address);
+  const int fd = socket(to.storage.ss_family,
+                        SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0) {
+    error = std::strerror(errno);
+    return nullptr;
+  }
+  SetSocketOptions(fd);
+  if (connect(fd, to.get(), to.length) != 0 && errno != EINPROGRESS) {
+    error = std::strerror(errno);
+    close(fd);
+    return nullptr;
+  }
+  ++connections_made_;
+  auto made = std::make_unique<connection>();
+  connection* on = made.get();
+  on->client = this;
+  on->fd = fd;
+  on->address = address;
   ev_io_init(
-      &slot->watcher,
-      [](struct ev_loop*, ev_io* watcher, int ready) {
-        const int action = ((ready & EV_READ) != 0 ? CURL_CSELECT_IN : 0) |
-                           ((ready & EV_WRITE) != 0 ? CURL_CSELECT_OUT : 0);
-        static_cast<socket_watcher*>(watcher->data)
-            ->client->SocketAction(watcher->fd, action);
+      &on->watcher,
+      [](struct ev_loop*, ev_io* watcher, int events) {
+        auto& target = *static_cast<connection*>(watcher->data);
+        target.client->HandleEvents(target, events);
       },
-      fd, events);
-  slot->watcher.data = slot.get();
-  ev_io_start(client->event_loop_.ev(), &slot->watcher);
-  return 0;
+      fd, EV_WRITE);
+  on->watcher.data = on;
+  on->watched = EV_WRITE;
+  ev_io_start(event_loop_.ev(), &on->watcher);
+  connections_[on] = std::move(made);
+  return on;
 }
 
-int http_client::HandleTimer(CURLM*, long timeout_ms, void* self) {
-  auto* client = static_cast<http_client*>(self);
-  if (timeout_ms < 0) {
-    client->timer_.Stop();
-  } else {
-    // Never call curl back from inside this callback: 0 becomes "soon".
-    client->timer_.Start(std::max(timeout_ms * 1'000, 1L));
+void http_client::HandleEvents(connection& on, int events) {
+  if ((events & EV_WRITE) != 0) {
+    HandleWritable(on);
+  }
+  if ((events & EV_READ) != 0 && on.fd >= 0) {
+    HandleReadable(on);
+  }
+}
+
+void http_client::HandleWritable(connection& on) {
+  if (on.connecting) {
+    int error = 0;
+    socklen_t length = sizeof error;
+    getsockopt(on.fd, SOL_SOCKET, SO_ERROR, &error, &length);
+    if (error != 0) {
+      Fail(*on.current, std::strerror(error), true);
+      return;
+    }
+    on.connecting = false;
+    transfer& target = *on.current;
+    if (target.deadline_us > 0) {
+      target.timeout.Start(
+          std::max<base::time_us>(target.deadline_us - base::MonotonicUs(), 1));
+    } else {
+      target.timeout.Stop();
+    }
   }
-  return 0;
+  while (on.sent < on.out.size()) {
+    const ssize_t count = send(on.fd, on.out.data() + on.sent,
+                               on.out.size() - on.sent, MSG_NOSIGNAL);
+    if (count < 0) {
+      if (errno == EINTR) {
+        continue;
+      }
+      // A failed send doesn't end the transfer: a response may have arrived
+      // before the connection was closed.
+      if (errno != EAGAIN && errno != EWOULDBLOCK) {
+        on.out.clear();
+        on.sent = 1;
+      }
+      break;
+    }
+    on.sent += static_cast<std::size_t>(count);
+  }
+  UpdateWatcher(on);
 }
 
-std::size_t http_client::HandleHeader(char* data,
-                                      std::size_t size,
-                                      std::size_t count,
-                                      void* context) {
-  auto& target = *static_cast<transfer*>(context);
-  const std::string_view line(data, size * count);
-  if (line.starts_with("HTTP/")) {
-    target.response_headers.clear();
-  }
-  const std::size_t colon = line.find(':');
-  if (colon != std::string_view::npos) {
-    target.response_headers.emplace_back(
-        LowerCase(line.substr(0, colon)),
-        std::string(TrimSpace(line.substr(colon + 1))));
-  }
-  return size * count;
+void http_client::UpdateWatcher(connection& of) {
+  const bool write = of.connecting || of.sent < of.out.size();
+  const int wanted = (of.connecting ? 0 : EV_READ) | (write ? EV_WRITE : 0);
+  if (of.fd < 0 || wanted == of.watched) {
+    return;
+  }
+  ev_io_stop(event_loop_.ev(), &of.watcher);
+  of.watched = wanted;
+  ev_io_set(&of.watcher, of.fd, wanted);
+  ev_io_start(event_loop_.ev(), &of.watcher);
 }
 
-std::size_t http_client::HandleData(char* data,
-                                    std::size_t size,
-                                    std::size_t count,
-                                    void* context) {
-  auto& target = *static_cast<transfer*>(context);
-  target.ReportHead();
-  if (target.callbacks.on_data && !target.cancelled) {
-    target.callbacks.on_data({data, size * count});
+void http_client::HandleReadable(connection& on) {
+  std::array<char, kReadBytes> buffer;
+  const ssize_t count = recv(on.fd, buffer.data(), buffer.size(), 0);
+  if (count < 0) {
+    if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
+      HandleEnd(on, std::strerror(errno));
+    }
+    return;
+  }
+  if (count == 0) {
+    HandleEnd(on, "");
+    return;
+  }
+  if (on.current == nullptr) {
+    // Bytes that no request asked for.
+    Destroy(on);
+    return;
+  }
+  on.in.append(buffer.data(), static_cast<std::size_t>(count));
+  while (on.fd >= 0 && on.current != nullptr && Parse(on)) {
   }
-  return size * count;
 }
 
-void http_client::SocketAction(curl_socket_t fd, int events) {
-  int running = 0;
-  curl_multi_socket_action(multi_, fd, events, &running);
-  CollectDone();
+// Returns whether another response follows in the input.
+bool http_client::Parse(connection& on) {
+  http_response_parser& parser = *on.parser;
+  const http_response_parser::feed_result fed = parser.Feed(on.in);
+  on.in.erase(0, fed.consumed);
+  if (parser.is_header_done() && !on.head_delivered && !on.discarding &&
+      !DeliverHead(on)) {
+    return false;
+  }
+  DeliverBody(on);
+  if (on.fd < 0 || on.current == nullptr) {
+    return false;
+  }
+  if (fed.failed) {
+    Fail(*on.current, "not a response: " + fed.error, false);
+    return false;
+  }
+  if (!parser.is_done()) {
+    return false;
+  }
+  if (!on.discarding) {
+    Complete(on);
+    return false;
+  }
+  on.parser = std::make_unique<http_response_parser>(
+      kMaxHeaderBytes, std::numeric_limits<std::int64_t>::max());
+  on.parser->skip(on.current->request.method == "HEAD");
+  on.discarding = false;
+  return !on.in.empty();
 }
 
-void http_client::CollectDone() {
-  int left = 0;
-  while (const CURLMsg* message = curl_multi_info_read(multi_, &left)) {
-    if (message->msg != CURLMSG_DONE) {
-      continue;
+// Returns whether the transfer goes on.
+bool http_client::DeliverHead(connection& on) {
+  transfer& target = *on.current;
+  const http_response_parser& parser = *on.parser;
+  if (parser.status < 200) {
+    on.discarding = true;
+    return true;
+  }
+  if (!target.match_value.empty()) {
+    const std::string_view value =
+        FindHeader(parser.headers, target.request.match_header);
+    if (value.empty()) {
+      Fail(target, "the response names no request", false);
+      return false;
     }
-    const CURLcode code = message->data.result;
-    transfer* target = nullptr;
-    curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &target);
-    Finish(target->id, code);
+    if (value != target.match_value) {
+      on.discarding = true;
+      return true;
+    }
+  }
+  on.head_delivered = true;
+  target.status = parser.status;
+  if (target.callbacks.on_head) {
+    target.callbacks.on_head(parser.status, parser.headers);
   }
+  return on.current == &target && !target.finished;
 }
 
-void http_client::Finish(transfer_id id, CURLcode code) {
-  auto node = transfers_.extract(id);
-  if (node.empty()) {
+void http_client::DeliverBody(connection& on) {
+  if (on.fd < 0 || on.current == nullptr || on.parser->body.empty()) {
     return;
   }
-  const std::unique_ptr<transfer> target = std::move(node.mapped());
-  http_client_result result;
-  result.ok = code == CURLE_OK;
-  long status = 0;
-  curl_easy_getinfo(target->easy, CURLINFO_RESPONSE_CODE, &status);
-  result.status = static_cast<unsigned>(status);
-  curl_off_t connect_us = 0;
-  curl_easy_getinfo(target->easy, CURLINFO_CONNECT_TIME_T, &connect_us);
-  const bool no_connection =
-      code == CURLE_COULDNT_CONNECT ||
-      (code == CURLE_OPERATION_TIMEDOUT && connect_us == 0);
-  result.never_sent = no_connection && !target->request.reuse_connection;
-  if (!result.ok) {
-    result.error = curl_easy_strerror(code);
-  } else {
-    target->ReportHead();
+  const std::string data = std::exchange(on.parser->body, {});
+  if (on.head_delivered && on.current->callbacks.on_data) {
+    on.current->callbacks.on_data(data);
+  }
+}
+
+void http_client::HandleEnd(connection& on, const std::string& error) {
+  if (on.current == nullptr) {
+    Destroy(on);
+    return;
+  }
+  if (error.empty() && on.head_delivered && on.parser->FinishAtEof()) {
+    DeliverBody(on);
+    if (on.fd >= 0 && on.current != nullptr) {
+      Complete(on);
+    }
+    return;
+  }
+  Fail(*on.current, error.empty() ? "the server closed the connection" : error,
+       false);
+}
+
+void http_client::Complete(connection& on) {
+  transfer& target = *on.current;
+  const http_client_result result{
+      .ok = true, .status = target.status, .reused = on.reused};
+  target.finished = true;
+  target.timeout.Stop();
+  target.on = nullptr;
+  on.current = nullptr;
+  auto node = transfers_.extract(target.id);
+  KeepOrClose(on);
+  if (target.callbacks.on_done) {
+    target.callbacks.on_done(result);
+  }
+  ended_.push_back(std::move(node.mapped()));
+  later_.Start(0);
+}
+
+void http_client::KeepOrClose(connection& on) {
+  const base::time_us idle_us = IdleTime(on.parser->headers);
+  const bool keep =
+      on.may_keep && on.parser->keep_alive() && !on.parser->need_eof() &&
+      on.in.empty() && on.sent == on.out.size() && idle_us > 0 &&
+      idle_[on.address].size() < kMaxIdlePerAddress &&
+      !HasToken(FindHeader(on.parser->headers, "connection"), "close");
+  if (!keep) {
+    Destroy(on);
+    return;
+  }
+  on.out.clear();
+  on.sent = 0;
+  on.idle_since_us = base::MonotonicUs();
+  on.idle_until_us = on.idle_since_us + idle_us;
+  idle_[on.address].push_back(&on);
+}
+
+void http_client::Fail(transfer& target, std::string error, bool never_sent) {
+  if (target.finished) {
+    return;
+  }
+  target.finished = true;
+  target.timeout.Stop();
+  const http_client_result result{
+      .status = target.status,
+      .never_sent = never_sent,
+      .reused = target.on != nullptr && target.on->reused,
+      .error = std::move(error)};
+  if (target.on != nullptr) {
+    target.on->current = nullptr;
+    Destroy(*target.on);
+    target.on = nullptr;
+  }
+  auto node = transfers_.extract(target.id);
+  if (target.callbacks.on_done) {
+    target.callbacks.on_done(result);
+  }
+  ended_.push_back(std::move(node.mapped()));
+  later_.Start(0);
+}
+
+void http_client::Destroy(connection& target) {
+  if (target.fd < 0) {
+    return;
   }
-  curl_multi_remove_handle(multi_, target->easy);
-  if (target->callbacks.on_done) {
-    target->callbacks.on_done(result);
+  ev_io_stop(event_loop_.ev(), &target.watcher);
+  close(std::exchange(target.fd, -1));
+  const auto idle = idle_.find(target.address);
+  if (idle != idle_.end()) {
+    std::erase(idle->second, &target);
   }
+  auto node = connections_.extract(&target);
+  closed_.push_back(std::move(node.mapped()));
+  later_.Start(0);
 }
 
 }  // namespace wisteriaroute::net
--- a/src/libwisteriaroute/net/http_client.h
+++ b/src/libwisteriaroute/net/http_client.h
@@ -1,7 +1,6 @@
 #ifndef LIBWISTERIAROUTE_NET_HTTP_CLIENT_H_
 #define LIBWISTERIAROUTE_NET_HTTP_CLIENT_H_
 
-#include <curl/curl.h>
 #include <ev.h>
 
 #include <cstdint>
@@ -10,20 +9,19 @@
 #include <memory>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <vector>
 
+#include "libwisteriaroute/net/http_message.h"
 #include "libwisteriaroute/net/loop.h"
 
 namespace wisteriaroute::net {
 
-using http_headers = std::vector<std::pair<std::string, std::string>>;
-
 /** Number of a transfer within its client; never used again. */
 using transfer_id = std::uint64_t;
 
 struct http_client_request {
   std::string method = "GET";
+  /** `http://IP:port/target`. */
   std::string url;
   http_headers headers;
   std::string body;
@@ -31,22 +29,29 @@
   /** Limit of the whole transfer; 0: none. */
   std::int64_t timeout_ms = 0;
   /**
-   * Whether an idle connection may be used. curl then sends the request a
-   * second time if that connection turns out to be closed, so it is only for
-   * requests that may be repeated.
+   * Whether the connection may be kept and an idle one used. The request is
+   * sent once in any case; if the idle connection turns out to be closed, the
+   * transfer fails.
    */
   bool reuse_connection = false;
+  /** An idle connection is used only if it was used within this time. */
+  std::int64_t max_idle_ms = 60'000;
+  /**
+   * Lower-case name of a header that the response has with the value of the
+   * request's. Responses with another value are discarded: they answer an
+   * earlier request of the connection.
+   */
+  std::string match_header;
 };
 
 struct http_client_result {
   /** Whether a whole response was received. */
   bool ok = false;
   unsigned status = 0;
-  /**
-   * Whether the connection was refused or never made: nothing was sent. Never
-   * set for a request that may reuse a connection.
-   */
+  /** Whether the connection was refused or never made: nothing was sent. */
   bool never_sent = false;
+  /** Whether an idle connection was used. */
+  bool reused = false;
   std::string error;
 };
 
@@ -58,7 +63,7 @@
   std::function<void(const http_client_result&)> on_done;
 };
 
-/** HTTP/1.1 client on the process's loop, by curl's multi interface. */
+/** HTTP/1.1 client on the process's loop. Never repeats a request by itself. */
 class http_client {
  public:
   explicit http_client(loop& event_loop);
@@ -69,43 +74,43 @@
   transfer_id Start(http_client_request request,
                     http_client_callbacks callbacks);
 
-  /** Ends a transfer without further callbacks. */
+  /** Ends a transfer without further callbacks, and its connection. */
   void Cancel(transfer_id id);
 
   std::size_t transfer_count() const { return transfers_.size(); }
+  /** Connections made so far, for metrics. */
+  std::uint64_t connections_made() const { return connections_made_; }
 
  private:
+  struct connection;
   struct transfer;
-  struct socket_watcher {
-    http_client* client = nullptr;
-    ev_io watcher;
-  };
-
-  static int HandleSocket(CURL* easy,
-                          curl_socket_t fd,
-                          int what,
-                          void* self,
-                          void* socket);
-  static int HandleTimer(CURLM* multi, long timeout_ms, void* self);
-  static std::size_t HandleHeader(char* data,
-                                  std::size_t size,
-                                  std::size_t count,
-                                  void* context);
-  static std::size_t HandleData(char* data,
-                                std::size_t size,
-                                std::size_t count,
-                                void* context);
-
-  void SocketAction(curl_socket_t fd, int events);
-  void CollectDone();
-  void Finish(transfer_id id, CURLcode code);
+
+  connection* TakeIdle(const std::string& address, std::int64_t max_idle_ms);
+  connection* Connect(const std::string& address, std::string& error);
+  void HandleEvents(connection& on, int events);
+  void HandleWritable(connection& on);
+  void HandleReadable(connection& on);
+  bool Parse(connection& on);
+  bool DeliverHead(connection& on);
+  void DeliverBody(connection& on);
+  void HandleEnd(connection& on, const std::string& error);
+  void Complete(connection& on);
+  void Fail(transfer& target, std::string error, bool never_sent);
+  void KeepOrClose(connection& on);
+  void UpdateWatcher(connection& of);
+  void Destroy(connection& target);
 
   loop& event_loop_;
-  CURLM* multi_;
-  timer timer_;
+  timer later_;
   transfer_id next_id_ = 1;
+  std::uint64_t connections_made_ = 0;
   std::map<transfer_id, std::unique_ptr<transfer>> transfers_;
-  std::map<curl_socket_t, std::unique_ptr<socket_watcher>> sockets_;
+  std::map<connection*, std::unique_ptr<connection>> connections_;
+  /** Idle connections by address, the one used last at the end. */
+  std::map<std::string, std::vector<connection*>, std::less<>> idle_;
+  // Freed when no callback of theirs can be running.
+  std::vector<std::unique_ptr<connection>> closed_;
+  std::vector<std::unique_ptr<transfer>> ended_;
 };
 
 }  // namespace wisteriaroute::net
--- /dev/null
+++ b/src/libwisteriaroute/net/http_parser.h
@@ -0,0 +1,144 @@
+#ifndef LIBWISTERIAROUTE_NET_HTTP_PARSER_H_
+#define LIBWISTERIAROUTE_NET_HTTP_PARSER_H_
+
+#include <boost/beast/http/basic_parser.hpp>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "libwisteriaroute/net/http_message.h"
+
+namespace wisteriaroute::net {
+
+/**
+ * Incremental HTTP/1.1 parser of one message: Beast's parser with its parts
+ * collected. `Body` is taken by the owner between two calls of Feed.
+ */
+template <bool IsRequest>
+class http_parser final : public boost::beast::http::basic_parser<IsRequest> {
+ public:
+  using base = boost::beast::http::basic_parser<IsRequest>;
+
+  struct feed_result {
+    /** Bytes of the input that belong to this message. */
+    std::size_t consumed = 0;
+    bool failed = false;
+    /** kFailed because a limit was exceeded: 431 or 413; otherwise 0. */
+    unsigned limit_status = 0;
+    std::string error;
+  };
+
+  http_parser(std::size_t header_bytes, std::uint64_t body_bytes) {
+    this->header_limit(static_cast<std::uint32_t>(header_bytes));
+    this->body_limit(body_bytes);
+    this->eager(true);
+  }
+
+  /** Parses as much as possible of `input`. */
+  feed_result Feed(std::string_view input) {
+    feed_result result;
+    while (!this->is_done() && result.consumed < input.size()) {
+      boost::system::error_code error;
+      const std::size_t used =
+          this->put(boost::asio::const_buffer(input.data() + result.consumed,
+                                              input.size() - result.consumed),
+                    error);
+      result.consumed += used;
+      if (error == boost::beast::http::error::need_more) {
+        if (used == 0) {
+          break;
+        }
+        continue;
+      }
+      if (error) {
+        result.failed = true;
+        result.error = error.message();
+        if (error == boost::beast::http::error::header_limit) {
+          result.limit_status = 431;
+        } else if (error == boost::beast::http::error::body_limit) {
+          result.limit_status = 413;
+        }
+        break;
+      }
+      if (used == 0) {
+        break;
+      }
+    }
+    return result;
+  }
+
+  /** The connection ended; whether that completes the message. */
+  bool FinishAtEof() {
+    boost::system::error_code error;
+    this->put_eof(error);
+    return !error && this->is_done();
+  }
+
+  // Set when the header is complete.
+  std::string method;
+  std::string target;
+  /** 11 for HTTP/1.1. */
+  int version = 11;
+  unsigned status = 0;
+  /** Names in lower case. */
+  http_headers headers;
+  /** Body bytes that were parsed and not taken yet. */
+  std::string body;
+
+ private:
+  using error_code = boost::system::error_code;
+  using view = boost::beast::string_view;
+
+  static std::string_view View(view text) { return {text.data(), text.size()}; }
+
+  void on_request_impl(boost::beast::http::verb,
+                       view method_text,
+                       view target_text,
+                       int version_number,
+                       error_code& error) override {
+    error = {};
+    version = version_number;
+    method = View(method_text);
+    target = View(target_text);
+  }
+  void on_response_impl(int code, view, int, error_code& error) override {
+    error = {};
+    status = static_cast<unsigned>(code);
+  }
+  void on_field_impl(boost::beast::http::field,
+                     view name,
+                     view value,
+                     error_code& error) override {
+    error = {};
+    headers.emplace_back(LowerCase(View(name)), View(value));
+  }
+  void on_header_impl(error_code& error) override { error = {}; }
+  void on_body_init_impl(const boost::optional<std::uint64_t>&,
+                         error_code& error) override {
+    error = {};
+  }
+  std::size_t on_body_impl(view data, error_code& error) override {
+    error = {};
+    body += View(data);
+    return data.size();
+  }
+  void on_chunk_header_impl(std::uint64_t, view, error_code& error) override {
+    error = {};
+  }
+  std::size_t on_chunk_body_impl(std::uint64_t,
+                                 view data,
+                                 error_code& error) override {
+    error = {};
+    body += View(data);
+    return data.size();
+  }
+  void on_finish_impl(error_code& error) override { error = {}; }
+};
+
+using http_request_parser = http_parser<true>;
+using http_response_parser = http_parser<false>;
+
+}  // namespace wisteriaroute::net
+
+#endif  // LIBWISTERIAROUTE_NET_HTTP_PARSER_H_
--- a/src/libwisteriaroute/net/http_server.cc
+++ b/src/libwisteriaroute/net/http_server.cc
@@ -1,76 +1,73 @@
 #include "libwisteriaroute/net/http_server.h"
 
-#include <poll.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
-#include <cctype>
-#include <cstring>
-#include <optional>
-#include <stdexcept>
+#include <array>
+#include <cerrno>
+#include <cstdio>
+#include <utility>
 
+#include "libwisteriaroute/base/log.h"
 #include "libwisteriaroute/net/address.h"
+#include "libwisteriaroute/net/http_parser.h"
 
 namespace wisteriaroute::net {
 
 namespace {
 
-// A suspended connection doesn't notice that its caller left, so its socket is
-// looked at this often.
-constexpr base::time_us kAbandonedPollUs = 250'000;
-constexpr std::size_t kStreamBlockBytes = 16 * 1024;
-// Consumed bytes at the front of a stream's buffer are dropped beyond this.
+constexpr std::size_t kReadBytes = 16 * 1024;
+// Requests that a caller sends ahead of the response in progress wait in the
+// socket beyond this.
+constexpr std::size_t kMaxPipelinedBytes = 64 * 1024;
+constexpr base::time_us kSweepPeriodUs = 250'000;
+// After a response to a request that wasn't read to its end. Closing at once
+// would reset the connection and could destroy the response on its way.
+constexpr base::time_us kLingerUs = 2'000'000;
 constexpr std::size_t kCompactBytes = 64 * 1024;
 
-bool PeerLeft(MHD_Connection* connection) {
-  const MHD_ConnectionInfo* info =
-      MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-  if (info == nullptr) {
-    return false;
-  }
-  pollfd probe{.fd = info->connect_fd, .events = POLLRDHUP, .revents = 0};
-  return poll(&probe, 1, 0) > 0 &&
-         (probe.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
-}
+constexpr unsigned kNoContent = 204;
+constexpr unsigned kNotModified = 304;
+constexpr unsigned kBadRequest = 400;
+constexpr unsigned kRequestTimeout = 408;
+constexpr unsigned kTooLarge = 413;
+constexpr unsigned kUnavailable = 503;
 
-void AddHeaders(MHD_Response* response, const http_headers& headers) {
-  for (const auto& [name, value] : headers) {
-    MHD_add_response_header(response, name.c_str(), value.c_str());
-  }
+bool HasBody(unsigned status) {
+  return status >= 200 && status != kNoContent && status != kNotModified;
 }
 
 }  // namespace
 
-struct http_server::exchange {
-  enum class phase { kStarting, kReceiving, kWaiting, kAnswered };
+struct http_server::connection {
+  enum class phase { kIdle, kReceiving, kWaiting, kStreaming, kLingering };
 
   http_server* server = nullptr;
-  MHD_Connection* connection = nullptr;
-  exchange_id id = 0;
-  phase current = phase::kStarting;
-  http_server_request request;
-  bool too_large = false;
-  bool suspended = false;
-  bool abandoned = false;
-
-  unsigned status = 0;
-  http_headers headers;
-  std::optional<std::string> whole_body;
-  bool streaming = false;
-  std::string buffer;
-  std::size_t consumed = 0;
-  bool ended = false;
-  bool aborted = false;
+  connection_id id = 0;
+  int fd = -1;
+  ev_io watcher;
+  int watched = 0;
+  phase current = phase::kIdle;
+  std::unique_ptr<http_request_parser> parser;
+  std::string in;
+  std::string out;
+  std::size_t sent = 0;
+  exchange_id exchange = 0;
+  bool head_request = false;
+  bool chunked = true;
+  bool close_after = false;
+  bool read_ended = false;
+  /** Bytes of the body that count towards the server's total. */
+  std::size_t counted_bytes = 0;
+  /** End of the current wait: for a request, its rest, or the linger. */
+  base::time_us until_us = 0;
 };
 
 std::string_view http_server_request::Header(std::string_view name) const {
-  for (const auto& [key, value] : headers) {
-    if (key == name) {
-      return value;
-    }
-  }
-  return {};
+  return FindHeader(headers, name);
 }
 
 http_server::http_server(loop& event_loop,
@@ -79,339 +76,428 @@
     : event_loop_(event_loop),
       limits_(limits),
       callbacks_(std::move(callbacks)),
-      run_timer_(event_loop.ev(), [this] { RunDaemon(); }),
-      abandoned_timer_(event_loop.ev(), [this] { CheckAbandoned(); }) {}
+      sweep_(event_loop.ev(), [this] { Sweep(); }),
+      later_(event_loop.ev(), [this] { RunLater(); }) {}
 
 http_server::~http_server() {
-  if (daemon_ == nullptr) {
-    return;
-  }
-  ev_io_stop(event_loop_.ev(), &epoll_watcher_);
-  // libmicrohttpd requires that no connection is suspended when it stops.
-  for (const auto& [id, target] : exchanges_) {
-    target->aborted = true;
-    if (target->suspended) {
-      MHD_resume_connection(target->connection);
-    }
-  }
+  StopListening();
   callbacks_.on_abandoned = nullptr;
-  MHD_stop_daemon(daemon_);
+  while (!connections_.empty()) {
+    Destroy(*connections_.begin()->second);
+  }
 }
 
 std::string http_server::Listen(std::string_view address) {
-  const int fd = OpenListener(address);
-  std::string local = LocalAddress(fd);
-  // Twice the header limit: the pool holds the read buffer and the parsed
-  // headers of a connection.
-  const std::size_t pool_bytes = limits_.header_bytes * 2;
-  daemon_ = MHD_start_daemon(
-      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, nullptr, nullptr,
-      &http_server::HandleAccess, this, MHD_OPTION_LISTEN_SOCKET, fd,
-      MHD_OPTION_URI_LOG_CALLBACK, &http_server::HandleUri, this,
-      MHD_OPTION_NOTIFY_COMPLETED, &http_server::HandleCompleted, this,
-      MHD_OPTION_CONNECTION_LIMIT, limits_.connections,
-      MHD_OPTION_CONNECTION_MEMORY_LIMIT, pool_bytes,
-      MHD_OPTION_CONNECTION_TIMEOUT, limits_.idle_timeout_s, MHD_OPTION_END);
-  if (daemon_ == nullptr) {
-    close(fd);
-    throw std::runtime_error("can't start the HTTP server on " +
-                             std::string(address));
-  }
-  const MHD_DaemonInfo* info =
-      MHD_get_daemon_info(daemon_, MHD_DAEMON_INFO_EPOLL_FD);
+  listen_fd_ = OpenListener(address);
   ev_io_init(
-      &epoll_watcher_,
+      &listen_watcher_,
       [](struct ev_loop*, ev_io* watcher, int) {
-        static_cast<http_server*>(watcher->data)->RunDaemon();
+        static_cast<http_server*>(watcher->data)->Accept();
       },
-      info->epoll_fd, EV_READ);
-  epoll_watcher_.data = this;
-  ev_io_start(event_loop_.ev(), &epoll_watcher_);
-  abandoned_timer_.Start(kAbandonedPollUs, kAbandonedPollUs);
-  return local;
+      listen_fd_, EV_READ);
+  listen_watcher_.data = this;
+  ev_io_start(event_loop_.ev(), &listen_watcher_);
+  sweep_.Start(kSweepPeriodUs, kSweepPeriodUs);
+  return LocalAddress(listen_fd_);
 }
 
 void http_server::StopListening() {
-  if (daemon_ != nullptr) {
-    const int fd = MHD_quiesce_daemon(daemon_);
-    if (fd >= 0) {
-      close(fd);
+  if (listen_fd_ >= 0) {
+    ev_io_stop(event_loop_.ev(), &listen_watcher_);
+    close(std::exchange(listen_fd_, -1));
+  }
+}
+
+void http_server::SetLimits(const http_server_limits& limits) {
+  limits_ = limits;
+}
+
+void http_server::CloseIdle() {
+  std::vector<connection*> idle;
+  for (const auto& [id, one] : connections_) {
+    if (one->current == connection::phase::kIdle && one->in.empty() &&
+        one->sent == one->out.size()) {
+      idle.push_back(one.get());
     }
   }
+  for (connection* one : idle) {
+    Destroy(*one);
+  }
 }
 
-void http_server::ScheduleRun() {
-  if (!run_scheduled_) {
-    run_scheduled_ = true;
-    event_loop_.Defer([this] { RunDaemon(); });
+void http_server::Accept() {
+  for (;;) {
+    const int fd =
+        accept4(listen_fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd < 0) {
+      if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR &&
+          errno != ECONNABORTED) {
+        base::LogWarning("accept_failed", {{"errno", errno}});
+      }
+      return;
+    }
+    if (connections_.size() >= limits_.connections) {
+      base::LogWarning("connection_refused",
+                       {{"cause", "limit"},
+                        {"connections", std::uint64_t{connections_.size()}}});
+      close(fd);
+      continue;
+    }
+    const int on = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    auto made = std::make_unique<connection>();
+    connection& one = *made;
+    one.server = this;
+    one.id = next_connection_++;
+    one.fd = fd;
+    one.until_us = base::MonotonicUs() + limits_.idle_timeout_ms * 1'000;
+    ev_io_init(
+        &one.watcher,
+        [](struct ev_loop*, ev_io* watcher, int events) {
+          auto& target = *static_cast<connection*>(watcher->data);
+          http_server& server = *target.server;
+          if ((events & EV_WRITE) != 0) {
+            server.Flush(target);
+          }
+          if ((events & EV_READ) != 0 && target.fd >= 0) {
+            server.HandleReadable(target);
+          }
+        },
+        fd, EV_READ);
+    one.watcher.data = &one;
+    connections_[one.id] = std::move(made);
+    UpdateWatcher(one);
   }
 }
 
-void http_server::RunDaemon() {
-  // A callback may respond while libmicrohttpd runs; it isn't reentrant.
-  if (running_) {
-    ScheduleRun();
+void http_server::UpdateWatcher(connection& of) {
+  if (of.fd < 0) {
     return;
   }
-  run_scheduled_ = false;
-  running_ = true;
-  MHD_run(daemon_);
-  running_ = false;
-  MHD_UNSIGNED_LONG_LONG timeout_ms = 0;
-  if (MHD_get_timeout(daemon_, &timeout_ms) == MHD_YES) {
-    run_timer_.Start(static_cast<base::time_us>(timeout_ms) * 1'000 + 1);
-  } else {
-    run_timer_.Stop();
+  const bool busy = of.exchange != 0;
+  const bool read =
+      !of.read_ended && !(busy && of.in.size() >= kMaxPipelinedBytes);
+  const int wanted =
+      (read ? EV_READ : 0) | (of.sent < of.out.size() ? EV_WRITE : 0);
+  if (wanted == of.watched) {
+    return;
+  }
+  ev_io_stop(event_loop_.ev(), &of.watcher);
+  of.watched = wanted;
+  if (wanted != 0) {
+    ev_io_set(&of.watcher, of.fd, wanted);
+    ev_io_start(event_loop_.ev(), &of.watcher);
   }
 }
 
-void http_server::CheckAbandoned() {
-  std::vector<exchange_id> left;
-  for (const auto& [id, target] : exchanges_) {
-    if (target->suspended && !target->abandoned &&
-        PeerLeft(target->connection)) {
-      left.push_back(id);
+void http_server::HandleReadable(connection& from) {
+  std::array<char, kReadBytes> buffer;
+  const ssize_t count = recv(from.fd, buffer.data(), buffer.size(), 0);
+  if (count < 0) {
+    if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
+      Destroy(from);
     }
+    return;
+  }
+  if (count == 0) {
+    Destroy(from);
+    return;
+  }
+  if (from.current == connection::phase::kLingering) {
+    return;
   }
-  for (const exchange_id id : left) {
-    exchange* target = Find(id);
-    if (target == nullptr || !target->suspended) {
+  from.in.append(buffer.data(), static_cast<std::size_t>(count));
+  Parse(from);
+  UpdateWatcher(from);
+}
+
+void http_server::Parse(connection& from) {
+  while (from.fd >= 0 && from.exchange == 0 && !from.in.empty() &&
+         from.current != connection::phase::kLingering) {
+    if (from.current == connection::phase::kIdle) {
+      from.current = connection::phase::kReceiving;
+      from.until_us = base::MonotonicUs() + limits_.header_timeout_ms * 1'000;
+      from.parser = std::make_unique<http_request_parser>(limits_.header_bytes,
+                                                          limits_.body_bytes);
+    }
+    http_request_parser& parser = *from.parser;
+    const bool had_header = parser.is_header_done();
+    const http_request_parser::feed_result fed = parser.Feed(from.in);
+    from.in.erase(0, fed.consumed);
+    body_bytes_ += parser.body.size() - from.counted_bytes;
+    from.counted_bytes = parser.body.size();
+    if (fed.failed) {
+      RefuseInput(from, fed.limit_status != 0 ? fed.limit_status : kBadRequest);
+      return;
+    }
+    if (body_bytes_ > limits_.total_body_bytes) {
+      base::LogWarning("request_refused",
+                       {{"cause", "memory of request bodies"},
+                        {"bytes", std::uint64_t{body_bytes_}}});
+      RefuseInput(from, kUnavailable);
+      return;
+    }
+    if (parser.is_done()) {
+      Dispatch(from);
       continue;
     }
-    target->abandoned = true;
-    target->aborted = true;
-    if (callbacks_.on_abandoned) {
-      callbacks_.on_abandoned(id);
+    if (!had_header && parser.is_header_done() &&
+        HasToken(FindHeader(parser.headers, "expect"), "100-continue")) {
+      from.out += "HTTP/1.1 100 Continue\r\n\r\n";
+      Flush(from);
     }
-    Resume(*target);
+    return;
   }
 }
 
-MHD_Result http_server::CollectHeader(void* context,
-                                      MHD_ValueKind,
-                                      const char* key,
-                                      const char* value) {
-  std::string name(key);
-  std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) {
-    return static_cast<char>(std::tolower(c));
-  });
-  static_cast<http_server_request*>(context)->headers.emplace_back(
-      std::move(name), value == nullptr ? "" : value);
-  return MHD_YES;
+void http_server::Dispatch(connection& from) {
+  http_request_parser& parser = *from.parser;
+  http_server_request request{.method = std::move(parser.method),
+                              .headers = std::move(parser.headers),
+                              .body = std::move(parser.body)};
+  body_bytes_ -= std::exchange(from.counted_bytes, 0);
+  const std::size_t query =
+      std::min(parser.target.find('?'), parser.target.size());
+  request.path = parser.target.substr(0, query);
+  request.query = parser.target.substr(query);
+  from.close_after = !parser.keep_alive();
+  from.head_request = request.method == "HEAD";
+  from.chunked = parser.version >= 11;
+  from.parser.reset();
+  from.exchange = next_exchange_++;
+  from.current = connection::phase::kWaiting;
+  exchanges_[from.exchange] = from.id;
+  callbacks_.on_request(from.exchange, std::move(request));
 }
 
-// Called before anything is parsed. Takes the target as sent, because
-// libmicrohttpd decodes the path that it passes to the access handler.
-void* http_server::HandleUri(void* self,
-                             const char* uri,
-                             MHD_Connection* connection) {
-  auto* server = static_cast<http_server*>(self);
-  auto* target = new exchange;
-  target->server = server;
-  target->connection = connection;
-  target->id = server->next_id_++;
-  const std::string_view text(uri);
-  const std::size_t query = std::min(text.find('?'), text.size());
-  target->request.path = text.substr(0, query);
-  target->request.query = text.substr(query);
-  server->exchanges_[target->id] = target;
-  return target;
+void http_server::RefuseInput(connection& from, unsigned status) {
+  body_bytes_ -= std::exchange(from.counted_bytes, 0);
+  from.parser.reset();
+  from.in.clear();
+  from.close_after = true;
+  std::string body;
+  if (status == kTooLarge && callbacks_.too_large_body) {
+    body = callbacks_.too_large_body();
+  }
+  WriteHead(from, status,
+            {{"Content-Type", "application/json"},
+             {"Content-Length", std::to_string(body.size())}});
+  from.out += body;
+  StartLinger(from);
 }
 
-MHD_Result http_server::HandleAccess(void* self,
-                                     MHD_Connection* connection,
-                                     const char*,
-                                     const char* method,
-                                     const char*,
-                                     const char* upload_data,
-                                     size_t* upload_size,
-                                     void** context) {
-  auto* server = static_cast<http_server*>(self);
-  auto& target = *static_cast<exchange*>(*context);
-  if (target.current == exchange::phase::kStarting) {
-    target.current = exchange::phase::kReceiving;
-    target.request.method = method;
-    MHD_get_connection_values(connection, MHD_HEADER_KIND,
-                              &http_server::CollectHeader, &target.request);
-    return MHD_YES;
-  }
-  if (*upload_size > 0) {
-    std::string& body = target.request.body;
-    if (body.size() + *upload_size > server->limits_.body_bytes) {
-      target.too_large = true;
-      body.clear();
-    } else if (!target.too_large) {
-      body.append(upload_data, *upload_size);
-    }
-    *upload_size = 0;
-    return MHD_YES;
+void http_server::WriteHead(connection& to,
+                            unsigned status,
+                            const http_headers& headers) {
+  to.close_after = to.close_after || closing_;
+  // Callers ignore the reason phrase; it may be empty.
+  to.out += "HTTP/1.1 " + std::to_string(status) + " \r\n";
+  for (const auto& [name, value] : headers) {
+    to.out += name;
+    to.out += ": ";
+    to.out += value;
+    to.out += "\r\n";
+  }
+  if (to.close_after) {
+    to.out += "Connection: close\r\n";
   }
-  return target.current == exchange::phase::kReceiving
-             ? server->Dispatch(target)
-             : server->QueueResponse(target);
+  to.out += "\r\n";
 }
 
-MHD_Result http_server::Dispatch(exchange& target) {
-  target.current = exchange::phase::kWaiting;
-  if (target.too_large) {
-    target.status = MHD_HTTP_CONTENT_TOO_LARGE;
-    target.headers = {{"Content-Type", "application/json"}};
-    target.whole_body =
-        callbacks_.too_large_body ? callbacks_.too_large_body() : "";
-    return QueueResponse(target);
-  }
-  callbacks_.on_request(target.id, std::move(target.request));
-  if (target.whole_body || target.streaming) {
-    return QueueResponse(target);
-  }
-  target.suspended = true;
-  MHD_suspend_connection(target.connection);
-  return MHD_YES;
+void http_server::Flush(connection& to) {
+  while (to.sent < to.out.size()) {
+    const ssize_t count = send(to.fd, to.out.data() + to.sent,
+                               to.out.size() - to.sent, MSG_NOSIGNAL);
+    if (count < 0) {
+      if (errno == EINTR) {
+        continue;
+      }
+      if (errno != EAGAIN && errno != EWOULDBLOCK) {
+        Destroy(to);
+        return;
+      }
+      break;
+    }
+    to.sent += static_cast<std::size_t>(count);
+  }
+  if (to.sent == to.out.size()) {
+    to.out.clear();
+    to.sent = 0;
+    if (to.current == connection::phase::kLingering && !to.read_ended) {
+      shutdown(to.fd, SHUT_WR);
+    }
+  } else if (to.sent > kCompactBytes) {
+    to.out.erase(0, to.sent);
+    to.sent = 0;
+  }
+  UpdateWatcher(to);
 }
 
-MHD_Result http_server::QueueResponse(exchange& target) {
-  if (target.abandoned || (!target.whole_body && !target.streaming)) {
-    return MHD_NO;
-  }
-  target.current = exchange::phase::kAnswered;
-  MHD_Response* response = nullptr;
-  if (target.streaming) {
-    response = MHD_create_response_from_callback(
-        MHD_SIZE_UNKNOWN, kStreamBlockBytes, &http_server::ReadStream, &target,
-        nullptr);
-  } else {
-    response = MHD_create_response_from_buffer(target.whole_body->size(),
-                                               target.whole_body->data(),
-                                               MHD_RESPMEM_MUST_COPY);
-  }
-  AddHeaders(response, target.headers);
-  const MHD_Result result =
-      MHD_queue_response(target.connection, target.status, response);
-  MHD_destroy_response(response);
-  return result;
+void http_server::StartLinger(connection& of) {
+  of.current = connection::phase::kLingering;
+  of.until_us = base::MonotonicUs() + kLingerUs;
+  Flush(of);
 }
 
-ssize_t http_server::ReadStream(void* context,
-                                std::uint64_t,
-                                char* buffer,
-                                size_t max) {
-  auto& target = *static_cast<exchange*>(context);
-  const std::size_t available = target.buffer.size() - target.consumed;
-  if (available > 0 && !target.abandoned) {
-    const std::size_t count = std::min(available, max);
-    std::memcpy(buffer, target.buffer.data() + target.consumed, count);
-    target.consumed += count;
-    if (target.consumed == target.buffer.size()) {
-      target.buffer.clear();
-      target.consumed = 0;
-    } else if (target.consumed > kCompactBytes) {
-      target.buffer.erase(0, target.consumed);
-      target.consumed = 0;
-    }
-    return static_cast<ssize_t>(count);
-  }
-  if (target.aborted) {
-    return MHD_CONTENT_READER_END_WITH_ERROR;
+void http_server::FinishExchange(connection& of) {
+  exchanges_.erase(std::exchange(of.exchange, 0));
+  if (of.close_after) {
+    StartLinger(of);
+    return;
   }
-  if (target.ended) {
-    return MHD_CONTENT_READER_END_OF_STREAM;
+  of.current = connection::phase::kIdle;
+  of.until_us = base::MonotonicUs() + limits_.idle_timeout_ms * 1'000;
+  Flush(of);
+  if (of.fd >= 0 && !of.in.empty()) {
+    // Later, so that a caller that sends ahead can't grow the stack.
+    sent_ahead_.push_back(of.id);
+    later_.Start(0);
   }
-  target.suspended = true;
-  MHD_suspend_connection(target.connection);
-  return 0;
 }
 
-void http_server::HandleCompleted(void* self,
-                                  MHD_Connection*,
-                                  void** context,
-                                  MHD_RequestTerminationCode code) {
-  auto* server = static_cast<http_server*>(self);
-  const std::unique_ptr<exchange> target(static_cast<exchange*>(*context));
-  *context = nullptr;
-  if (target == nullptr) {
+void http_server::Destroy(connection& target) {
+  if (target.fd < 0) {
     return;
   }
-  server->exchanges_.erase(target->id);
-  const bool was_dispatched = target->current == exchange::phase::kWaiting ||
-                              target->current == exchange::phase::kAnswered;
-  if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK && was_dispatched &&
-      !target->abandoned && !target->aborted &&
-      server->callbacks_.on_abandoned) {
-    server->callbacks_.on_abandoned(target->id);
+  ev_io_stop(event_loop_.ev(), &target.watcher);
+  close(std::exchange(target.fd, -1));
+  body_bytes_ -= std::exchange(target.counted_bytes, 0);
+  const exchange_id exchange = std::exchange(target.exchange, 0);
+  auto node = connections_.extract(target.id);
+  closed_.push_back(std::move(node.mapped()));
+  later_.Start(0);
+  if (exchange != 0) {
+    exchanges_.erase(exchange);
+    if (callbacks_.on_abandoned) {
+      callbacks_.on_abandoned(exchange);
+    }
   }
 }
 
-http_server::exchange* http_server::Find(exchange_id id) {
-  const auto it = exchanges_.find(id);
-  return it == exchanges_.end() ? nullptr : it->second;
+void http_server::Sweep() {
+  const base::time_us now = base::MonotonicUs();
+  std::vector<connection*> late;
+  for (const auto& [id, one] : connections_) {
+    if (one->exchange == 0 && now >= one->until_us) {
+      late.push_back(one.get());
+    }
+  }
+  for (connection* one : late) {
+    if (one->current == connection::phase::kReceiving) {
+      RefuseInput(*one, kRequestTimeout);
+    } else {
+      Destroy(*one);
+    }
+  }
 }
 
-void http_server::Resume(exchange& target) {
-  if (target.suspended) {
-    target.suspended = false;
-    MHD_resume_connection(target.connection);
-    ScheduleRun();
+void http_server::RunLater() {
+  closed_.clear();
+  for (const connection_id id : std::exchange(sent_ahead_, {})) {
+    const auto found = connections_.find(id);
+    if (found != connections_.end()) {
+      connection& target = *found->second;
+      Parse(target);
+      UpdateWatcher(target);
+    }
   }
 }
 
+http_server::connection* http_server::Find(exchange_id id) {
+  const auto exchange = exchanges_.find(id);
+  return exchange == exchanges_.end()
+             ? nullptr
+             : connections_.find(exchange->second)->second.get();
+}
+
 void http_server::Respond(exchange_id id,
                           unsigned status,
                           const http_headers& headers,
                           std::string body) {
-  exchange* target = Find(id);
-  if (target == nullptr || target->current != exchange::phase::kWaiting ||
-      target->whole_body || target->streaming) {
+  connection* target = Find(id);
+  if (target == nullptr || target->current != connection::phase::kWaiting) {
     return;
   }
-  target->status = status;
-  target->headers = headers;
-  target->whole_body = std::move(body);
-  Resume(*target);
+  http_headers all = headers;
+  if (HasBody(status)) {
+    all.emplace_back("Content-Length", std::to_string(body.size()));
+  }
+  WriteHead(*target, status, all);
+  if (HasBody(status) && !target->head_request) {
+    target->out += body;
+  }
+  FinishExchange(*target);
 }
 
 void http_server::StartStream(exchange_id id,
                               unsigned status,
                               const http_headers& headers) {
-  exchange* target = Find(id);
-  if (target == nullptr || target->current != exchange::phase::kWaiting ||
-      target->whole_body || target->streaming) {
+  connection* target = Find(id);
+  if (target == nullptr || target->current != connection::phase::kWaiting) {
     return;
   }
-  target->status = status;
-  target->headers = headers;
-  target->streaming = true;
-  Resume(*target);
+  http_headers all = headers;
+  if (target->chunked) {
+    all.emplace_back("Transfer-Encoding", "chunked");
+  } else {
+    target->close_after = true;
+  }
+  WriteHead(*target, status, all);
+  target->current = connection::phase::kStreaming;
+  Flush(*target);
 }
 
 void http_server::Write(exchange_id id, std::string_view data) {
-  exchange* target = Find(id);
-  if (target != nullptr && target->streaming && !target->ended) {
-    target->buffer.append(data);
-    Resume(*target);
+  connection* target = Find(id);
+  if (target == nullptr || data.empty() ||
+      target->current != connection::phase::kStreaming) {
+    return;
   }
+  if (target->chunked) {
+    std::array<char, 20> size;
+    const int digits =
+        std::snprintf(size.data(), size.size(), "%zx\r\n", data.size());
+    target->out.append(size.data(), static_cast<std::size_t>(digits));
+    target->out += data;
+    target->out += "\r\n";
+  } else {
+    target->out += data;
+  }
+  Flush(*target);
 }
 
 void http_server::EndStream(exchange_id id) {
-  exchange* target = Find(id);
-  if (target != nullptr && target->streaming) {
-    target->ended = true;
-    Resume(*target);
+  connection* target = Find(id);
+  if (target != nullptr && target->current == connection::phase::kStreaming) {
+    if (target->chunked) {
+      target->out += "0\r\n\r\n";
+    }
+    FinishExchange(*target);
   }
 }
 
 void http_server::AbortStream(exchange_id id) {
-  exchange* target = Find(id);
-  if (target != nullptr && target->streaming) {
-    target->aborted = true;
-    Resume(*target);
+  connection* target = Find(id);
+  if (target == nullptr) {
+    return;
   }
+  if (!target->chunked) {
+    // Without chunks an orderly end would make the response look complete.
+    const linger reset{.l_onoff = 1, .l_linger = 0};
+    setsockopt(target->fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+  }
+  // Known to the owner, so that it isn't told.
+  exchanges_.erase(std::exchange(target->exchange, 0));
+  Destroy(*target);
 }
 
 std::size_t http_server::BufferedBytes(exchange_id id) const {
-  const auto it = exchanges_.find(id);
-  return it == exchanges_.end()
-             ? 0
-             : it->second->buffer.size() - it->second->consumed;
+  const auto exchange = exchanges_.find(id);
+  if (exchange == exchanges_.end()) {
+    return 0;
+  }
+  const connection& target = *connections_.find(exchange->second)->second;
+  return target.out.size() - target.sent;
 }
 
 }  // namespace wisteriaroute::net
--- a/src/libwisteriaroute/net/http_server.h
+++ b/src/libwisteriaroute/net/http_server.h
@@ -2,7 +2,6 @@
 #define LIBWISTERIAROUTE_NET_HTTP_SERVER_H_
 
 #include <ev.h>
-#include <microhttpd.h>
 
 #include <cstdint>
 #include <functional>
@@ -10,15 +9,13 @@
 #include <memory>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <vector>
 
+#include "libwisteriaroute/net/http_message.h"
 #include "libwisteriaroute/net/loop.h"
 
 namespace wisteriaroute::net {
 
-using http_headers = std::vector<std::pair<std::string, std::string>>;
-
 /** Number of an exchange within its server; never used again. */
 using exchange_id = std::uint64_t;
 
@@ -40,9 +37,12 @@
 struct http_server_limits {
   std::size_t header_bytes = 16 * 1024;
   std::size_t body_bytes = 1024 * 1024;
+  /** Of all requests that are being received; more are answered 503. */
+  std::size_t total_body_bytes = 64 * 1024 * 1024;
   unsigned connections = 4'096;
-  /** Idle connections and unfinished requests are closed after this. */
-  unsigned idle_timeout_s = 60;
+  /** An unfinished request is cut after this. */
+  base::time_ms header_timeout_ms = 60'000;
+  base::time_ms idle_timeout_ms = 60'000;
 };
 
 struct http_server_callbacks {
@@ -70,6 +70,14 @@
   /** Stops accepting connections; exchanges in progress go on. */
   void StopListening();
 
+  /** Limits of requests that begin later. */
+  void SetLimits(const http_server_limits& limits);
+
+  /** From now on each response ends its connection. */
+  void CloseAfterResponses() { closing_ = true; }
+  /** Closes connections on which nothing of a request was received. */
+  void CloseIdle();
+
   /** Sends a whole response. Unknown exchanges are ignored, here and below. */
   void Respond(exchange_id id,
                unsigned status,
@@ -83,60 +91,52 @@
   void Write(exchange_id id, std::string_view data);
   /** Ends a stream properly. */
   void EndStream(exchange_id id);
-  /** Cuts a stream, so that the caller sees that it isn't complete. */
+  /** Cuts the connection, so that the caller sees an incomplete response. */
   void AbortStream(exchange_id id);
 
   /** Bytes written to a stream that the connection hasn't taken yet. */
   std::size_t BufferedBytes(exchange_id id) const;
 
   std::size_t exchange_count() const { return exchanges_.size(); }
+  std::size_t connection_count() const { return connections_.size(); }
 
  private:
-  struct exchange;
-
-  static void* HandleUri(void* self,
-                         const char* uri,
-                         MHD_Connection* connection);
-  static MHD_Result HandleAccess(void* self,
-                                 MHD_Connection* connection,
-                                 const char* url,
-                                 const char* method,
-                                 const char* version,
-                                 const char* upload_data,
-                                 size_t* upload_size,
-                                 void** context);
-  static void HandleCompleted(void* self,
-                              MHD_Connection* connection,
-                              void** context,
-                              MHD_RequestTerminationCode code);
-  static ssize_t ReadStream(void* context,
-                            std::uint64_t position,
-                            char* buffer,
-                            size_t max);
-  static MHD_Result CollectHeader(void* context,
-                                  MHD_ValueKind kind,
-                                  const char* key,
-                                  const char* value);
-
-  MHD_Result Dispatch(exchange& target);
-  MHD_Result QueueResponse(exchange& target);
-  exchange* Find(exchange_id id);
-  void Resume(exchange& target);
-  void ScheduleRun();
-  void RunDaemon();
-  void CheckAbandoned();
+  struct connection;
+  using connection_id = std::uint64_t;
+
+  void Accept();
+  void HandleReadable(connection& from);
+  void Parse(connection& from);
+  void Dispatch(connection& from);
+  void RefuseInput(connection& from, unsigned status);
+  void WriteHead(connection& to, unsigned status, const http_headers& headers);
+  void Flush(connection& to);
+  void UpdateWatcher(connection& of);
+  void FinishExchange(connection& of);
+  void StartLinger(connection& of);
+  void Destroy(connection& target);
+  void Sweep();
+  void RunLater();
+  connection* Find(exchange_id id);
 
   loop& event_loop_;
   http_server_limits limits_;
   http_server_callbacks callbacks_;
-  MHD_Daemon* daemon_ = nullptr;
-  ev_io epoll_watcher_;
-  timer run_timer_;
-  timer abandoned_timer_;
-  bool run_scheduled_ = false;
-  bool running_ = false;
-  exchange_id next_id_ = 1;
-  std::map<exchange_id, exchange*> exchanges_;
+  int listen_fd_ = -1;
+  ev_io listen_watcher_;
+  timer sweep_;
+  /** Runs what must not happen within a callback of a connection. */
+  timer later_;
+  bool closing_ = false;
+  std::size_t body_bytes_ = 0;
+  exchange_id next_exchange_ = 1;
+  connection_id next_connection_ = 1;
+  std::map<connection_id, std::unique_ptr<connection>> connections_;
+  /** With a request that was sent ahead. */
+  std::vector<connection_id> sent_ahead_;
+  /** Freed when no callback of theirs can be running. */
+  std::vector<std::unique_ptr<connection>> closed_;
+  std::map<exchange_id, connection_id> exchanges_;
 };
 
 }  // namespace wisteriaroute::net
