--- a/proto/command.capnp
+++ b/proto/command.capnp
@@ -86,6 +86,7 @@
     stageMap @13 :StageMapCommand;
     armMap @14 :ArmMapCommand;
     decideMap @15 :DecideMapCommand;
+    publishDocument @16 :Control.Document;
   }
 }
 
--- a/proto/control.capnp
+++ b/proto/control.capnp
@@ -15,6 +15,8 @@
   window @5 :UInt64;
   healthy @6 :Bool;
   models @7 :List(Text);
+  slots @8 :UInt32;
+  version @9 :Text;
 }
 
 struct MemberInfo {
@@ -224,6 +226,18 @@
   detail @7 :Text;
 }
 
+# A whole configuration in the operator's own format; the highest version wins.
+struct Document {
+  version @0 :UInt64;
+  body @1 :Data;
+}
+
+struct ServerReport {
+  info @0 :MemberInfo;
+  sequence @1 :UInt64;
+  gone @2 :Bool;
+}
+
 struct AdminRequest {
   correlation @0 :UInt64;
   union {
@@ -246,6 +260,9 @@
     removeReplica @13 :Text;
     timeline @14 :TimelineFilter;
     rebalance @15 :Text;
+    publishDocument @16 :Document;
+    getDocument @17 :Void;
+    reportServer @18 :ServerReport;
   }
 }
 
--- a/src/control/bootstrap.cc
+++ b/src/control/bootstrap.cc
@@ -7,12 +7,7 @@
 
 namespace wisteriaroute::control {
 
-void Bootstrap(const control_settings& settings) {
-  storage::log_store store(settings.data_dir);
-  if (!store.empty()) {
-    throw std::runtime_error(settings.data_dir +
-                             " belongs to a replica already");
-  }
+wire::replica_list FirstVoters(const control_settings& settings) {
   wire::replica_list voters;
   for (const replica_address& replica : settings.replicas) {
     voters.push_back({.name = replica.name,
@@ -20,7 +15,16 @@
                       .identity = raft::kBootstrapIdentity,
                       .voter = true});
   }
-  store.Initialize(raft::MakeBootstrapped(voters));
+  return voters;
+}
+
+void Bootstrap(const control_settings& settings) {
+  storage::log_store store(settings.data_dir);
+  if (!store.empty()) {
+    throw std::runtime_error(settings.data_dir +
+                             " belongs to a replica already");
+  }
+  store.Initialize(raft::MakeBootstrapped(FirstVoters(settings)));
 }
 
 }  // namespace wisteriaroute::control
--- a/src/control/daemon.cc
+++ b/src/control/daemon.cc
@@ -21,7 +21,9 @@
 
 }  // namespace
 
-daemon::daemon(net::loop& event_loop, control_settings settings)
+daemon::daemon(net::loop& event_loop,
+               control_settings settings,
+               api_decoder decode_api)
     : event_loop_(event_loop),
       settings_(std::move(settings)),
       incarnation_(base::RandomU64()),
@@ -46,6 +48,7 @@
             {.on_effect =
                  [this](const raft::effect& effect) { HandleRaft(effect); },
              .on_failed = [this](const std::string& reason) { Fail(reason); }}),
+      decode_api_(std::move(decode_api)),
       tick_(event_loop.ev(), [this] { Post(replica_tick{}); }),
       report_(event_loop.ev(), [this] { ReportReplicas(); }),
       shutdown_(event_loop.ev(), [this] {
@@ -70,6 +73,7 @@
   base::LogInfo("started", {{"address", address},
                             {"applied_index", state_.applied_index},
                             {"term", raft_.state().hard.term}});
+  StartHttp();
   wire::replica_list initial;
   for (const replica_address& replica : settings_.replicas) {
     initial.push_back({.name = replica.name, .address = replica.address});
--- a/src/control/daemon.h
+++ b/src/control/daemon.h
@@ -3,9 +3,11 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
+#include "control/http_api.h"
 #include "control/raft_runner.h"
 #include "libwisteriaroute/base/event_ring.h"
 #include "libwisteriaroute/base/hlc.h"
@@ -20,7 +22,9 @@
 class daemon {
  public:
   /** Opens the data directory. Throws if it is damaged or in use. */
-  daemon(net::loop& event_loop, control_settings settings);
+  daemon(net::loop& event_loop,
+         control_settings settings,
+         api_decoder decode_api);
 
   /** Accepts links and joins the other replicas. */
   void Start();
@@ -55,6 +59,12 @@
   void Note(base::timeline_event event);
   void ReportReplicas();
 
+  // Calls over HTTP.
+  void StartHttp();
+  void HandleCall(net::exchange_id exchange,
+                  const net::http_server_request& request);
+  void AnswerCall(const wire::admin_reply& reply);
+
   void Fail(const std::string& reason);
   bool HandOver();
 
@@ -66,6 +76,10 @@
   net::link_hub hub_;
   raft_runner raft_;
   replica_state state_;
+  api_decoder decode_api_;
+  std::optional<net::http_server> http_;
+  /** Targets of the calls that wait for an answer, for redirections. */
+  std::map<net::exchange_id, std::string> calls_;
   net::timer tick_;
   net::timer report_;
   net::timer shutdown_;
--- a/src/control/daemon_effects.cc
+++ b/src/control/daemon_effects.cc
@@ -36,6 +36,10 @@
     daemon& self;
 
     void operator()(const send_to_links& send) const {
+      if (send.links.size() == 1 && send.links[0] == kHttpLink) {
+        self.AnswerCall(std::get<wire::admin_reply>(send.message));
+        return;
+      }
       const std::string body = wire::Encode(send.message);
       for (const net::link_id link : send.links) {
         self.hub_.Send(link, body);
--- /dev/null
+++ b/src/control/daemon_http.cc
@@ -0,0 +1,119 @@
+#include <nlohmann/json.hpp>
+
+#include "control/daemon.h"
+#include "libwisteriaroute/base/log.h"
+
+namespace wisteriaroute::control {
+
+// The daemon's side towards operators and servers that call over HTTP.
+
+namespace {
+
+constexpr std::size_t kMaxBodyBytes = 8 * 1024 * 1024;
+constexpr base::time_ms kIdleTimeoutMs = 15'000;
+
+constexpr unsigned kOk = 200;
+constexpr unsigned kTemporaryRedirect = 307;
+constexpr unsigned kBadRequest = 400;
+constexpr unsigned kUnavailable = 503;
+
+net::http_headers JsonHeaders() {
+  return {{"Content-Type", "application/json"}};
+}
+
+std::string ErrorJson(const std::string& code, const std::string& message) {
+  return nlohmann::json{{"error", {{"code", code}, {"message", message}}}}.dump(
+      -1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+}  // namespace
+
+void daemon::StartHttp() {
+  if (settings_.listen_http.empty()) {
+    return;
+  }
+  http_.emplace(event_loop_,
+                net::http_server_limits{.body_bytes = kMaxBodyBytes,
+                                        .idle_timeout_ms = kIdleTimeoutMs},
+                net::http_server_callbacks{
+                    .on_request =
+                        [this](net::exchange_id exchange,
+                               const net::http_server_request& request) {
+                          HandleCall(exchange, request);
+                        },
+                    .on_abandoned =
+                        [this](net::exchange_id exchange) {
+                          calls_.erase(exchange);
+                        }});
+  const std::string address = http_->Listen(settings_.listen_http);
+  base::LogInfo("http_listening", {{"address", address}});
+}
+
+void daemon::HandleCall(net::exchange_id exchange,
+                        const net::http_server_request& request) {
+  calls_[exchange] = request.path + request.query;
+  if (!state_.leading) {
+    AnswerCall({.correlation = exchange,
+                .result = wire::admin_result::kNotLeader,
+                .code = "not_leader",
+                .message = state_.leader_address});
+    return;
+  }
+  api_call call = decode_api_(request);
+  if (const auto* refusal = std::get_if<api_refusal>(&call)) {
+    base::LogInfo("call_refused", {{"target", calls_[exchange]},
+                                   {"status", std::uint64_t{refusal->status}},
+                                   {"code", refusal->code},
+                                   {"cause", refusal->message}});
+    calls_.erase(exchange);
+    http_->Respond(exchange, refusal->status, JsonHeaders(),
+                   ErrorJson(refusal->code, refusal->message));
+    return;
+  }
+  std::visit(
+      [&]<typename Call>(Call& accepted) {
+        if constexpr (!std::is_same_v<Call, api_refusal>) {
+          Post(link_received{
+              kHttpLink, wire::admin_request{exchange, std::move(accepted)}});
+        }
+      },
+      call);
+}
+
+void daemon::AnswerCall(const wire::admin_reply& reply) {
+  const auto node = calls_.extract(reply.correlation);
+  if (node.empty()) {
+    return;
+  }
+  const net::exchange_id exchange = reply.correlation;
+  switch (reply.result) {
+    case wire::admin_result::kOk:
+      http_->Respond(exchange, kOk, JsonHeaders(),
+                     reply.json.empty() ? "{}" : reply.json);
+      return;
+    case wire::admin_result::kRefused:
+      http_->Respond(exchange, kBadRequest, JsonHeaders(),
+                     ErrorJson(reply.code, reply.message));
+      return;
+    case wire::admin_result::kNotLeader: {
+      if (reply.message.empty() ||
+          reply.message == settings_.process.advertise) {
+        break;
+      }
+      // All replicas use the same port for HTTP.
+      const std::string port = settings_.listen_http.substr(
+          settings_.listen_http.rfind(':'));
+      net::http_headers headers = JsonHeaders();
+      headers.emplace_back("Location", "http://" + base::HostOf(reply.message) +
+                                           port + node.mapped());
+      http_->Respond(exchange, kTemporaryRedirect, headers, "{}");
+      return;
+    }
+    case wire::admin_result::kUnavailable:
+      break;
+  }
+  http_->Respond(exchange, kUnavailable, JsonHeaders(),
+                 ErrorJson("unavailable", "no leader is known; ask again"));
+}
+
+}  // namespace wisteriaroute::control
--- a/src/control/raft_runner.cc
+++ b/src/control/raft_runner.cc
@@ -1,7 +1,9 @@
 #include "control/raft_runner.h"
 
+#include <algorithm>
 #include <utility>
 
+#include "control/bootstrap.h"
 #include "libwisteriaroute/base/digest.h"
 #include "libwisteriaroute/base/log.h"
 
@@ -12,7 +14,10 @@
                          raft_runner_callbacks callbacks)
     : callbacks_(std::move(callbacks)),
       store_(settings.data_dir),
-      state_(raft::MakeState(settings.process.name, Open(settings))),
+      state_(raft::MakeState(
+          settings.process.name,
+          Open(settings),
+          {.keep_entries = static_cast<std::uint64_t>(settings.kept_entries)})),
       writer_(event_loop.ev(),
               store_,
               {.on_persisted =
@@ -29,6 +34,18 @@
   if (!store_.empty()) {
     return store_.TakeContent();
   }
+  const bool first_voter =
+      settings.bootstrap &&
+      std::ranges::any_of(settings.replicas, [&](const auto& replica) {
+        return replica.name == settings.process.name;
+      });
+  if (first_voter) {
+    raft::stored_state voters = raft::MakeBootstrapped(FirstVoters(settings));
+    store_.Initialize(voters);
+    base::LogInfo("data_directory_created",
+                  {{"path", settings.data_dir}, {"voter", "first"}});
+    return voters;
+  }
   raft::stored_state initial = raft::MakeEmpty(base::RandomU64());
   store_.Initialize(initial);
   base::LogInfo(
--- /dev/null
+++ b/src/gateway/daemon.cc
@@ -0,0 +1,357 @@
+#include "gateway/daemon.h"
+
+#include <array>
+#include <csignal>
+#include <cstdio>
+#include <utility>
+
+#include "libwisteriaroute/base/digest.h"
+#include "libwisteriaroute/base/log.h"
+#include "libwisteriaroute/net/link_context.h"
+#include "platform/configuration.h"
+#include "platform/requests.h"
+
+namespace wisteriaroute::gateway {
+
+namespace {
+
+constexpr base::time_us kDrainPollUs = 50'000;
+// Requests that aren't repeated use a connection only if it has just been
+// used: one that the server has closed meanwhile would lose them.
+constexpr std::int64_t kFreshIdleMs = 200;
+constexpr std::int64_t kMaxIdleMs = 60'000;
+// A server in another data centre answers within a few ms; a lost packet is
+// sent again after a second, by when another server has the request.
+constexpr std::int64_t kConnectTimeoutMs = 400;
+// A caller that reads this much slower than its events come is cut.
+constexpr std::size_t kMaxBufferedBytes = 1024 * 1024;
+
+constexpr unsigned kOk = 200;
+constexpr unsigned kNotFound = 404;
+constexpr unsigned kUnavailable = 503;
+
+std::string FormatSeconds(base::time_ms ms) {
+  std::array<char, 32> text;
+  std::snprintf(text.data(), text.size(), "%lld.%03lld",
+                static_cast<long long>(ms / 1'000),
+                static_cast<long long>(ms % 1'000));
+  return text.data();
+}
+
+net::http_server_limits CallerLimits(const gateway_settings& settings) {
+  return {.connections = static_cast<unsigned>(settings.max_connections)};
+}
+
+}  // namespace
+
+daemon::daemon(net::loop& event_loop, gateway_settings settings)
+    : loop_(event_loop),
+      settings_(std::move(settings)),
+      incarnation_(base::RandomU64()),
+      hub_(net::MakeLinkContext(event_loop,
+                                settings_.process,
+                                "entry",
+                                incarnation_,
+                                clock_),
+           HubCallbacks()),
+      callers_(event_loop, CallerLimits(settings_), CallerCallbacks()),
+      ready_(event_loop,
+             {},
+             {.on_request =
+                  [this](net::exchange_id id, const net::http_server_request&) {
+                    HandleReady(id);
+                  }}),
+      servers_(event_loop),
+      tick_(event_loop.ev(), [this] { Handle(gateway_tick{}); }),
+      drain_(event_loop.ev(), [this] { CheckDrained(); }) {
+  state_.options = settings_.options;
+  state_.random = base::RandomU64() | 1;
+}
+
+void daemon::Run() {
+  const std::string links = hub_.Listen(settings_.process.listen);
+  ready_.Listen(settings_.listen_ready);
+  const std::string callers = callers_.Listen(settings_.listen_http);
+  session_.emplace(loop_, hub_, settings_.process.controls, Describe(),
+                   SessionCallbacks());
+  for (const int signal_number : {SIGTERM, SIGINT}) {
+    loop_.OnSignal(signal_number, [this] { Stop(); });
+  }
+  loop_.OnSignal(SIGHUP, [] {
+    base::LogInfo("reload", {{"result", "settings are read at a start"}});
+  });
+  base::LogInfo(
+      "gateway_started",
+      {{"name", settings_.process.name}, {"http", callers}, {"links", links}});
+  loop_.Run();
+  base::LogInfo("gateway_stopped", {{"name", settings_.process.name}});
+}
+
+net::hub_callbacks daemon::HubCallbacks() {
+  return {.on_up =
+              [this](net::link_id link, net::dial_id dial,
+                     const net::peer_identity& peer) {
+                if (session_->HandleUp(link, dial, peer)) {
+                  base::LogInfo("control_link_up", {{"replica", peer.name}});
+                }
+              },
+          .on_message =
+              [this](net::link_id link, std::string_view body) {
+                session_->HandleMessage(link, body);
+              },
+          .on_down =
+              [this](net::link_id link, std::string_view reason) {
+                if (session_->HandleDown(link)) {
+                  base::LogWarning("control_link_down", {{"reason", reason}});
+                }
+              }};
+}
+
+net::http_server_callbacks daemon::CallerCallbacks() {
+  return {.on_request =
+              [this](net::exchange_id id, net::http_server_request request) {
+                HandleRequest(id, std::move(request));
+              },
+          .on_abandoned =
+              [this](net::exchange_id id) {
+                requests_.erase(id);
+                Handle(caller_left{id});
+              }};
+}
+
+member::control_session_callbacks daemon::SessionCallbacks() {
+  return {.on_message =
+              [this](const wire::control_message& message) {
+                HandleControl(message);
+              },
+          .on_lease =
+              [this](base::time_us until_us, const wire::fencing_number&) {
+                lease_until_us_ = until_us;
+              },
+          .on_opened =
+              [] {
+                base::LogInfo("control_session_opened", {});
+              },
+          .on_dropped = [](const wire::control_message&) {}};
+}
+
+wire::member_info daemon::Describe() const {
+  return {.name = settings_.process.name,
+          .role = wire::member_role::kEntry,
+          .incarnation = incarnation_,
+          .address = settings_.process.advertise,
+          .region = settings_.process.region,
+          .data_center = settings_.process.data_center,
+          .leaving = stopping_us_ != 0};
+}
+
+void daemon::HandleRequest(net::exchange_id exchange,
+                           net::http_server_request request) {
+  if (!settings_.serve_without_quorum &&
+      base::MonotonicUs() >= lease_until_us_) {
+    Answer({.exchange = exchange, .code = "lease_expired"});
+    return;
+  }
+  caller_request decoded = platform::DecodeRequest(request);
+  requests_[exchange] =
+      std::make_shared<const net::http_server_request>(std::move(request));
+  Handle(request_arrived{exchange, std::move(decoded)});
+}
+
+void daemon::HandleReady(net::exchange_id exchange) {
+  ready_.Respond(exchange, IsReadyNow() ? kOk : kUnavailable, {}, "");
+}
+
+void daemon::HandleControl(const wire::control_message& message) {
+  if (const auto* update = std::get_if<wire::config_update>(&message)) {
+    HandleDocument(*update);
+  } else if (const auto* members = std::get_if<wire::member_update>(&message)) {
+    Handle(members_updated{*members});
+  }
+  UpdateSession();
+}
+
+void daemon::HandleDocument(const wire::config_update& update) {
+  if (update.revision <= revision_ || update.changed.empty()) {
+    return;
+  }
+  base::findings findings;
+  auto set =
+      platform::DecodeConfiguration(update.changed.front().body, findings);
+  if (!set) {
+    base::LogError("configuration_unreadable",
+                   {{"revision", update.revision},
+                    {"cause", base::ToString(findings.front())}});
+    return;
+  }
+  revision_ = update.revision;
+  const config::caller_limits& limits = set->limits;
+  net::http_server_limits http = CallerLimits(settings_);
+  http.header_bytes = static_cast<std::size_t>(limits.header_bytes);
+  http.body_bytes = static_cast<std::size_t>(limits.body_bytes);
+  http.header_timeout_ms = limits.header_timeout_ms;
+  http.idle_timeout_ms = limits.idle_timeout_ms;
+  callers_.SetLimits(http);
+  Handle(traffic_published{
+      std::make_shared<const config::traffic_index>(std::move(*set))});
+}
+
+void daemon::Handle(gateway_event event) {
+  events_.push_back(std::move(event));
+  if (std::exchange(running_, true)) {
+    return;
+  }
+  while (!events_.empty()) {
+    const gateway_event next = std::move(events_.front());
+    events_.pop_front();
+    for (const gateway_effect& effect :
+         Step(state_, next, base::MonotonicUs())) {
+      Run(effect);
+    }
+  }
+  running_ = false;
+  if (state_.requests.empty() == ticking_) {
+    ticking_ = !ticking_;
+    if (ticking_) {
+      tick_.Start(kGatewayTickUs, kGatewayTickUs);
+    } else {
+      tick_.Stop();
+    }
+  }
+}
+
+void daemon::Run(const gateway_effect& effect) {
+  struct visitor {
+    daemon& self;
+
+    void operator()(const start_attempt& attempt) const { self.Start(attempt); }
+    void operator()(const cancel_attempt& cancelled) const {
+      const auto node = self.transfers_.extract(cancelled.attempt);
+      if (!node.empty()) {
+        self.servers_.Cancel(node.mapped());
+      }
+    }
+    void operator()(const refuse& answer) const { self.Answer(answer); }
+    void operator()(const relay& answer) const {
+      self.requests_.erase(answer.exchange);
+      self.callers_.Respond(answer.exchange, answer.status, answer.headers,
+                            answer.body);
+    }
+    void operator()(const start_stream& stream) const {
+      self.callers_.StartStream(stream.exchange, stream.status, stream.headers);
+    }
+    void operator()(const write_stream& piece) const { self.Write(piece); }
+    void operator()(const end_stream& stream) const {
+      self.requests_.erase(stream.exchange);
+      self.callers_.EndStream(stream.exchange);
+    }
+    void operator()(const abort_stream& stream) const {
+      self.requests_.erase(stream.exchange);
+      self.callers_.AbortStream(stream.exchange);
+    }
+    void operator()(const note& line) const {
+      base::LogFields(line.event, line.fields);
+    }
+  };
+  std::visit(visitor{*this}, effect);
+}
+
+void daemon::Start(const start_attempt& attempt) {
+  const auto request = requests_.find(attempt.exchange);
+  if (request == requests_.end()) {
+    return;
+  }
+  const net::http_server_request& original = *request->second;
+  const attempt_id id = attempt.attempt;
+  transfers_[id] = servers_.Start(
+      {.method = original.method,
+       .url = "http://" + attempt.address + original.path + original.query,
+       .headers = platform::AttemptHeaders(original, attempt.terms),
+       .body = original.body,
+       .connect_timeout_ms = kConnectTimeoutMs,
+       .reuse_connection = true,
+       .max_idle_ms = attempt.may_use_idle ? kMaxIdleMs : kFreshIdleMs,
+       .match_header = platform::kMatchHeader},
+      {.on_head =
+           [this, id](unsigned status, const net::http_headers& headers) {
+             Handle(attempt_head{id, platform::DecodeHead(status, headers)});
+           },
+       .on_data =
+           [this, id](std::string_view data) {
+             Handle(attempt_data{id, std::string(data)});
+           },
+       .on_done =
+           [this, id](const net::http_client_result& result) {
+             transfers_.erase(id);
+             Handle(attempt_ended{.attempt = id,
+                                  .ok = result.ok,
+                                  .never_sent = result.never_sent,
+                                  .error = result.error});
+           }});
+}
+
+void daemon::Answer(const refuse& answer) {
+  requests_.erase(answer.exchange);
+  net::http_headers headers = {{"Content-Type", "application/json"}};
+  if (answer.retry_after_ms > 0) {
+    headers.emplace_back("Retry-After", FormatSeconds(answer.retry_after_ms));
+  }
+  callers_.Respond(answer.exchange, answer.status, headers,
+                   R"({"error":{"code":")" + answer.code + R"("}})");
+}
+
+void daemon::Write(const write_stream& piece) {
+  callers_.Write(piece.exchange, piece.data);
+  if (callers_.BufferedBytes(piece.exchange) > kMaxBufferedBytes) {
+    base::LogWarning("caller_too_slow",
+                     {{"exchange", std::uint64_t{piece.exchange}}});
+    requests_.erase(piece.exchange);
+    callers_.AbortStream(piece.exchange);
+    Handle(caller_left{piece.exchange});
+  }
+}
+
+bool daemon::IsReadyNow() const {
+  const bool leased = settings_.serve_without_quorum ||
+                      base::MonotonicUs() < lease_until_us_;
+  return stopping_us_ == 0 && leased && IsReady(state_);
+}
+
+void daemon::UpdateSession() {
+  if (session_) {
+    session_->Update(Describe(), revision_, IsReadyNow());
+  }
+}
+
+void daemon::Stop() {
+  if (stopping_us_ != 0) {
+    return;
+  }
+  stopping_us_ = base::MonotonicUs();
+  base::LogInfo("stopping",
+                {{"requests", std::uint64_t{state_.requests.size()}}});
+  callers_.CloseAfterResponses();
+  UpdateSession();
+  drain_.Start(kDrainPollUs, kDrainPollUs);
+}
+
+void daemon::CheckDrained() {
+  const base::time_ms waited_ms =
+      (base::MonotonicUs() - stopping_us_) / 1'000;
+  if (waited_ms < settings_.settle_ms) {
+    return;
+  }
+  callers_.StopListening();
+  callers_.CloseIdle();
+  if (callers_.connection_count() == 0 ||
+      waited_ms >= settings_.drain_limit_ms) {
+    base::LogInfo("drained",
+                  {{"waited_ms", waited_ms},
+                   {"requests", std::uint64_t{state_.requests.size()}}});
+    session_->Stop();
+    drain_.Stop();
+    loop_.Stop();
+  }
+}
+
+}  // namespace wisteriaroute::gateway
--- /dev/null
+++ b/src/gateway/daemon.h
@@ -0,0 +1,83 @@
+#ifndef GATEWAY_DAEMON_H_
+#define GATEWAY_DAEMON_H_
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string_view>
+
+#include "gateway/settings.h"
+#include "libwisteriaroute/base/hlc.h"
+#include "libwisteriaroute/gateway/gateway.h"
+#include "libwisteriaroute/member/control_session.h"
+#include "libwisteriaroute/net/http_client.h"
+#include "libwisteriaroute/net/http_server.h"
+#include "libwisteriaroute/net/link_hub.h"
+#include "libwisteriaroute/net/loop.h"
+
+namespace wisteriaroute::gateway {
+
+/**
+ * Serves callers from backend servers that report themselves, without agents.
+ * Turns I/O into events of the reducer, and its effects into I/O.
+ */
+class daemon {
+ public:
+  daemon(net::loop& event_loop, gateway_settings settings);
+
+  /** Runs until SIGTERM or SIGINT and the end of the requests in progress. */
+  void Run();
+
+ private:
+  using request_pointer = std::shared_ptr<const net::http_server_request>;
+
+  net::hub_callbacks HubCallbacks();
+  net::http_server_callbacks CallerCallbacks();
+  member::control_session_callbacks SessionCallbacks();
+  wire::member_info Describe() const;
+
+  void HandleRequest(net::exchange_id exchange,
+                     net::http_server_request request);
+  void HandleReady(net::exchange_id exchange);
+  void HandleControl(const wire::control_message& message);
+  void HandleDocument(const wire::config_update& update);
+
+  void Handle(gateway_event event);
+  void Run(const gateway_effect& effect);
+  void Start(const start_attempt& attempt);
+  void Answer(const refuse& answer);
+  void Write(const write_stream& piece);
+
+  bool IsReadyNow() const;
+  void UpdateSession();
+  void Stop();
+  void CheckDrained();
+
+  net::loop& loop_;
+  gateway_settings settings_;
+  std::uint64_t incarnation_;
+  base::hybrid_clock clock_;
+  net::link_hub hub_;
+  net::http_server callers_;
+  net::http_server ready_;
+  net::http_client servers_;
+  std::optional<member::control_session> session_;
+  gateway_state state_;
+  std::deque<gateway_event> events_;
+  bool running_ = false;
+  bool ticking_ = false;
+  /** Requests that aren't answered, to be sent to servers. */
+  std::map<exchange_id, request_pointer> requests_;
+  std::map<attempt_id, net::transfer_id> transfers_;
+  net::timer tick_;
+  net::timer drain_;
+  std::uint64_t revision_ = 0;
+  base::time_us lease_until_us_ = 0;
+  /** When SIGTERM came; 0: it hasn't. */
+  base::time_us stopping_us_ = 0;
+};
+
+}  // namespace wisteriaroute::gateway
+
+#endif  // GATEWAY_DAEMON_H_
--- /dev/null
+++ b/src/gateway/settings.h
@@ -0,0 +1,40 @@
+#ifndef GATEWAY_SETTINGS_H_
+#define GATEWAY_SETTINGS_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "libwisteriaroute/base/process_settings.h"
+#include "libwisteriaroute/gateway/gateway.h"
+
+namespace wisteriaroute::gateway {
+
+/** Settings of a gateway: `[process]` and `[gateway]`. */
+struct gateway_settings {
+  base::process_settings process;
+  /** `IP:port` for callers. */
+  std::string listen_http;
+  /** `IP:port` of the balancer's readiness check. */
+  std::string listen_ready;
+  std::int64_t max_connections = 2'000;
+  /**
+   * Whether requests are served while no quorum of control is heard. The
+   * configuration in force is then the last one that is known.
+   */
+  bool serve_without_quorum = false;
+  /** New connections are accepted for this long after SIGTERM. */
+  std::int64_t settle_ms = 2'500;
+  /** The process ends this long after SIGTERM in any case. */
+  std::int64_t drain_limit_ms = 7'400;
+  gateway_options options;
+};
+
+/** Reads the text of a settings file; faults are added to `out`. */
+gateway_settings ParseGatewaySettings(std::string_view text,
+                                      std::string_view file,
+                                      base::findings& out);
+
+}  // namespace wisteriaroute::gateway
+
+#endif  // GATEWAY_SETTINGS_H_
--- a/src/libwisteriaroute/base/clock.cc
+++ b/src/libwisteriaroute/base/clock.cc
@@ -14,8 +14,10 @@
 
 }  // namespace
 
+// Unlike CLOCK_MONOTONIC this clock counts the time in which the machine was
+// suspended, so that leases and deadlines have passed when it wakes up.
 time_us MonotonicUs() {
-  return ReadUs(CLOCK_MONOTONIC);
+  return ReadUs(CLOCK_BOOTTIME);
 }
 
 time_ms MonotonicMs() {
--- a/src/libwisteriaroute/base/clock.h
+++ b/src/libwisteriaroute/base/clock.h
@@ -10,7 +10,7 @@
 /** Microseconds of a monotonic clock. */
 using time_us = std::int64_t;
 
-/** Reads CLOCK_MONOTONIC. For daemons only; reducers get times in events. */
+/** Reads CLOCK_BOOTTIME. For daemons only; reducers get times in events. */
 time_us MonotonicUs();
 time_ms MonotonicMs();
 
--- a/src/libwisteriaroute/base/log.cc
+++ b/src/libwisteriaroute/base/log.cc
@@ -31,12 +31,24 @@
   return quoted + "\"";
 }
 
+void AppendField(std::string_view key,
+                 std::string_view value,
+                 std::string& line) {
+  line += ' ';
+  line += key;
+  line += '=';
+  if (NeedsQuotes(value)) {
+    line += Quote(value);
+  } else {
+    line += value;
+  }
+}
+
 std::string FormatLine(std::string_view event,
                        std::initializer_list<log_field> fields) {
   std::string line(event);
   for (const log_field& field : fields) {
-    line += " " + field.key + "=";
-    line += NeedsQuotes(field.value) ? Quote(field.value) : field.value;
+    AppendField(field.key, field.value, line);
   }
   return line;
 }
@@ -72,6 +84,15 @@
   LOG4CPLUS_INFO(ProcessLogger(), FormatLine(event, fields));
 }
 
+void LogFields(std::string_view event,
+               std::span<const std::pair<std::string, std::string>> fields) {
+  std::string line(event);
+  for (const auto& [key, value] : fields) {
+    AppendField(key, value, line);
+  }
+  LOG4CPLUS_INFO(ProcessLogger(), line);
+}
+
 void LogWarning(std::string_view event,
                 std::initializer_list<log_field> fields) {
   LOG4CPLUS_WARN(ProcessLogger(), FormatLine(event, fields));
--- a/src/libwisteriaroute/base/process_settings.cc
+++ b/src/libwisteriaroute/base/process_settings.cc
@@ -2,6 +2,8 @@
 
 #include <stdexcept>
 
+#include "libwisteriaroute/base/log.h"
+
 namespace wisteriaroute::base {
 
 namespace {
@@ -9,6 +11,8 @@
 // Shorter keys can be guessed offline from one recorded handshake.
 constexpr std::size_t kMinClusterKeyBytes = 16;
 
+constexpr std::int64_t kMaxPort = 65'535;
+
 }  // namespace
 
 process_settings ParseProcessSettings(toml_reader& root,
@@ -27,16 +31,34 @@
   settings.listen = reader.RequiredString("listen");
   settings.advertise = reader.String("advertise", settings.listen);
   settings.controls = reader.Strings("controls");
+  const std::int64_t port = reader.Integer("control_port", 0, 0, kMaxPort);
+  if (port != 0) {
+    for (std::string& control : settings.controls) {
+      control = HostOf(control) + ":" + std::to_string(port);
+    }
+  }
   if (settings.controls.empty()) {
     reader.Report("controls", "'controls' must name at least one replica");
   }
-  settings.cluster_key_file = reader.RequiredString("cluster_key_file");
+  settings.cluster_key_file =
+      reader.Boolean("trusted_network", false)
+          ? reader.String("cluster_key_file", "")
+          : reader.RequiredString("cluster_key_file");
   settings.log_level = reader.String("log_level", "INFO");
   reader.ReportUnknownKeys();
   return settings;
 }
 
+std::string HostOf(std::string_view address) {
+  return std::string(address.substr(0, address.rfind(':')));
+}
+
 std::string ReadClusterKey(std::string_view path) {
+  if (path.empty()) {
+    LogWarning("links_not_authenticated",
+               {{"cause", "trusted_network is set"}});
+    return {};
+  }
   std::string key = ReadFile(path);
   while (!key.empty() && (key.back() == '\n' || key.back() == '\r')) {
     key.pop_back();
--- a/src/libwisteriaroute/base/process_settings.h
+++ b/src/libwisteriaroute/base/process_settings.h
@@ -19,6 +19,7 @@
   std::string advertise;
   /** Link addresses of the control replicas. */
   std::vector<std::string> controls;
+  /** Empty only on a trusted network: links are then not authenticated. */
   std::string cluster_key_file;
   std::string log_level = "INFO";
 };
@@ -28,7 +29,13 @@
                                       std::string_view file,
                                       findings& out);
 
-/** Reads the cluster key without its trailing line break. Throws. */
+/** `IP` of an `IP:port`. */
+std::string HostOf(std::string_view address);
+
+/**
+ * Reads the cluster key without its trailing line break; empty without a file.
+ * Throws.
+ */
 std::string ReadClusterKey(std::string_view path);
 
 }  // namespace wisteriaroute::base
--- a/src/libwisteriaroute/control/admin.cc
+++ b/src/libwisteriaroute/control/admin.cc
@@ -7,6 +7,7 @@
 #include "libwisteriaroute/config/parse.h"
 #include "libwisteriaroute/control/admin_json.h"
 #include "libwisteriaroute/control/proposals.h"
+#include "libwisteriaroute/control/server_reports.h"
 #include "libwisteriaroute/control/sessions.h"
 
 namespace wisteriaroute::control {
@@ -75,6 +76,20 @@
     }
     Submit(std::move(command));
   }
+  void operator()(const wire::publish_document& request) const {
+    if (request.body.size() > kMaxChangeBytes) {
+      Refuse("too_large", "a configuration may have 3.5 MB");
+      return;
+    }
+    Submit(request);
+  }
+  void operator()(const wire::report_server& report) const {
+    // What is known before the round ends reaches the entries in any case; the
+    // answer tells that this replica still led.
+    RecordServer(state, report, now, out);
+    state.leading->waiting.reads.push_back({link, correlation, report});
+    BeginConfirm(state, now, out);
+  }
   void operator()(const wire::drain_request& request) const { Submit(request); }
   void operator()(const wire::release_quarantine& request) const {
     Submit(request);
@@ -130,6 +145,9 @@
   std::string operator()(const wire::get_config&) const {
     return ConfigJson(state);
   }
+  std::string operator()(const wire::get_document&) const {
+    return std::string(DocumentBody(state.durable.config));
+  }
   std::string operator()(const wire::get_status&) const {
     return StatusJson(state, now.now_us);
   }
--- a/src/libwisteriaroute/control/admin_json.cc
+++ b/src/libwisteriaroute/control/admin_json.cc
@@ -35,10 +35,6 @@
   return names;
 }
 
-const char* RoleName(wire::member_role role) {
-  return role == wire::member_role::kEntry ? "entry" : "agent";
-}
-
 const char* PhaseName(group_phase phase) {
   switch (phase) {
     case group_phase::kNone:
@@ -75,7 +71,7 @@
   json member = SessionJson(name, session, now_us);
   member["address"] = session.info.address;
   member["region"] = session.info.region;
-  if (session.info.role == wire::member_role::kAgent) {
+  if (session.info.role != wire::member_role::kEntry) {
     const wire::backend_info& backend = session.info.backend;
     member["backend"] = {
         {"class", backend.class_name}, {"service", backend.service},
--- a/src/libwisteriaroute/control/command.cc
+++ b/src/libwisteriaroute/control/command.cc
@@ -25,6 +25,9 @@
     wire::WriteList(from.changed, to.initChanged(wire::Count(from.changed)));
     wire::WriteList(from.removed, to.initRemoved(wire::Count(from.removed)));
   }
+  void operator()(const wire::publish_document& from) {
+    wire::WriteFields(from, root.initPublishDocument());
+  }
   void operator()(const claim_command& from) {
     auto to = root.initClaim();
     wire::WriteFields(from.request, to.initRequest());
@@ -153,6 +156,8 @@
       return clock_tick{root.getClockTick()};
     case proto::Command::PUBLISH:
       return ReadBody(root.getPublish());
+    case proto::Command::PUBLISH_DOCUMENT:
+      return wire::ReadFields(root.getPublishDocument());
     case proto::Command::CLAIM:
       return ReadBody(root.getClaim());
     case proto::Command::CLAIM_MOVE:
--- a/src/libwisteriaroute/control/command.h
+++ b/src/libwisteriaroute/control/command.h
@@ -39,7 +39,8 @@
                                   form_group_command,
                                   stage_map_command,
                                   arm_map_command,
-                                  decide_map_command>;
+                                  decide_map_command,
+                                  wire::publish_document>;
 
 /** One entry of the replicated log. */
 struct command {
--- a/src/libwisteriaroute/control/config_history.cc
+++ b/src/libwisteriaroute/control/config_history.cc
@@ -51,6 +51,29 @@
 
 }  // namespace
 
+publish_result PublishDocument(config_history& history,
+                               const wire::publish_document& document) {
+  if (document.version <= history.revision) {
+    return {.revision = history.revision, .repeated = true};
+  }
+  const wire::object_name name{std::string(kDocumentKind),
+                               std::string(kDocumentKind)};
+  // Members get the whole document in any case, so no deltas are kept.
+  history.deltas.clear();
+  history.operations.clear();
+  history.objects.clear();
+  history.digest = ObjectDigest(name, document.body);
+  history.objects[name] = document.body;
+  history.revision = document.version;
+  return {.revision = history.revision};
+}
+
+std::string_view DocumentBody(const config_history& history) {
+  const auto found = history.objects.find(
+      {std::string(kDocumentKind), std::string(kDocumentKind)});
+  return found == history.objects.end() ? std::string_view() : found->second;
+}
+
 publish_result Publish(config_history& history,
                        const publish_command& command,
                        base::time_ms log_time_ms) {
--- a/src/libwisteriaroute/control/config_history.h
+++ b/src/libwisteriaroute/control/config_history.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "libwisteriaroute/base/clock.h"
@@ -81,6 +82,19 @@
   bool operator==(const publish_result&) const = default;
 };
 
+/** Kind and name of the one object of a set that was published whole. */
+inline constexpr std::string_view kDocumentKind = "document";
+
+/**
+ * Publishes a document if its version is higher than the revision in force,
+ * which it becomes. Otherwise nothing changes, and the result is `repeated`.
+ */
+publish_result PublishDocument(config_history& history,
+                               const wire::publish_document& document);
+
+/** The published document; empty if there is none. */
+std::string_view DocumentBody(const config_history& history);
+
 publish_result Publish(config_history& history,
                        const publish_command& command,
                        base::time_ms log_time_ms);
--- a/src/libwisteriaroute/control/control_state.cc
+++ b/src/libwisteriaroute/control/control_state.cc
@@ -17,6 +17,9 @@
   command_result operator()(const publish_command& publish) {
     return Publish(state.config, publish, state.time_ms);
   }
+  command_result operator()(const wire::publish_document& document) {
+    return PublishDocument(state.config, document);
+  }
   command_result operator()(const claim_command& claim) {
     return Claim(state.claims, claim.request, claim.limits, state.time_ms);
   }
--- a/src/libwisteriaroute/control/replica.cc
+++ b/src/libwisteriaroute/control/replica.cc
@@ -31,6 +31,18 @@
                               .detail = publish.operation_id}});
     SendConfigToAll(state, now, out);
   }
+  void operator()(const wire::publish_document& document) const {
+    const auto& outcome = std::get<publish_result>(result);
+    if (outcome.repeated) {
+      return;
+    }
+    state.leading->config.reset();
+    out.push_back(note_event{
+        {.kind = "document_accepted",
+         .revision = outcome.revision,
+         .detail = std::to_string(document.body.size()) + " bytes"}});
+    SendConfigToAll(state, now, out);
+  }
   void operator()(const wire::drain_request& drain) const {
     if (!std::get<change_result>(result).changed) {
       return;
--- a/src/libwisteriaroute/control/replica.h
+++ b/src/libwisteriaroute/control/replica.h
@@ -21,6 +21,12 @@
 
 /** Length of a member's lease, from the time it sent its heartbeat. */
 inline constexpr base::time_ms kLeaseMs = 2'500;
+/**
+ * A reporting server that is silent for this long is dropped. Entries notice
+ * dead servers themselves, and a server that is only cut off from control can
+ * still be of use.
+ */
+inline constexpr base::time_us kServerSilenceUs = 30'000'000;
 /** The same on the leader's clock: 10% more, for different clock rates. */
 inline constexpr base::time_us kLeaseBoundUs = 2'750'000;
 
@@ -51,6 +57,8 @@
   /** Revision that the updates on this link lead to. */
   std::uint64_t sent_revision = 0;
   base::time_us config_sent_us = 0;
+  /** Of a kServer: the highest sequence number of its incarnation. */
+  std::uint64_t report_sequence = 0;
 };
 
 /** A lease of an earlier run of a member with the same name. */
--- /dev/null
+++ b/src/libwisteriaroute/control/server_reports.cc
@@ -0,0 +1,68 @@
+#include "libwisteriaroute/control/server_reports.h"
+
+#include "libwisteriaroute/control/sessions.h"
+#include "libwisteriaroute/control/updates.h"
+
+namespace wisteriaroute::control {
+
+namespace {
+
+bool IsLate(const member_session& known, const wire::report_server& report) {
+  if (report.gone && report.info.incarnation == 0) {
+    // It doesn't say which run it is.
+    return false;
+  }
+  if (known.info.incarnation != report.info.incarnation) {
+    return report.info.incarnation < known.info.incarnation;
+  }
+  // A goodbye carries no sequence number.
+  return !report.gone && report.sequence <= known.report_sequence;
+}
+
+}  // namespace
+
+void RecordServer(replica_state& state,
+                  const wire::report_server& report,
+                  const step_time& now,
+                  replica_effects& out) {
+  leader_view& leader = *state.leading;
+  const std::string& name = report.info.name;
+  const auto found = leader.sessions.find(name);
+  if (found == leader.sessions.end()) {
+    if (report.gone && report.info.address.empty()) {
+      // Nobody knows the server here; an entry that does must hear of it.
+      leader.removed_members.insert(name);
+      return;
+    }
+    NoteMember(report.info, "server_opened", out);
+  } else if (IsLate(found->second, report)) {
+    return;
+  }
+  member_session& session = leader.sessions[name];
+  const bool same_run = session.info.incarnation == report.info.incarnation;
+  wire::member_info info = report.info;
+  if (report.gone) {
+    info = session.info;
+    info.leaving = true;
+  } else if (same_run && session.info.leaving) {
+    // A server that leaves doesn't come back under the same incarnation.
+    info.leaving = true;
+  }
+  session.heard_us = now.now_us;
+  if (!report.gone) {
+    session.report_sequence = report.sequence;
+  }
+  if (session.info == info) {
+    return;
+  }
+  if (info.leaving) {
+    NoteMember(info, report.gone ? "server_gone" : "server_leaving", out);
+  }
+  session.info = std::move(info);
+  leader.changed_members.insert(name);
+  leader.removed_members.erase(name);
+  // At once, since new work must stop soon after this is acknowledged.
+  FlushMembers(state, now, out);
+}
+
+}  // namespace wisteriaroute::control
--- a/src/libwisteriaroute/control/sessions.cc
+++ b/src/libwisteriaroute/control/sessions.cc
@@ -12,16 +12,6 @@
 // sent has lost it.
 constexpr base::time_us kConfigRetryUs = 1'000'000;
 
-void NoteMember(const wire::member_info& info,
-                const char* kind,
-                replica_effects& out) {
-  out.push_back(note_event{
-      {.kind = kind,
-       .group = info.backend.group,
-       .server = info.name,
-       .detail = info.role == wire::member_role::kEntry ? "entry" : "agent"}});
-}
-
 /** The lowest fencing number of an order that the member may accept. */
 wire::fencing_number FencingFor(const replica_state& state,
                                 const wire::member_info& info) {
@@ -45,18 +35,43 @@
                   const std::string& name,
                   wire::member_role role) {
   leader.changed_members.erase(name);
-  if (role == wire::member_role::kAgent) {
+  if (role != wire::member_role::kEntry) {
     leader.removed_members.insert(name);
   }
 }
 
 bool IsOver(const member_session& session, base::time_us now_us) {
+  if (session.info.role == wire::member_role::kServer) {
+    return session.heard_us + kServerSilenceUs <= now_us;
+  }
   return session.lease_until_us <= now_us &&
          session.heard_us + kLeaseBoundUs <= now_us;
 }
 
 }  // namespace
 
+const char* RoleName(wire::member_role role) {
+  switch (role) {
+    case wire::member_role::kEntry:
+      return "entry";
+    case wire::member_role::kAgent:
+      return "agent";
+    case wire::member_role::kServer:
+      return "server";
+  }
+  return "unknown";
+}
+
+void NoteMember(const wire::member_info& info,
+                const char* kind,
+                replica_effects& out) {
+  out.push_back(note_event{
+      {.kind = kind,
+       .group = info.backend.group,
+       .server = info.name,
+       .detail = RoleName(info.role)}});
+}
+
 void HandleHello(replica_state& state,
                  net::link_id link,
                  const wire::session_hello& hello,
@@ -213,6 +228,9 @@
   }
   std::uint64_t revision = state.durable.config.revision;
   for (const auto& [name, session] : state.leading->sessions) {
+    if (session.info.role == wire::member_role::kServer) {
+      continue;
+    }
     revision = std::min(revision, session.revision);
   }
   for (const old_lease& lease : state.leading->old_leases) {
--- a/src/libwisteriaroute/control/sessions.h
+++ b/src/libwisteriaroute/control/sessions.h
@@ -9,6 +9,13 @@
 
 // Sessions of members with the leader. `state.leading` must be set.
 
+const char* RoleName(wire::member_role role);
+
+/** Notes that a member came or went. */
+void NoteMember(const wire::member_info& info,
+                const char* kind,
+                replica_effects& out);
+
 void HandleHello(replica_state& state,
                  net::link_id link,
                  const wire::session_hello& hello,
--- a/src/libwisteriaroute/control/settings.cc
+++ b/src/libwisteriaroute/control/settings.cc
@@ -47,10 +47,23 @@
   base::toml_reader reader(table, file, out);
   settings.data_dir = reader.RequiredString("data_dir");
   settings.snapshot_entries =
-      reader.Integer("snapshot_entries", settings.snapshot_entries, 100);
+      reader.Integer("snapshot_entries", settings.snapshot_entries, 10);
   settings.max_pending_proposals = reader.Integer(
       "max_pending_proposals", settings.max_pending_proposals, 1, 1'000'000);
+  settings.kept_entries =
+      reader.Integer("kept_entries", settings.kept_entries, 8, 1'000'000);
+  settings.bootstrap = reader.Boolean("bootstrap", false);
+  settings.listen_http = reader.String("listen_http", "");
+  CheckAddress(reader, "listen_http", settings.listen_http);
   settings.replicas = ParseReplicas(reader, file, out);
+  if (reader.Boolean("replicas_from_controls", false)) {
+    for (const std::string& address : settings.process.controls) {
+      settings.replicas.push_back({base::HostOf(address), address});
+    }
+    // One that isn't listed joins as a learner.
+    reader.ReportUnknownKeys();
+    return;
+  }
   const bool listed = std::ranges::any_of(
       settings.replicas, [&](const replica_address& replica) {
         return replica.name == settings.process.name;
--- a/src/libwisteriaroute/control/settings.h
+++ b/src/libwisteriaroute/control/settings.h
@@ -25,8 +25,17 @@
   std::string data_dir;
   /** The replicas that a new cluster begins with, this one among them. */
   std::vector<replica_address> replicas;
+  /**
+   * An empty data directory becomes that of a first voter. Only for a platform
+   * that sets it at the first start of the whole system and never again.
+   */
+  bool bootstrap = false;
+  /** `IP:port` of the operators' and servers' HTTP calls; empty: none. */
+  std::string listen_http;
   /** Log entries between two snapshots. */
   std::int64_t snapshot_entries = 20'000;
+  /** Log entries kept before a snapshot, for replicas that are behind. */
+  std::int64_t kept_entries = 4'096;
   /** Claims and publications that may wait for the log. */
   std::int64_t max_pending_proposals = 20'000;
 };
--- a/src/libwisteriaroute/control/updates.cc
+++ b/src/libwisteriaroute/control/updates.cc
@@ -25,7 +25,7 @@
 std::vector<wire::member_info> Agents(const leader_view& leader) {
   std::vector<wire::member_info> agents;
   for (const auto& [name, session] : leader.sessions) {
-    if (session.info.role == member_role::kAgent) {
+    if (session.info.role != member_role::kEntry) {
       agents.push_back(session.info);
     }
   }
--- /dev/null
+++ b/src/libwisteriaroute/gateway/attempts.cc
@@ -0,0 +1,262 @@
+#include <utility>
+
+#include "libwisteriaroute/gateway/step_context.h"
+
+namespace wisteriaroute::gateway {
+
+namespace {
+
+constexpr unsigned kOkFirst = 200;
+constexpr unsigned kOkLast = 299;
+constexpr unsigned kServerError = 500;
+
+bool IsSuccess(unsigned status) {
+  return status >= kOkFirst && status <= kOkLast;
+}
+
+bool IsRepeatable(const request_state& request) {
+  return request.route->repeats == config::repetition::kRepeatable;
+}
+
+/** Ends the bookkeeping of the attempt in progress. */
+server* Detach(step_context& step, request_state& request) {
+  step.state.attempts.erase(std::exchange(request.attempt, 0));
+  server* of = step.state.servers.Find(request.server);
+  if (of != nullptr && of->in_flight > 0) {
+    --of->in_flight;
+  }
+  return of;
+}
+
+void Judge(step_context& step,
+           server* of,
+           attempt_verdict verdict,
+           const request_state& request,
+           std::string_view cause) {
+  if (of == nullptr) {
+    return;
+  }
+  const bool was_usable = of->suspended_until_us <= step.now_us;
+  step.state.servers.NoteVerdict(*of, verdict, step.now_us);
+  if (was_usable && of->suspended_until_us > step.now_us &&
+      verdict != attempt_verdict::kBusy) {
+    step.Note(
+        "server_suspended",
+        {{"server", of->info.name},
+         {"request", request.request.id},
+         {"cause", std::string(cause)},
+         {"failures", std::to_string(of->failures)},
+         {"for_ms",
+          std::to_string((of->suspended_until_us - step.now_us) / 1'000)}});
+  }
+}
+
+/** Whether the request may be sent to one more server. */
+bool MayRepeat(step_context& step, request_state& request) {
+  if (request.attempts >= request.route->max_attempts) {
+    return false;
+  }
+  if (request.may_have_run && !IsRepeatable(request)) {
+    return false;
+  }
+  return step.state.budgets[request.service].Take(step.now_us,
+                                                  step.state.options.retries);
+}
+
+void PassEvents(step_context& step,
+                request_state& request,
+                std::string_view data) {
+  std::string passed;
+  for (stream_event& event : request.framer.Feed(data)) {
+    if (event.id && request.last_event_id) {
+      if (*event.id <= *request.last_event_id) {
+        continue;
+      }
+      if (*event.id != *request.last_event_id + 1) {
+        if (!passed.empty()) {
+          step.out.push_back(write_stream{request.exchange, passed});
+        }
+        CancelAttempt(step, request);
+        FailAttempt(step, request, attempt_verdict::kFailed,
+                    "an event is missing");
+        return;
+      }
+    }
+    if (event.id) {
+      request.last_event_id = event.id;
+    }
+    passed += event.text;
+    ++request.events;
+  }
+  if (passed.empty()) {
+    return;
+  }
+  request.last_event_us = step.now_us;
+  if (request.phase != request_phase::kStreaming) {
+    request.phase = request_phase::kStreaming;
+    request.first_event_us = step.now_us;
+    step.out.push_back(start_stream{request.exchange, request.head->status,
+                                    request.head->headers});
+  }
+  step.out.push_back(write_stream{request.exchange, std::move(passed)});
+}
+
+/** A whole response that the server itself calls a failure. */
+void HandleFailureResponse(step_context& step, request_state& request) {
+  server* of = Detach(step, request);
+  request.may_have_run = true;
+  const bool server_error = request.head->status >= kServerError;
+  Judge(step, of,
+        server_error ? attempt_verdict::kFailed : attempt_verdict::kGood,
+        request, "status " + std::to_string(request.head->status));
+  if (server_error && IsRepeatable(request) && MayRepeat(step, request)) {
+    request.failure_head = std::move(request.head);
+    request.failure_body = std::move(request.body);
+    Place(step, request);
+    return;
+  }
+  if (request.phase == request_phase::kStreaming) {
+    GiveUp(step, request, "server_failed");
+    return;
+  }
+  const response_head head = *request.head;
+  Relay(step, request, head, std::move(request.body));
+}
+
+void HandleComplete(step_context& step, request_state& request) {
+  if (!IsSuccess(request.head->status)) {
+    HandleFailureResponse(step, request);
+    return;
+  }
+  if (request.route->streams && request.head->event_stream) {
+    server* of = Detach(step, request);
+    if (request.framer.has_rest()) {
+      request.may_have_run = true;
+      FailAttempt(step, request, attempt_verdict::kFailed, "cut event");
+      return;
+    }
+    Judge(step, of, attempt_verdict::kGood, request, "");
+    EndStream(step, request);
+    return;
+  }
+  Judge(step, Detach(step, request), attempt_verdict::kGood, request, "");
+  const response_head head = *request.head;
+  Relay(step, request, head, std::move(request.body));
+}
+
+/** The server states that it didn't run the request. */
+void HandleNotRun(step_context& step, request_state& request) {
+  const bool wrong_server = request.head->wrong_server;
+  CancelAttempt(step, request);
+  Judge(step, step.state.servers.Find(request.server),
+        wrong_server ? attempt_verdict::kReplaced : attempt_verdict::kBusy,
+        request, "not run");
+  step.Note("attempt_not_run",
+            {{"request", request.request.id},
+             {"server", request.server},
+             {"status", std::to_string(request.head->status)}});
+  if (MayRepeat(step, request)) {
+    Place(step, request);
+    return;
+  }
+  GiveUp(step, request, "server_refused");
+}
+
+}  // namespace
+
+request_state* FindByAttempt(step_context& step, attempt_id attempt) {
+  const auto exchange = step.state.attempts.find(attempt);
+  return exchange == step.state.attempts.end()
+             ? nullptr
+             : &step.state.requests.find(exchange->second)->second;
+}
+
+void HandleHead(step_context& step, const attempt_head& event) {
+  request_state* request = FindByAttempt(step, event.attempt);
+  if (request == nullptr) {
+    return;
+  }
+  server* of = step.state.servers.Find(request->server);
+  if (of != nullptr && event.head.load) {
+    step.state.servers.NoteLoad(*of, *event.head.load, step.now_us);
+  }
+  request->head = event.head;
+  const response_head& head = *request->head;
+  if (head.not_run) {
+    HandleNotRun(step, *request);
+    return;
+  }
+  if (IsSuccess(head.status) && (!head.sealed || head.encoded)) {
+    CancelAttempt(step, *request);
+    FailAttempt(step, *request, attempt_verdict::kFailed, "not sealed");
+  }
+}
+
+void HandleData(step_context& step, const attempt_data& event) {
+  request_state* request = FindByAttempt(step, event.attempt);
+  if (request == nullptr || !request->head) {
+    return;
+  }
+  if (request->route->streams && request->head->event_stream &&
+      IsSuccess(request->head->status)) {
+    PassEvents(step, *request, event.data);
+  } else {
+    request->body += event.data;
+  }
+}
+
+void HandleEnded(step_context& step, const attempt_ended& event) {
+  request_state* request = FindByAttempt(step, event.attempt);
+  if (request == nullptr) {
+    return;
+  }
+  if (event.ok) {
+    HandleComplete(step, *request);
+    return;
+  }
+  Detach(step, *request);
+  if (event.never_sent) {
+    --request->attempts;
+    FailAttempt(step, *request, attempt_verdict::kUnreachable, event.error);
+    return;
+  }
+  request->may_have_run = true;
+  FailAttempt(step, *request, attempt_verdict::kFailed, event.error);
+}
+
+void CancelAttempt(step_context& step, request_state& request) {
+  if (request.attempt == 0) {
+    return;
+  }
+  // The server may have begun, unless it has said that it didn't.
+  if (!request.head || !request.head->not_run) {
+    request.may_have_run = true;
+  }
+  step.out.push_back(cancel_attempt{request.attempt});
+  Detach(step, request);
+}
+
+void FailAttempt(step_context& step,
+                 request_state& request,
+                 attempt_verdict verdict,
+                 std::string_view cause) {
+  Judge(step, step.state.servers.Find(request.server), verdict, request, cause);
+  step.Note("attempt_failed",
+            {{"request", request.request.id},
+             {"server", request.server},
+             {"cause", std::string(cause)},
+             {"after_ms",
+              std::to_string((step.now_us - request.attempt_at_us) / 1'000)},
+             {"events", std::to_string(request.events)}});
+  // Nothing reached the server, so this doesn't count as a repeat.
+  const bool free = verdict == attempt_verdict::kUnreachable &&
+                    request.attempts < request.route->max_attempts &&
+                    (!request.may_have_run || IsRepeatable(request));
+  if (free || MayRepeat(step, request)) {
+    Place(step, request);
+    return;
+  }
+  GiveUp(step, request, "attempts_exhausted");
+}
+
+}  // namespace wisteriaroute::gateway
--- /dev/null
+++ b/src/libwisteriaroute/gateway/event_framer.cc
@@ -0,0 +1,62 @@
+#include "libwisteriaroute/gateway/event_framer.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace wisteriaroute::gateway {
+
+namespace {
+
+/** Length of the event at the start of `text`, or 0 if it isn't whole. */
+std::size_t EventLength(std::string_view text) {
+  const std::size_t lf = text.find("\n\n");
+  const std::size_t crlf = text.find("\r\n\r\n");
+  if (lf == text.npos && crlf == text.npos) {
+    return 0;
+  }
+  return lf < crlf ? lf + 2 : crlf + 4;
+}
+
+std::optional<std::uint64_t> ParseId(std::string_view event) {
+  while (!event.empty()) {
+    const std::size_t end = std::min(event.find('\n'), event.size());
+    std::string_view line = event.substr(0, end);
+    event.remove_prefix(std::min(end + 1, event.size()));
+    if (!line.starts_with("id:")) {
+      continue;
+    }
+    line.remove_prefix(3);
+    while (line.starts_with(' ')) {
+      line.remove_prefix(1);
+    }
+    std::uint64_t id = 0;
+    const auto [last, error] =
+        std::from_chars(line.data(), line.data() + line.size(), id);
+    if (error == std::errc() && last != line.data()) {
+      return id;
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::vector<stream_event> event_framer::Feed(std::string_view data) {
+  rest_ += data;
+  std::vector<stream_event> events;
+  std::size_t used = 0;
+  for (;;) {
+    const std::string_view text = std::string_view(rest_).substr(used);
+    const std::size_t length = EventLength(text);
+    if (length == 0) {
+      break;
+    }
+    events.push_back({.text = std::string(text.substr(0, length)),
+                      .id = ParseId(text.substr(0, length))});
+    used += length;
+  }
+  rest_.erase(0, used);
+  return events;
+}
+
+}  // namespace wisteriaroute::gateway
--- /dev/null
+++ b/src/libwisteriaroute/gateway/gateway.cc
@@ -0,0 +1,173 @@
+#include "libwisteriaroute/gateway/gateway.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "libwisteriaroute/gateway/step_context.h"
+
+namespace wisteriaroute::gateway {
+
+namespace {
+
+constexpr unsigned kUnauthorized = 401;
+constexpr unsigned kNotFound = 404;
+constexpr unsigned kUnavailable = 503;
+// A process that knows no configuration gets one within a second, or control
+// is down.
+constexpr base::time_ms kStartingRetryMs = 500;
+
+const std::string& ChooseTarget(step_context& step,
+                                const config::route& route) {
+  std::int64_t sum = 0;
+  for (const config::weighted_service& target : route.targets) {
+    sum += target.weight;
+  }
+  auto drawn = static_cast<std::int64_t>(step.Random() %
+                                         static_cast<std::uint64_t>(sum));
+  for (const config::weighted_service& target : route.targets) {
+    drawn -= target.weight;
+    if (drawn < 0) {
+      return target.service;
+    }
+  }
+  return route.targets.back().service;
+}
+
+/** Sets what the request's key grants; false if it grants nothing. */
+bool Authenticate(request_state& request) {
+  const config::traffic_index& traffic = *request.traffic;
+  request.priority = request.route->priority;
+  if (traffic.set().workspaces.empty()) {
+    return true;
+  }
+  const config::traffic_workspace* workspace =
+      request.request.key ? traffic.FindWorkspace(*request.request.key)
+                          : nullptr;
+  if (workspace == nullptr) {
+    return request.route->is_public;
+  }
+  request.workspace = workspace->name;
+  if (workspace->priority) {
+    request.priority = workspace->priority;
+  }
+  return true;
+}
+
+void Arrive(step_context& step, const request_arrived& event) {
+  gateway_state& state = step.state;
+  request_state& request = state.requests[event.exchange];
+  request.exchange = event.exchange;
+  request.request = event.request;
+  request.arrived_us = step.now_us;
+  request.last_event_id = event.request.last_event_id;
+  request.traffic = state.traffic;
+  if (request.traffic == nullptr) {
+    Refuse(step, request, kUnavailable, "no_configuration", kStartingRetryMs);
+    return;
+  }
+  request.route =
+      request.traffic->FindRoute(event.request.host, event.request.path);
+  if (request.route == nullptr) {
+    Refuse(step, request, kNotFound, "no_route");
+    return;
+  }
+  if (!Authenticate(request)) {
+    Refuse(step, request, kUnauthorized, "unknown_key");
+    return;
+  }
+  base::time_ms wait_ms = request.route->timeout_ms;
+  if (event.request.deadline_ms > 0) {
+    wait_ms = std::min(wait_ms, event.request.deadline_ms);
+  }
+  request.until_us = step.now_us + wait_ms * 1'000;
+  request.service = ChooseTarget(step, *request.route);
+  state.budgets[request.service].CountRequest(step.now_us,
+                                              state.options.retries);
+  Place(step, request);
+}
+
+void CheckTimes(step_context& step) {
+  std::vector<exchange_id> late;
+  std::vector<exchange_id> silent;
+  for (const auto& [exchange, request] : step.state.requests) {
+    if (request.until_us <= step.now_us) {
+      late.push_back(exchange);
+    } else if (request.phase == request_phase::kStreaming &&
+               step.now_us - request.last_event_us >
+                   step.state.options.silent_stream_ms * 1'000) {
+      silent.push_back(exchange);
+    }
+  }
+  for (const exchange_id exchange : late) {
+    request_state& request = step.state.requests.find(exchange)->second;
+    CancelAttempt(step, request);
+    GiveUp(step, request, "timeout");
+  }
+  for (const exchange_id exchange : silent) {
+    request_state& request = step.state.requests.find(exchange)->second;
+    CancelAttempt(step, request);
+    FailAttempt(step, request, attempt_verdict::kFailed, "silent stream");
+  }
+}
+
+struct event_handler {
+  step_context& step;
+
+  void operator()(const traffic_published& event) const {
+    step.state.traffic = event.traffic;
+    step.Note("traffic_published",
+              {{"version", std::to_string(event.traffic->set().version)},
+               {"routes", std::to_string(event.traffic->set().routes.size())}});
+  }
+  void operator()(const members_updated& event) const {
+    step.state.servers.Update(event.update, step.now_us);
+    step.Note("servers_updated",
+              {{"changed", std::to_string(event.update.changed.size())},
+               {"removed", std::to_string(event.update.removed.size())},
+               {"known", std::to_string(step.state.servers.size())}});
+  }
+  void operator()(const request_arrived& event) const { Arrive(step, event); }
+  void operator()(const caller_left& event) const {
+    const auto found = step.state.requests.find(event.exchange);
+    if (found != step.state.requests.end()) {
+      CancelAttempt(step, found->second);
+      Forget(step, found->second);
+    }
+  }
+  void operator()(const attempt_head& event) const { HandleHead(step, event); }
+  void operator()(const attempt_data& event) const { HandleData(step, event); }
+  void operator()(const attempt_ended& event) const {
+    HandleEnded(step, event);
+  }
+  void operator()(const gateway_tick&) const { CheckTimes(step); }
+};
+
+}  // namespace
+
+std::uint64_t step_context::Random() {
+  // xorshift64*.
+  std::uint64_t& x = state.random;
+  x ^= x >> 12;
+  x ^= x << 25;
+  x ^= x >> 27;
+  return x * 0x2545f4914f6cdd1dULL;
+}
+
+void step_context::Note(std::string event, note_fields fields) {
+  out.push_back(note{std::move(event), std::move(fields)});
+}
+
+gateway_effects Step(gateway_state& state,
+                     const gateway_event& event,
+                     base::time_us now_us) {
+  gateway_effects out;
+  step_context step{state, now_us, out};
+  std::visit(event_handler{step}, event);
+  return out;
+}
+
+bool IsReady(const gateway_state& state) {
+  return state.traffic != nullptr && state.servers.size() > 0;
+}
+
+}  // namespace wisteriaroute::gateway
--- /dev/null
+++ b/src/libwisteriaroute/gateway/gateway.h
@@ -0,0 +1,213 @@
+#ifndef LIBWISTERIAROUTE_GATEWAY_GATEWAY_H_
+#define LIBWISTERIAROUTE_GATEWAY_GATEWAY_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "libwisteriaroute/config/traffic_set.h"
+#include "libwisteriaroute/gateway/event_framer.h"
+#include "libwisteriaroute/gateway/messages.h"
+#include "libwisteriaroute/gateway/retry_budget.h"
+#include "libwisteriaroute/gateway/servers.h"
+
+namespace wisteriaroute::gateway {
+
+/** Number of a caller's exchange; given by the daemon, never used again. */
+using exchange_id = std::uint64_t;
+/** Number of an attempt; given by the reducer, never used again. */
+using attempt_id = std::uint64_t;
+
+struct gateway_options {
+  retry_limits retries;
+  /**
+   * Requests that may wait at a server beyond its slots. Servers reject more
+   * than a few.
+   */
+  double server_queue = 2;
+  /** Least time that an attempt is worth; with less left none is made. */
+  base::time_ms min_attempt_ms = 20;
+  /** A stream without an event for this long goes on at another server. */
+  base::time_ms silent_stream_ms = 1'800;
+};
+
+enum class request_phase : std::uint8_t {
+  /** An attempt is in progress, and the caller has got nothing. */
+  kSent,
+  /** The caller has got the head and perhaps events. */
+  kStreaming,
+};
+
+/** A request of a caller that isn't answered. */
+struct request_state {
+  exchange_id exchange = 0;
+  caller_request request;
+  /** Keeps `route` alive when the configuration changes. */
+  std::shared_ptr<const config::traffic_index> traffic;
+  const config::route* route = nullptr;
+  std::string service;
+  std::string workspace;
+  std::optional<int> priority;
+  base::time_us arrived_us = 0;
+  /** When the final answer is due: deadline or route's timeout. */
+  base::time_us until_us = 0;
+  request_phase phase = request_phase::kSent;
+
+  attempt_id attempt = 0;
+  std::string server;
+  base::time_us attempt_at_us = 0;
+  std::set<std::string> tried;
+  /** Attempts that may have reached a server. */
+  int attempts = 0;
+  /** Whether some attempt may have run. */
+  bool may_have_run = false;
+
+  /** Head of the response in progress. */
+  std::optional<response_head> head;
+  std::string body;
+  /** A server's own failure, passed on if nothing better comes. */
+  std::optional<response_head> failure_head;
+  std::string failure_body;
+
+  event_framer framer;
+  std::optional<std::uint64_t> last_event_id;
+  base::time_us last_event_us = 0;
+  std::uint64_t events = 0;
+  base::time_us first_event_us = 0;
+};
+
+struct gateway_state {
+  gateway_options options;
+  std::shared_ptr<const config::traffic_index> traffic;
+  server_table servers;
+  std::map<exchange_id, request_state> requests;
+  std::map<attempt_id, exchange_id> attempts;
+  std::map<std::string, retry_budget, std::less<>> budgets;
+  attempt_id next_attempt = 1;
+  std::uint64_t random = 1;
+};
+
+// Events.
+
+struct traffic_published {
+  std::shared_ptr<const config::traffic_index> traffic;
+};
+struct members_updated {
+  wire::member_update update;
+};
+struct request_arrived {
+  exchange_id exchange = 0;
+  caller_request request;
+};
+struct caller_left {
+  exchange_id exchange = 0;
+};
+struct attempt_head {
+  attempt_id attempt = 0;
+  response_head head;
+};
+struct attempt_data {
+  attempt_id attempt = 0;
+  std::string data;
+};
+struct attempt_ended {
+  attempt_id attempt = 0;
+  /** Whether a whole response was received. */
+  bool ok = false;
+  /** Nothing was sent. */
+  bool never_sent = false;
+  std::string error;
+};
+/** Due every kGatewayTickUs while requests are in progress. */
+struct gateway_tick {};
+
+inline constexpr base::time_us kGatewayTickUs = 50'000;
+
+using gateway_event = std::variant<traffic_published,
+                                   members_updated,
+                                   request_arrived,
+                                   caller_left,
+                                   attempt_head,
+                                   attempt_data,
+                                   attempt_ended,
+                                   gateway_tick>;
+
+// Effects.
+
+struct start_attempt {
+  attempt_id attempt = 0;
+  exchange_id exchange = 0;
+  /** `IP:port` of the server. */
+  std::string address;
+  attempt_terms terms;
+  /** Whether a connection that has been idle for a while may be used. */
+  bool may_use_idle = false;
+};
+struct cancel_attempt {
+  attempt_id attempt = 0;
+};
+/** An answer of the gateway's own. */
+struct refuse {
+  exchange_id exchange = 0;
+  unsigned status = 503;
+  std::string code;
+  /** When the caller may come back; 0: not stated. */
+  base::time_ms retry_after_ms = 0;
+};
+/** A server's whole response. */
+struct relay {
+  exchange_id exchange = 0;
+  unsigned status = 0;
+  net::http_headers headers;
+  std::string body;
+};
+struct start_stream {
+  exchange_id exchange = 0;
+  unsigned status = 0;
+  net::http_headers headers;
+};
+struct write_stream {
+  exchange_id exchange = 0;
+  std::string data;
+};
+struct end_stream {
+  exchange_id exchange = 0;
+};
+/** Cuts the caller's connection: its response isn't complete. */
+struct abort_stream {
+  exchange_id exchange = 0;
+};
+/** A decision for the log. */
+struct note {
+  std::string event;
+  std::vector<std::pair<std::string, std::string>> fields;
+};
+
+using gateway_effect = std::variant<start_attempt,
+                                    cancel_attempt,
+                                    refuse,
+                                    relay,
+                                    start_stream,
+                                    write_stream,
+                                    end_stream,
+                                    abort_stream,
+                                    note>;
+using gateway_effects = std::vector<gateway_effect>;
+
+/** One step. Never throws. */
+gateway_effects Step(gateway_state& state,
+                     const gateway_event& event,
+                     base::time_us now_us);
+
+/** Whether the gateway can serve: it knows a configuration and servers. */
+bool IsReady(const gateway_state& state);
+
+}  // namespace wisteriaroute::gateway
+
+#endif  // LIBWISTERIAROUTE_GATEWAY_GATEWAY_H_
--- /dev/null
+++ b/src/libwisteriaroute/gateway/placement.cc
@@ -0,0 +1,104 @@
+#include <algorithm>
+#include <vector>
+
+#include "libwisteriaroute/gateway/step_context.h"
+#include "libwisteriaroute/policy/server_choice.h"
+
+namespace wisteriaroute::gateway {
+
+namespace {
+
+// Servers that don't state their slots.
+constexpr double kDefaultSlots = 8;
+// When a caller may come back: about the time in which a place becomes free.
+constexpr base::time_ms kFullRetryMs = 400;
+constexpr base::time_ms kNoServerRetryMs = 1'000;
+// Spread over the callers that are refused together.
+constexpr base::time_ms kRetrySpreadMs = 400;
+
+/** Puts the candidates that the request hasn't been sent to first. */
+std::vector<server*> Candidates(step_context& step,
+                                const request_state& request) {
+  std::vector<server*> usable =
+      step.state.servers.Usable(request.service, step.now_us);
+  std::vector<server*> fresh;
+  for (server* one : usable) {
+    if (!request.tried.contains(one->info.name)) {
+      fresh.push_back(one);
+    }
+  }
+  return fresh;
+}
+
+void Send(step_context& step, request_state& request, server& to) {
+  const base::time_us left_us = request.until_us - step.now_us;
+  request.attempt = step.state.next_attempt++;
+  step.state.attempts[request.attempt] = request.exchange;
+  request.server = to.info.name;
+  request.tried.insert(to.info.name);
+  request.attempt_at_us = step.now_us;
+  request.last_event_us = step.now_us;
+  request.head.reset();
+  request.body.clear();
+  request.framer = {};
+  ++request.attempts;
+  ++to.in_flight;
+  const bool once = request.route->repeats == config::repetition::kOnce;
+  step.out.push_back(
+      start_attempt{.attempt = request.attempt,
+                    .exchange = request.exchange,
+                    .address = to.info.address,
+                    .terms = {.deadline_ms = left_us / 1'000,
+                              .expected_server = to.info.name,
+                              .workspace = request.workspace,
+                              .priority = request.priority,
+                              .last_event_id = request.last_event_id},
+                    .may_use_idle = !once});
+  step.Note("attempt_sent",
+            {{"request", request.request.id},
+             {"attempt", std::to_string(request.attempts)},
+             {"server", to.info.name},
+             {"load", std::to_string(EstimatedLoad(to, step.now_us))},
+             {"load_age_ms",
+              std::to_string((step.now_us - to.load_at_us) / 1'000)},
+             {"version",
+              std::to_string(request.traffic->set().version)}});
+}
+
+}  // namespace
+
+void Place(step_context& step, request_state& request) {
+  if (request.until_us - step.now_us <
+      step.state.options.min_attempt_ms * 1'000) {
+    GiveUp(step, request, "no_time_left");
+    return;
+  }
+  const std::vector<server*> servers = Candidates(step, request);
+  std::vector<policy::server_candidate> candidates;
+  candidates.reserve(servers.size());
+  for (const server* one : servers) {
+    const double slots = one->info.backend.slots > 0
+                             ? static_cast<double>(one->info.backend.slots)
+                             : kDefaultSlots;
+    candidates.push_back({.load = EstimatedLoad(*one, step.now_us),
+                          .slots = slots,
+                          .queue = step.state.options.server_queue});
+  }
+  const auto chosen = policy::ChooseServer(candidates, step.Random());
+  if (chosen) {
+    Send(step, request, *servers[*chosen]);
+    return;
+  }
+  const auto spread = static_cast<base::time_ms>(
+      step.Random() % static_cast<std::uint64_t>(kRetrySpreadMs));
+  constexpr unsigned kUnavailable = 503;
+  if (request.may_have_run || request.phase == request_phase::kStreaming) {
+    GiveUp(step, request, "no_other_server");
+  } else if (servers.empty()) {
+    Refuse(step, request, kUnavailable, "no_server", kNoServerRetryMs + spread);
+  } else {
+    Refuse(step, request, kUnavailable, "servers_full", kFullRetryMs + spread);
+  }
+}
+
+}  // namespace wisteriaroute::gateway
--- /dev/null
+++ b/src/libwisteriaroute/gateway/servers.cc
@@ -0,0 +1,128 @@
+#include "libwisteriaroute/gateway/servers.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace wisteriaroute::gateway {
+
+namespace {
+
+// What other entries have there is believed less the older it is: it halves
+// in this time, which is about that of a request.
+constexpr double kLoadHalfLifeUs = 2'000'000;
+// A server that failed this often in a row gets no new work for a while.
+constexpr int kSuspendAfterFailures = 3;
+constexpr base::time_us kSuspendUs = 1'000'000;
+constexpr base::time_us kMaxSuspendUs = 4'000'000;
+// A server that refused a request because it is full.
+constexpr base::time_us kBusyUs = 50'000;
+// A server that refused the connection is gone or about to start.
+constexpr base::time_us kUnreachableUs = 1'000'000;
+// Enough for all servers of the largest deployment that leave in an hour.
+constexpr std::size_t kMaxDeparted = 4'096;
+
+}  // namespace
+
+void server_table::Update(const wire::member_update& update,
+                          base::time_us now_us) {
+  std::set<std::string, std::less<>> named;
+  for (const wire::member_info& info : update.changed) {
+    if (info.role != wire::member_role::kServer) {
+      continue;
+    }
+    named.insert(info.name);
+    const auto found = servers_.find(info.name);
+    if (found != servers_.end() &&
+        found->second.info.incarnation > info.incarnation) {
+      continue;
+    }
+    const auto departed = std::pair(info.name, info.incarnation);
+    if (info.leaving && departed_.size() < kMaxDeparted) {
+      departed_.insert(departed);
+    }
+    server& one = servers_[info.name];
+    if (one.info.incarnation != info.incarnation) {
+      one = {.load_at_us = now_us};
+    }
+    one.info = info;
+    one.info.leaving = info.leaving || departed_.contains(departed);
+  }
+  for (const std::string& name : update.removed) {
+    servers_.erase(name);
+  }
+  if (update.full) {
+    std::erase_if(servers_,
+                  [&](const auto& item) { return !named.contains(item.first); });
+  }
+}
+
+std::vector<server*> server_table::Usable(std::string_view service,
+                                          base::time_us now_us) {
+  std::vector<server*> usable;
+  for (auto& [id, one] : servers_) {
+    if (one.info.backend.service == service && !one.info.leaving &&
+        one.suspended_until_us <= now_us) {
+      usable.push_back(&one);
+    }
+  }
+  return usable;
+}
+
+bool server_table::HasAny(std::string_view service) const {
+  return std::ranges::any_of(servers_, [&](const auto& item) {
+    return item.second.info.backend.service == service &&
+           !item.second.info.leaving;
+  });
+}
+
+server* server_table::Find(std::string_view id) {
+  const auto found = servers_.find(id);
+  return found == servers_.end() ? nullptr : &found->second;
+}
+
+void server_table::NoteLoad(server& of,
+                            const server_load& load,
+                            base::time_us now_us) {
+  of.others = std::max(
+      0.0, static_cast<double>(load.running + load.waiting - of.in_flight));
+  of.load_at_us = now_us;
+}
+
+void server_table::NoteVerdict(server& of,
+                               attempt_verdict verdict,
+                               base::time_us now_us) {
+  const auto suspend = [&](base::time_us duration_us) {
+    of.suspended_until_us =
+        std::max(of.suspended_until_us, now_us + duration_us);
+  };
+  switch (verdict) {
+    case attempt_verdict::kGood:
+      of.failures = 0;
+      return;
+    case attempt_verdict::kBusy:
+      suspend(kBusyUs);
+      return;
+    case attempt_verdict::kFailed:
+      ++of.failures;
+      if (of.failures >= kSuspendAfterFailures) {
+        const int doublings = of.failures - kSuspendAfterFailures;
+        suspend(std::min(kMaxSuspendUs, kSuspendUs << std::min(doublings, 2)));
+      }
+      return;
+    case attempt_verdict::kUnreachable:
+      ++of.failures;
+      suspend(kUnreachableUs);
+      return;
+    case attempt_verdict::kReplaced:
+      suspend(kMaxSuspendUs);
+      return;
+  }
+}
+
+double EstimatedLoad(const server& of, base::time_us now_us) {
+  const auto age = static_cast<double>(now_us - of.load_at_us);
+  return static_cast<double>(of.in_flight) +
+         of.others * std::exp2(-age / kLoadHalfLifeUs);
+}
+
+}  // namespace wisteriaroute::gateway
--- /dev/null
+++ b/src/libwisteriaroute/gateway/servers.h
@@ -0,0 +1,65 @@
+#ifndef LIBWISTERIAROUTE_GATEWAY_SERVERS_H_
+#define LIBWISTERIAROUTE_GATEWAY_SERVERS_H_
+
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "libwisteriaroute/base/clock.h"
+#include "libwisteriaroute/gateway/messages.h"
+#include "libwisteriaroute/wire/control_messages.h"
+
+namespace wisteriaroute::gateway {
+
+/** What this entry knows of a backend server. */
+struct server {
+  wire::member_info info;
+  /** Attempts of this entry that are in progress there. */
+  std::int64_t in_flight = 0;
+  /** Requests of other entries there, by the last statement of its load. */
+  double others = 0;
+  base::time_us load_at_us = 0;
+  /** Failures in a row without a good answer. */
+  int failures = 0;
+  /** No new work before this time. */
+  base::time_us suspended_until_us = 0;
+};
+
+/** How an attempt ended, for the judgement of its server. */
+enum class attempt_verdict { kGood, kBusy, kFailed, kUnreachable, kReplaced };
+
+/** The backend servers that have reported themselves, by id. */
+class server_table {
+ public:
+  /** Applies an update of control. */
+  void Update(const wire::member_update& update, base::time_us now_us);
+
+  /** Servers of a service that take new work, in order of id. */
+  std::vector<server*> Usable(std::string_view service, base::time_us now_us);
+
+  /** Whether the service has any server that isn't leaving. */
+  bool HasAny(std::string_view service) const;
+
+  /** The server, or null if it is gone. */
+  server* Find(std::string_view id);
+
+  void NoteLoad(server& of, const server_load& load, base::time_us now_us);
+  void NoteVerdict(server& of, attempt_verdict verdict, base::time_us now_us);
+
+  std::size_t size() const { return servers_.size(); }
+
+ private:
+  std::map<std::string, server, std::less<>> servers_;
+  /** Ids with incarnations that have left; late reports don't revive them. */
+  std::set<std::pair<std::string, std::uint64_t>> departed_;
+};
+
+/** Requests that run or wait at a server, as estimated. */
+double EstimatedLoad(const server& of, base::time_us now_us);
+
+}  // namespace wisteriaroute::gateway
+
+#endif  // LIBWISTERIAROUTE_GATEWAY_SERVERS_H_
--- a/src/libwisteriaroute/wire/admin_fields.cc
+++ b/src/libwisteriaroute/wire/admin_fields.cc
@@ -65,6 +65,13 @@
     filter.setRevision(from.revision);
     filter.setLimit(from.limit);
   }
+  void operator()(const publish_document& from) {
+    WriteFields(from, to.initPublishDocument());
+  }
+  void operator()(const get_document&) { to.setGetDocument(); }
+  void operator()(const report_server& from) {
+    WriteFields(from, to.initReportServer());
+  }
   void operator()(const rebalance_request& from) {
     to.setRebalance(from.group);
   }
@@ -108,6 +115,12 @@
       return ReadFilter(from.getTimeline());
     case proto::AdminRequest::REBALANCE:
       return rebalance_request{from.getRebalance()};
+    case proto::AdminRequest::PUBLISH_DOCUMENT:
+      return ReadFields(from.getPublishDocument());
+    case proto::AdminRequest::GET_DOCUMENT:
+      return get_document{};
+    case proto::AdminRequest::REPORT_SERVER:
+      return ReadFields(from.getReportServer());
   }
   throw malformed_message("unknown kind of administrative request");
 }
--- a/src/libwisteriaroute/wire/control_fields.cc
+++ b/src/libwisteriaroute/wire/control_fields.cc
@@ -12,6 +12,8 @@
   to.setIncarnation(from.incarnation);
   to.setWindow(from.window);
   to.setHealthy(from.healthy);
+  to.setSlots(from.slots);
+  to.setVersion(from.version);
   auto models = to.initModels(Count(from.models));
   for (unsigned i = 0; i < from.models.size(); ++i) {
     models.set(i, from.models[i]);
@@ -25,7 +27,9 @@
                       .rank = from.getRank(),
                       .incarnation = from.getIncarnation(),
                       .window = from.getWindow(),
-                      .healthy = from.getHealthy()};
+                      .healthy = from.getHealthy(),
+                      .slots = from.getSlots(),
+                      .version = from.getVersion()};
   for (const auto model : from.getModels()) {
     result.models.emplace_back(model.cStr(), model.size());
   }
@@ -47,7 +51,7 @@
 
 member_info ReadFields(proto::MemberInfo::Reader from) {
   return {.name = from.getName(),
-          .role = ReadEnum<member_role>(from.getRole(), 2),
+          .role = ReadEnum<member_role>(from.getRole(), 3),
           .incarnation = from.getIncarnation(),
           .address = from.getAddress(),
           .region = from.getRegion(),
@@ -232,6 +236,32 @@
           .map = ReadFields(from.getMap())};
 }
 
+void WriteFields(const publish_document& from, proto::Document::Builder to) {
+  to.setVersion(from.version);
+  to.setBody(capnp::Data::Reader(
+      reinterpret_cast<const capnp::byte*>(from.body.data()),
+      from.body.size()));
+}
+
+publish_document ReadFields(proto::Document::Reader from) {
+  const capnp::Data::Reader body = from.getBody();
+  return {.version = from.getVersion(),
+          .body = std::string(reinterpret_cast<const char*>(body.begin()),
+                              body.size())};
+}
+
+void WriteFields(const report_server& from, proto::ServerReport::Builder to) {
+  WriteFields(from.info, to.initInfo());
+  to.setSequence(from.sequence);
+  to.setGone(from.gone);
+}
+
+report_server ReadFields(proto::ServerReport::Reader from) {
+  return {.info = ReadFields(from.getInfo()),
+          .sequence = from.getSequence(),
+          .gone = from.getGone()};
+}
+
 void WriteFields(const publish_request& from,
                  proto::PublishRequest::Builder to) {
   to.setBaseRevision(from.base_revision);
--- a/src/libwisteriaroute/wire/control_fields.h
+++ b/src/libwisteriaroute/wire/control_fields.h
@@ -47,6 +47,10 @@
 void WriteFields(const order& from, proto::Order::Builder to);
 order ReadFields(proto::Order::Reader from);
 
+void WriteFields(const publish_document& from, proto::Document::Builder to);
+publish_document ReadFields(proto::Document::Reader from);
+void WriteFields(const report_server& from, proto::ServerReport::Builder to);
+report_server ReadFields(proto::ServerReport::Reader from);
 void WriteFields(const publish_request& from,
                  proto::PublishRequest::Builder to);
 publish_request ReadFields(proto::PublishRequest::Reader from);
--- a/src/libwisteriaroute/wire/control_messages.h
+++ b/src/libwisteriaroute/wire/control_messages.h
@@ -13,7 +13,8 @@
 
 namespace wisteriaroute::wire {
 
-enum class member_role : std::uint8_t { kEntry, kAgent };
+/** kServer: a backend server without an agent, which reports itself. */
+enum class member_role : std::uint8_t { kEntry, kAgent, kServer };
 
 /** What an agent says of its backend server. */
 struct backend_info {
@@ -26,6 +27,10 @@
   std::uint64_t window = 0;
   bool healthy = false;
   std::vector<std::string> models;
+  /** Requests that the server runs at once; 0: unknown. */
+  std::uint32_t slots = 0;
+  /** Version of the server's software. */
+  std::string version;
 
   bool operator==(const backend_info&) const = default;
 };
@@ -407,6 +412,31 @@
   bool operator==(const rebalance_request&) const = default;
 };
 
+/**
+ * A whole configuration in the operator's format. The highest version wins; an
+ * older one or the one in force is acknowledged and changes nothing.
+ */
+struct publish_document {
+  std::uint64_t version = 0;
+  std::string body;
+
+  bool operator==(const publish_document&) const = default;
+};
+
+struct get_document {
+  bool operator==(const get_document&) const = default;
+};
+
+/** A backend server without an agent says that it is there, or leaves. */
+struct report_server {
+  member_info info;
+  /** Increases within one incarnation. */
+  std::uint64_t sequence = 0;
+  bool gone = false;
+
+  bool operator==(const report_server&) const = default;
+};
+
 using admin_call = std::variant<publish_request,
                                 get_config,
                                 get_status,
@@ -419,7 +449,10 @@
                                 add_replica,
                                 remove_replica,
                                 base::timeline_filter,
-                                rebalance_request>;
+                                rebalance_request,
+                                publish_document,
+                                get_document,
+                                report_server>;
 
 struct admin_request {
   std::uint64_t correlation = 0;
