--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -43,7 +43,7 @@
                      600'000) *
       1'000;
   options.server_queue =
-      reader.Number("server_queue", options.server_queue, 0, 1'000);
+      reader.Number("server_queue", options.server_queue, -1'000, 1'000);
   options.silent_stream_ms = reader.Integer(
       "silent_stream_ms", options.silent_stream_ms, 10, 600'000);
   reader.ReportUnknownKeys();
--- a/src/libwisteriaroute/gateway/attempts.cc
+++ b/src/libwisteriaroute/gateway/attempts.cc
@@ -63,6 +63,19 @@
                                                   step.state.options.retries);
 }
 
+void NotePace(step_context& step, const request_state& request) {
+  const config::traffic_service* service =
+      request.traffic->FindService(request.service);
+  if (request.route->gap_objective_ms <= 0 || service == nullptr ||
+      !service->engine) {
+    return;
+  }
+  NoteGap(step.state.paces[request.service],
+          static_cast<double>(step.now_us - request.last_event_us) / 1'000,
+          static_cast<double>(request.route->gap_objective_ms),
+          static_cast<double>(service->engine->slots), step.now_us);
+}
+
 void PassEvents(step_context& step,
                 request_state& request,
                 std::string_view data) {
@@ -91,6 +104,9 @@
   if (passed.empty()) {
     return;
   }
+  if (request.phase == request_phase::kStreaming) {
+    NotePace(step, request);
+  }
   request.last_event_us = step.now_us;
   if (request.phase != request_phase::kStreaming) {
     request.phase = request_phase::kStreaming;
--- a/src/libwisteriaroute/gateway/gateway.h
+++ b/src/libwisteriaroute/gateway/gateway.h
@@ -16,6 +16,7 @@
 #include "libwisteriaroute/gateway/messages.h"
 #include "libwisteriaroute/gateway/retry_budget.h"
 #include "libwisteriaroute/gateway/servers.h"
+#include "libwisteriaroute/policy/pace_limit.h"
 
 namespace wisteriaroute::gateway {
 
@@ -89,6 +90,8 @@
   std::map<exchange_id, request_state> requests;
   std::map<attempt_id, exchange_id> attempts;
   std::map<std::string, retry_budget, std::less<>> budgets;
+  /** Of services that answer by streams. */
+  std::map<std::string, policy::pace_limit, std::less<>> paces;
   attempt_id next_attempt = 1;
   std::uint64_t random = 1;
 };
--- a/src/libwisteriaroute/gateway/placement.cc
+++ b/src/libwisteriaroute/gateway/placement.cc
@@ -80,9 +80,13 @@
     const double slots = one->info.backend.slots > 0
                              ? static_cast<double>(one->info.backend.slots)
                              : kDefaultSlots;
-    candidates.push_back({.load = EstimatedLoad(*one, step.now_us),
-                          .slots = slots,
-                          .queue = step.state.options.server_queue});
+    candidates.push_back(
+        {.load = EstimatedLoad(*one, step.now_us),
+         .slots = slots,
+         .queue = request.route->streams
+                      ? StreamsAllowed(step.state.paces[request.service], slots) -
+                            slots
+                      : step.state.options.server_queue});
   }
   const auto chosen = policy::ChooseServer(candidates, step.Random());
   if (chosen) {
--- /dev/null
+++ b/src/libwisteriaroute/policy/pace_limit.cc
@@ -0,0 +1,51 @@
+#include "libwisteriaroute/policy/pace_limit.h"
+
+#include <algorithm>
+
+namespace wisteriaroute::policy {
+
+namespace {
+
+// Long enough for events of several passes, short against a burst.
+constexpr base::time_us kWindowUs = 200'000;
+// Mean pauses, as parts of the objective, above which the limit falls and
+// below which it rises. Single pauses vary by about a quarter around the mean.
+constexpr double kTooSlow = 0.8;
+constexpr double kRoom = 0.65;
+constexpr double kFall = 0.9;
+constexpr double kRiseStreams = 0.4;
+constexpr double kMinStreams = 2;
+
+}  // namespace
+
+void NoteGap(pace_limit& limit,
+             double gap_ms,
+             double objective_ms,
+             double slots,
+             base::time_us now_us) {
+  if (limit.streams == 0) {
+    limit.streams = slots;
+    limit.window_start_us = now_us;
+  }
+  limit.gap_sum_ms += gap_ms;
+  limit.objective_sum_ms += objective_ms;
+  if (now_us - limit.window_start_us < kWindowUs) {
+    return;
+  }
+  const double pace = limit.gap_sum_ms / limit.objective_sum_ms;
+  if (pace > kTooSlow) {
+    limit.streams *= kFall;
+  } else if (pace < kRoom) {
+    limit.streams += kRiseStreams;
+  }
+  limit.streams = std::clamp(limit.streams, std::min(kMinStreams, slots), slots);
+  limit.gap_sum_ms = 0;
+  limit.objective_sum_ms = 0;
+  limit.window_start_us = now_us;
+}
+
+double StreamsAllowed(const pace_limit& limit, double slots) {
+  return limit.streams == 0 ? slots : std::min(limit.streams, slots);
+}
+
+}  // namespace wisteriaroute::policy
