control, sidecar, policy: expert maps of groups that the platform forms

Change: a sidecar beside each rank reports it and passes orders on; the leader replicates what the slowest ranks hold, and switches all ranks at one step that is held until every rank is armed.

--- a/proto/control.capnp
+++ b/proto/control.capnp
@@ -198,6 +198,39 @@
   expertTokens @8 :List(UInt32);
 }
 
+# State of a rank whose group the platform forms, from the sidecar beside it.
+struct RankStatus {
+  service @0 :Text;
+  group @1 :Text;
+  # The platform's number of this formation of the group.
+  formation @2 :UInt64;
+  rank @3 :UInt32;
+  ranks @4 :UInt32;
+  open @5 :Bool;
+  step @6 :UInt64;
+  mapVersion @7 :UInt64;
+  # 0: none.
+  preparedVersion @8 :UInt64;
+  armedVersion @9 :UInt64;
+  armedStep @10 :UInt64;
+  # 0: none.
+  heldStep @11 :UInt64;
+  # Tokens per set and expert since the last status, flattened; may be empty.
+  expertTokens @12 :List(UInt32);
+  # Experts of this rank by set, of map version expertsVersion; may be empty.
+  experts @13 :List(List(UInt16));
+}
+
+struct RankOrder {
+  kind @0 :UInt8;
+  term @1 :UInt64;
+  formation @2 :UInt64;
+  version @3 :UInt64;
+  step @4 :UInt64;
+  # By set and rank; only to prepare.
+  placement @5 :List(List(List(UInt16)));
+}
+
 struct PublishRequest {
   baseRevision @0 :UInt64;
   operationId @1 :Text;
@@ -296,5 +329,7 @@
     groupReport @16 :GroupReport;
     adminRequest @17 :AdminRequest;
     adminReply @18 :AdminReply;
+    rankStatus @19 :RankStatus;
+    rankOrder @20 :RankOrder;
   }
 }
--- a/src/control/daemon.cc
+++ b/src/control/daemon.cc
@@ -23,7 +23,8 @@
 
 daemon::daemon(net::loop& event_loop,
                control_settings settings,
-               api_decoder decode_api)
+               api_decoder decode_api,
+               shape_reader read_shapes)
     : event_loop_(event_loop),
       settings_(std::move(settings)),
       incarnation_(base::RandomU64()),
@@ -57,6 +58,7 @@
         }
       }) {
   state_.options.incarnation = incarnation_;
+  state_.options.read_shapes = read_shapes;
   state_.options.max_pending_proposals =
       static_cast<std::size_t>(settings_.max_pending_proposals);
 }
--- a/src/control/daemon.h
+++ b/src/control/daemon.h
@@ -24,7 +24,8 @@
   /** Opens the data directory. Throws if it is damaged or in use. */
   daemon(net::loop& event_loop,
          control_settings settings,
-         api_decoder decode_api);
+         api_decoder decode_api,
+         shape_reader read_shapes);
 
   /** Accepts links and joins the other replicas. */
   void Start();
--- a/src/libwisteriaroute/control/admin_json.cc
+++ b/src/libwisteriaroute/control/admin_json.cc
@@ -71,7 +71,7 @@
   json member = SessionJson(name, session, now_us);
   member["address"] = session.info.address;
   member["region"] = session.info.region;
-  if (session.info.role != wire::member_role::kEntry) {
+  if (IsListed(session.info.role)) {
     const wire::backend_info& backend = session.info.backend;
     member["backend"] = {
         {"class", backend.class_name}, {"service", backend.service},
--- /dev/null
+++ b/src/libwisteriaroute/control/rank_group.h
@@ -0,0 +1,72 @@
+#ifndef LIBWISTERIAROUTE_CONTROL_RANK_GROUP_H_
+#define LIBWISTERIAROUTE_CONTROL_RANK_GROUP_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "libwisteriaroute/base/clock.h"
+#include "libwisteriaroute/net/link_hub.h"
+#include "libwisteriaroute/wire/control_messages.h"
+
+namespace wisteriaroute::control {
+
+/** The leader's view of one rank of a group that the platform forms. */
+struct rank_view {
+  /** Link of its sidecar. */
+  net::link_id link = 0;
+  wire::rank_status status;
+  base::time_us heard_us = 0;
+  /** Experts by set, and the map version that they belong to. */
+  std::vector<wire::expert_list> experts;
+  std::optional<std::uint64_t> experts_version;
+  base::time_us next_order_us = 0;
+};
+
+/**
+ * A change of map proceeds by what the ranks report, so that any leader can go
+ * on with it:
+ *   kPreparing  every rank copies what the new map needs;
+ *   kHolding    the group is held at a step ahead, at one rank;
+ *   kArming     every rank is told to switch as that step begins;
+ *   kReleasing  all are armed; the group may begin the step.
+ * The hold makes sure that no rank begins the step before all are armed.
+ */
+enum class change_phase : std::uint8_t {
+  kPreparing,
+  kHolding,
+  kArming,
+  kReleasing,
+};
+
+struct rank_change {
+  change_phase phase = change_phase::kPreparing;
+  std::uint64_t version = 0;
+  /** Empty if another leader began the change. */
+  wire::expert_placement placement;
+  std::uint64_t step = 0;
+  /** Steps between the last known one and the hold. */
+  std::uint64_t margin_steps = 0;
+  base::time_us since_us = 0;
+};
+
+/** A group that the platform forms, as its sidecars report it. */
+struct rank_group {
+  std::string service;
+  std::uint64_t formation = 0;
+  std::map<std::uint32_t, rank_view> ranks;
+  std::optional<rank_change> change;
+  /** The highest version that was used or seen in this formation. */
+  std::uint64_t last_version = 0;
+  /** Tokens by set and expert in the window in progress. */
+  std::vector<std::uint64_t> tokens;
+  base::time_us window_start_us = 0;
+  base::time_us next_plan_us = 0;
+};
+
+}  // namespace wisteriaroute::control
+
+#endif  // LIBWISTERIAROUTE_CONTROL_RANK_GROUP_H_
--- /dev/null
+++ b/src/libwisteriaroute/control/rank_group_drive.cc
@@ -0,0 +1,379 @@
+#include "libwisteriaroute/control/rank_group_drive.h"
+
+#include <algorithm>
+#include <numeric>
+#include <utility>
+
+#include "libwisteriaroute/control/sessions.h"
+#include "libwisteriaroute/policy/expert_spread.h"
+
+namespace wisteriaroute::control {
+
+namespace {
+
+// A rank that isn't heard of for this long can't be counted on.
+constexpr base::time_us kStaleUs = 1'000'000;
+// An order may get no answer and be carried out seconds later; a repeated one
+// usually comes through.
+constexpr base::time_us kOrderRetryUs = 150'000;
+constexpr base::time_us kPrepareRetryUs = 400'000;
+// The hold has to reach its rank before the step begins.
+constexpr std::uint64_t kMinMarginSteps = 3;
+constexpr std::uint64_t kMaxMarginSteps = 64;
+// Copying takes about 0.4 s for each expert of a rank; a change that isn't
+// prepared by now has lost its purpose.
+constexpr base::time_us kPrepareLimitUs = 4'000'000;
+// Demand is seen over this long, which is a few steps of the group, and at
+// least over this many tokens, so that shares aren't noise.
+constexpr base::time_us kWindowUs = 300'000;
+constexpr std::uint64_t kMinTokens = 20'000;
+constexpr base::time_us kPlanPeriodUs = 100'000;
+// Copies in one change: with more, copying takes longer than demand stays.
+constexpr std::uint32_t kMaxCopiesPerRank = 2;
+
+const engine_shapes& Shapes(replica_state& state) {
+  leader_view& leader = *state.leading;
+  if (!leader.shapes) {
+    leader.shapes =
+        state.options.read_shapes == nullptr
+            ? engine_shapes()
+            : state.options.read_shapes(DocumentBody(state.durable.config));
+  }
+  return *leader.shapes;
+}
+
+struct driver {
+  replica_state& state;
+  const std::string& name;
+  rank_group& group;
+  const step_time& now;
+  replica_effects& out;
+
+  void Run() {
+    if (!IsWhole()) {
+      return;
+    }
+    if (!group.change) {
+      Adopt();
+    }
+    if (group.change) {
+      Advance();
+    } else {
+      Plan();
+    }
+  }
+
+ private:
+  /** All ranks are heard of, in the same formation, and the group runs. */
+  bool IsWhole() const {
+    if (group.ranks.empty() ||
+        group.ranks.size() != group.ranks.begin()->second.status.ranks) {
+      return false;
+    }
+    return std::ranges::all_of(group.ranks, [&](const auto& item) {
+      const rank_view& one = item.second;
+      return one.status.open && one.status.formation == group.formation &&
+             now.now_us - one.heard_us <= kStaleUs;
+    });
+  }
+
+  template <typename Test>
+  bool All(Test&& test) const {
+    return std::ranges::all_of(
+        group.ranks, [&](const auto& item) { return test(item.second.status); });
+  }
+
+  std::uint64_t HighestStep() const {
+    std::uint64_t step = 0;
+    for (const auto& [rank, one] : group.ranks) {
+      step = std::max(step, one.status.step);
+    }
+    return step;
+  }
+
+  void Note(const char* kind, std::string detail) const {
+    out.push_back(note_event{
+        {.kind = kind, .group = name, .detail = std::move(detail)}});
+  }
+
+  void Enter(change_phase phase) {
+    group.change->phase = phase;
+    for (auto& [rank, one] : group.ranks) {
+      one.next_order_us = 0;
+    }
+  }
+
+  void Send(rank_view& to,
+            wire::rank_order_kind kind,
+            base::time_us retry_us) {
+    if (now.now_us < to.next_order_us) {
+      return;
+    }
+    to.next_order_us = now.now_us + retry_us;
+    const rank_change& change = *group.change;
+    wire::rank_order order{.kind = kind,
+                           .term = state.leading->term,
+                           .formation = group.formation,
+                           .version = change.version,
+                           .step = change.step};
+    if (kind == wire::rank_order_kind::kPrepare) {
+      order.placement = change.placement;
+    }
+    out.push_back(send_to_links{{to.link}, std::move(order)});
+  }
+
+  rank_view* Holder() {
+    for (auto& [rank, one] : group.ranks) {
+      if (one.status.held_step != 0) {
+        return &one;
+      }
+    }
+    return nullptr;
+  }
+
+  /** Goes on with a change that another leader left behind. */
+  void Adopt() {
+    const rank_view* holder = Holder();
+    if (holder == nullptr) {
+      return;
+    }
+    const std::uint64_t version =
+        group.ranks.begin()->second.status.prepared_version;
+    const bool prepared = version != 0 && All([&](const auto& status) {
+      return status.prepared_version == version ||
+             status.map_version == version;
+    });
+    // Ranks are armed only once all are prepared. So with a rank that isn't,
+    // none was armed, and the hold alone is taken back.
+    group.change = rank_change{
+        .phase = prepared ? change_phase::kArming : change_phase::kReleasing,
+        .version = version,
+        .step = holder->status.held_step,
+        .since_us = now.now_us};
+    Enter(group.change->phase);
+    Note(prepared ? "map_change_adopted" : "hold_taken_back",
+         "version " + std::to_string(version) + " step " +
+             std::to_string(holder->status.held_step));
+  }
+
+  void Advance() {
+    switch (group.change->phase) {
+      case change_phase::kPreparing:
+        Prepare();
+        break;
+      case change_phase::kHolding:
+        Hold();
+        break;
+      case change_phase::kArming:
+        Arm();
+        break;
+      case change_phase::kReleasing:
+        Release();
+        break;
+    }
+  }
+
+  void Prepare() {
+    const rank_change& change = *group.change;
+    bool all = true;
+    for (auto& [rank, one] : group.ranks) {
+      if (one.status.prepared_version != change.version) {
+        all = false;
+        Send(one, wire::rank_order_kind::kPrepare, kPrepareRetryUs);
+      }
+    }
+    if (all) {
+      group.change->margin_steps = kMinMarginSteps;
+      BeginHold();
+    } else if (now.now_us - change.since_us > kPrepareLimitUs) {
+      Note("map_change_given_up", "not prepared in time");
+      group.change.reset();
+    }
+  }
+
+  void BeginHold() {
+    group.change->step = HighestStep() + group.change->margin_steps;
+    Enter(change_phase::kHolding);
+    Hold();
+  }
+
+  void Hold() {
+    // A hold that an earlier leader ordered may be carried out late. It blocks
+    // the group as well as one's own, and all ranks are prepared by now.
+    const rank_view* held = Holder();
+    if (held != nullptr) {
+      group.change->step = held->status.held_step;
+      Enter(change_phase::kArming);
+      Arm();
+    } else if (HighestStep() >= group.change->step) {
+      // The hold came too late; it can't be carried out any more.
+      group.change->margin_steps =
+          std::min(group.change->margin_steps * 2, kMaxMarginSteps);
+      BeginHold();
+    } else {
+      Send(group.ranks.begin()->second, wire::rank_order_kind::kHold,
+           kOrderRetryUs);
+    }
+  }
+
+  bool IsArmed(const wire::rank_status& status) const {
+    return (status.armed_version == group.change->version &&
+            status.armed_step == group.change->step) ||
+           status.map_version == group.change->version;
+  }
+
+  void Arm() {
+    bool all = true;
+    for (auto& [rank, one] : group.ranks) {
+      if (!IsArmed(one.status)) {
+        all = false;
+        Send(one, wire::rank_order_kind::kArm, kOrderRetryUs);
+      }
+    }
+    if (all) {
+      Enter(change_phase::kReleasing);
+      Release();
+    }
+  }
+
+  void Release() {
+    rank_view* holder = Holder();
+    if (holder != nullptr && holder->status.held_step == group.change->step) {
+      Send(*holder, wire::rank_order_kind::kRelease, kOrderRetryUs);
+      return;
+    }
+    const bool switched = All([&](const auto& status) {
+      return status.map_version == group.change->version;
+    });
+    const bool taken_back = All([](const auto& status) {
+      return status.armed_version == 0;
+    });
+    if (switched || taken_back) {
+      Note("map_change_ended",
+           "version " + std::to_string(group.change->version) + " after " +
+               std::to_string((now.now_us - group.change->since_us) / 1'000) +
+               " ms");
+      group.change.reset();
+      group.tokens.clear();
+      group.window_start_us = now.now_us;
+    }
+  }
+
+  /** The placement in use; empty while a rank's part isn't known. */
+  wire::expert_placement Current() const {
+    wire::expert_placement placement;
+    const std::uint64_t version =
+        group.ranks.begin()->second.status.map_version;
+    for (const auto& [rank, one] : group.ranks) {
+      if (one.status.map_version != version ||
+          one.experts_version != version) {
+        return {};
+      }
+      placement.resize(std::max(placement.size(), one.experts.size()));
+      for (std::size_t set = 0; set < one.experts.size(); ++set) {
+        placement[set].push_back(one.experts[set]);
+      }
+    }
+    return placement;
+  }
+
+  void Plan() {
+    if (now.now_us < group.next_plan_us ||
+        now.now_us - group.window_start_us < kWindowUs) {
+      return;
+    }
+    group.next_plan_us = now.now_us + kPlanPeriodUs;
+    const std::uint64_t total =
+        std::accumulate(group.tokens.begin(), group.tokens.end(), 0ULL);
+    const engine_shapes& shapes = Shapes(state);
+    const auto shape = shapes.find(group.service);
+    const wire::expert_placement current = Current();
+    if (total < kMinTokens || shape == shapes.end() || current.empty()) {
+      return;
+    }
+    const auto change = policy::PlanSpread(
+        current, group.tokens,
+        {.experts = static_cast<std::uint32_t>(shape->second.experts),
+         .slots_per_rank =
+             static_cast<std::uint32_t>(shape->second.expert_slots),
+         .max_copies_per_rank =
+             std::min(kMaxCopiesPerRank,
+                      static_cast<std::uint32_t>(shape->second.spare_slots))});
+    group.tokens.clear();
+    group.window_start_us = now.now_us;
+    if (change) {
+      Begin(*change);
+    }
+  }
+
+  void Begin(const policy::spread_change& planned) {
+    group.change = rank_change{.version = ++group.last_version,
+                               .placement = planned.placement,
+                               .since_us = now.now_us};
+    Enter(change_phase::kPreparing);
+    Note("map_change_begun",
+         "version " + std::to_string(group.change->version) + " copies " +
+             std::to_string(planned.copies) + " skew " +
+             std::to_string(planned.skew_before) + " to " +
+             std::to_string(planned.skew_after));
+    Prepare();
+  }
+};
+
+void AddTokens(rank_group& group, const wire::rank_status& status) {
+  if (group.tokens.size() < status.expert_tokens.size()) {
+    group.tokens.resize(status.expert_tokens.size());
+  }
+  for (std::size_t i = 0; i < status.expert_tokens.size(); ++i) {
+    group.tokens[i] += status.expert_tokens[i];
+  }
+}
+
+}  // namespace
+
+void HandleRankStatus(replica_state& state,
+                      net::link_id link,
+                      const wire::rank_status& status,
+                      const step_time& now,
+                      replica_effects& out) {
+  if (status.group.empty() || status.rank >= status.ranks) {
+    return;
+  }
+  rank_group& group = state.leading->rank_groups[status.group];
+  group.service = status.service;
+  if (status.formation > group.formation) {
+    // Nothing of the formation before is left on any rank.
+    group = {.service = status.service,
+             .formation = status.formation,
+             .window_start_us = now.now_us};
+  } else if (status.formation < group.formation) {
+    return;
+  }
+  rank_view& one = group.ranks[status.rank];
+  one.link = link;
+  one.heard_us = now.now_us;
+  one.status = status;
+  if (!status.experts.empty()) {
+    one.experts = status.experts;
+    one.experts_version = status.map_version;
+  }
+  group.last_version =
+      std::max({group.last_version, status.map_version,
+                status.prepared_version, status.armed_version});
+  AddTokens(group, status);
+  one.status.expert_tokens.clear();
+  one.status.experts.clear();
+  if (group.change) {
+    driver{state, status.group, group, now, out}.Run();
+  }
+}
+
+void DriveRankGroups(replica_state& state,
+                     const step_time& now,
+                     replica_effects& out) {
+  for (auto& [name, group] : state.leading->rank_groups) {
+    driver{state, name, group, now, out}.Run();
+  }
+}
+
+}  // namespace wisteriaroute::control
--- a/src/libwisteriaroute/control/replica.cc
+++ b/src/libwisteriaroute/control/replica.cc
@@ -6,6 +6,7 @@
 #include "libwisteriaroute/control/group_drive.h"
 #include "libwisteriaroute/control/group_policy.h"
 #include "libwisteriaroute/control/proposals.h"
+#include "libwisteriaroute/control/rank_group_drive.h"
 #include "libwisteriaroute/control/sessions.h"
 #include "libwisteriaroute/control/updates.h"
 
@@ -37,6 +38,7 @@
       return;
     }
     state.leading->config.reset();
+    state.leading->shapes.reset();
     out.push_back(note_event{
         {.kind = "document_accepted",
          .revision = outcome.revision,
@@ -131,6 +133,11 @@
       HandleGroupReport(state, link, report);
     }
   }
+  void operator()(const wire::rank_status& status) const {
+    if (state.leading) {
+      HandleRankStatus(state, link, status, now, out);
+    }
+  }
   // Messages that only members receive.
   template <typename Other>
   void operator()(const Other&) const {}
@@ -259,6 +266,7 @@
     BeginConfirm(state, now, out);
     ConsiderMaps(state, now);
     DriveGroups(state, now, out);
+    DriveRankGroups(state, now, out);
     if (now.now_us >= state.leading->next_clock_tick_us) {
       state.leading->next_clock_tick_us =
           now.now_us + state.options.clock_tick_us;
--- a/src/libwisteriaroute/control/replica.h
+++ b/src/libwisteriaroute/control/replica.h
@@ -12,7 +12,9 @@
 #include "libwisteriaroute/base/clock.h"
 #include "libwisteriaroute/base/event_ring.h"
 #include "libwisteriaroute/config/named_set.h"
+#include "libwisteriaroute/config/traffic_set.h"
 #include "libwisteriaroute/control/control_state.h"
+#include "libwisteriaroute/control/rank_group.h"
 #include "libwisteriaroute/net/link_hub.h"
 #include "libwisteriaroute/policy/expert_load.h"
 #include "libwisteriaroute/wire/control_messages.h"
@@ -30,6 +32,11 @@
 /** The same on the leader's clock: 10% more, for different clock rates. */
 inline constexpr base::time_us kLeaseBoundUs = 2'750'000;
 
+/** Engine shapes by service, read from a published document. */
+using engine_shapes =
+    std::map<std::string, config::engine_shape, std::less<>>;
+using shape_reader = engine_shapes (*)(std::string_view document);
+
 struct replica_options {
   /** Random number of this run. */
   std::uint64_t incarnation = 0;
@@ -41,6 +48,8 @@
   base::time_us clock_tick_us = 10'000'000;
   /** Time between two looks at the expert map of a group. */
   base::time_us map_period_us = 30'000'000;
+  /** Null: documents tell nothing of engines. */
+  shape_reader read_shapes = nullptr;
 };
 
 /** The leader's view of one member. */
@@ -163,8 +172,11 @@
   /** The full list of members was sent after the sessions had come back. */
   bool settled = false;
   std::map<std::string, group_drive, std::less<>> groups;
+  /** Groups that the platform forms, by name. */
+  std::map<std::string, rank_group, std::less<>> rank_groups;
   /** The newest configuration, parsed. */
   std::optional<config::named_set> config;
+  std::optional<engine_shapes> shapes;
 };
 
 /** A control replica above the log. Changed only by Step. */
--- a/src/libwisteriaroute/control/sessions.cc
+++ b/src/libwisteriaroute/control/sessions.cc
@@ -35,7 +35,7 @@
                   const std::string& name,
                   wire::member_role role) {
   leader.changed_members.erase(name);
-  if (role != wire::member_role::kEntry) {
+  if (IsListed(role)) {
     leader.removed_members.insert(name);
   }
 }
@@ -50,6 +50,15 @@
 
 }  // namespace
 
+bool IsListed(wire::member_role role) {
+  return role == wire::member_role::kAgent ||
+         role == wire::member_role::kServer;
+}
+
+bool FollowsConfig(wire::member_role role) {
+  return role == wire::member_role::kEntry || role == wire::member_role::kAgent;
+}
+
 const char* RoleName(wire::member_role role) {
   switch (role) {
     case wire::member_role::kEntry:
@@ -58,6 +67,8 @@
       return "agent";
     case wire::member_role::kServer:
       return "server";
+    case wire::member_role::kSidecar:
+      return "sidecar";
   }
   return "unknown";
 }
@@ -107,7 +118,7 @@
       leader.removed_members.erase(name);
     }
   }
-  if (reconnected) {
+  if (reconnected && FollowsConfig(hello.info.role)) {
     SendConfig(state, session, now, out);
     SendFirstLists(state, session, now, out);
   }
@@ -127,7 +138,8 @@
   session->heard_us = now.now_us;
   session->revision = std::max(session->revision, heartbeat.revision);
   session->ready = heartbeat.ready;
-  if (session->revision < state.durable.config.revision &&
+  if (FollowsConfig(session->info.role) &&
+      session->revision < state.durable.config.revision &&
       now.now_us - session->config_sent_us > kConfigRetryUs) {
     session->sent_revision = session->revision;
     SendConfig(state, *session, now, out);
@@ -228,7 +240,7 @@
   }
   std::uint64_t revision = state.durable.config.revision;
   for (const auto& [name, session] : state.leading->sessions) {
-    if (session.info.role == wire::member_role::kServer) {
+    if (!FollowsConfig(session.info.role)) {
       continue;
     }
     revision = std::min(revision, session.revision);
--- a/src/libwisteriaroute/control/sessions.h
+++ b/src/libwisteriaroute/control/sessions.h
@@ -9,6 +9,12 @@
 
 // Sessions of members with the leader. `state.leading` must be set.
 
+/** Whether entries are told of such members. */
+bool IsListed(wire::member_role role);
+
+/** Whether such members get the configuration. */
+bool FollowsConfig(wire::member_role role);
+
 const char* RoleName(wire::member_role role);
 
 /** Notes that a member came or went. */
--- a/src/libwisteriaroute/control/updates.cc
+++ b/src/libwisteriaroute/control/updates.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "libwisteriaroute/control/sessions.h"
+
 namespace wisteriaroute::control {
 
 namespace {
@@ -25,7 +27,7 @@
 std::vector<wire::member_info> Agents(const leader_view& leader) {
   std::vector<wire::member_info> agents;
   for (const auto& [name, session] : leader.sessions) {
-    if (session.info.role != member_role::kEntry) {
+    if (IsListed(session.info.role)) {
       agents.push_back(session.info);
     }
   }
@@ -73,7 +75,8 @@
   const std::uint64_t revision = state.durable.config.revision;
   std::map<std::uint64_t, std::vector<net::link_id>> by_base;
   for (auto& [name, session] : state.leading->sessions) {
-    if (session.link != 0 && session.sent_revision < revision) {
+    if (session.link != 0 && FollowsConfig(session.info.role) &&
+        session.sent_revision < revision) {
       by_base[session.sent_revision].push_back(session.link);
       session.sent_revision = revision;
       session.config_sent_us = now.now_us;
--- a/src/libwisteriaroute/policy/expert_layer.cc
+++ b/src/libwisteriaroute/policy/expert_layer.cc
@@ -19,8 +19,11 @@
 expert_layer::expert_layer(std::span<const std::uint16_t> slots,
                            std::uint32_t slots_per_rank,
                            std::span<const double> share,
-                           std::span<const double> speed)
+                           std::span<const double> speed,
+                           std::span<std::uint32_t> copies_left)
     : slots_(slots.begin(), slots.end()),
+      first_slots_(slots.begin(), slots.end()),
+      copies_left_(copies_left),
       slots_per_rank_(slots_per_rank),
       ranks_(static_cast<std::uint32_t>(slots.size()) / slots_per_rank),
       share_(share),
@@ -70,6 +73,23 @@
   return std::find(first, last, expert) != last;
 }
 
+bool expert_layer::HeldAtFirst(std::uint32_t rank, std::uint16_t expert) const {
+  const auto first = first_slots_.begin() + rank * slots_per_rank_;
+  const auto last = first + slots_per_rank_;
+  return std::find(first, last, expert) != last;
+}
+
+bool expert_layer::MayReceive(std::uint32_t rank, std::uint16_t expert) const {
+  return copies_left_.empty() || copies_left_[rank] > 0 ||
+         HeldAtFirst(rank, expert);
+}
+
+void expert_layer::CountReceived(std::uint32_t rank, std::uint16_t expert) {
+  if (!copies_left_.empty() && !HeldAtFirst(rank, expert)) {
+    --copies_left_[rank];
+  }
+}
+
 void expert_layer::ConsiderExchange(std::uint32_t slot,
                                     std::uint32_t other_rank,
                                     std::uint32_t other_slot,
@@ -83,7 +103,8 @@
                time_[other_rank] + difference / speed_[other_rank]);
   // The cheap test comes first: few candidates pass it.
   if (touched < best.touched_time && !Holds(other_rank, mine) &&
-      !Holds(slowest_, theirs)) {
+      !Holds(slowest_, theirs) && MayReceive(other_rank, mine) &&
+      MayReceive(slowest_, theirs)) {
     best = {slowest_, slot, other_rank, other_slot, false, touched};
   }
 }
@@ -106,12 +127,14 @@
   double touched =
       std::max(time_[slowest_] - relief / speed_[slowest_],
                time_[other_rank] + (part - Part(theirs)) / speed_[other_rank]);
-  if (touched >= best.touched_time || Holds(other_rank, mine)) {
+  if (touched >= best.touched_time || Holds(other_rank, mine) ||
+      !MayReceive(other_rank, mine)) {
     return;
   }
   for (std::uint32_t r = 0; r < ranks_; ++r) {
     if (r != other_rank && Holds(r, theirs)) {
-      touched = std::max(touched, time_[r] + pushed / speed_[r]);
+      const double relieved = r == slowest_ ? relief : 0;
+      touched = std::max(touched, time_[r] + (pushed - relieved) / speed_[r]);
     }
   }
   if (touched < best.touched_time) {
@@ -153,6 +176,10 @@
   std::uint16_t& mine = slots_[chosen.rank * slots_per_rank_ + chosen.slot];
   std::uint16_t& theirs =
       slots_[chosen.other_rank * slots_per_rank_ + chosen.other_slot];
+  CountReceived(chosen.other_rank, mine);
+  if (!chosen.replicate) {
+    CountReceived(chosen.rank, theirs);
+  }
   if (chosen.replicate) {
     --replicas_[theirs];
     ++replicas_[mine];
--- a/src/libwisteriaroute/policy/expert_layer.h
+++ b/src/libwisteriaroute/policy/expert_layer.h
@@ -13,11 +13,16 @@
  */
 class expert_layer {
  public:
-  /** `slots` holds rank after rank; `speed` is 1 for a healthy rank. */
+  /**
+   * `slots` holds rank after rank; `speed` is 1 for a healthy rank. A rank may
+   * receive `copies_left[rank]` experts that it doesn't hold now; what is
+   * received is taken off. Without the list there is no bound.
+   */
   expert_layer(std::span<const std::uint16_t> slots,
                std::uint32_t slots_per_rank,
                std::span<const double> share,
-               std::span<const double> speed);
+               std::span<const double> speed,
+               std::span<std::uint32_t> copies_left = {});
 
   /** An exchange or replacement of slot contents and what it does. */
   struct move {
@@ -43,6 +48,10 @@
 
  private:
   bool Holds(std::uint32_t rank, std::uint16_t expert) const;
+  /** Whether the rank may get the expert; it may if it had it at first. */
+  bool MayReceive(std::uint32_t rank, std::uint16_t expert) const;
+  void CountReceived(std::uint32_t rank, std::uint16_t expert);
+  bool HeldAtFirst(std::uint32_t rank, std::uint16_t expert) const;
   double Part(std::uint16_t expert) const { return part_[expert]; }
   void ConsiderExchange(std::uint32_t slot,
                         std::uint32_t other_rank,
@@ -55,6 +64,8 @@
   void RebuildTimes();
 
   std::vector<std::uint16_t> slots_;
+  std::vector<std::uint16_t> first_slots_;
+  std::span<std::uint32_t> copies_left_;
   std::uint32_t slots_per_rank_;
   std::uint32_t ranks_;
   std::span<const double> share_;
--- a/src/libwisteriaroute/wire/control_fields.cc
+++ b/src/libwisteriaroute/wire/control_fields.cc
@@ -51,7 +51,7 @@
 
 member_info ReadFields(proto::MemberInfo::Reader from) {
   return {.name = from.getName(),
-          .role = ReadEnum<member_role>(from.getRole(), 3),
+          .role = ReadEnum<member_role>(from.getRole(), 4),
           .incarnation = from.getIncarnation(),
           .address = from.getAddress(),
           .region = from.getRegion(),
--- a/src/libwisteriaroute/wire/control_messages.cc
+++ b/src/libwisteriaroute/wire/control_messages.cc
@@ -155,6 +155,86 @@
   return result;
 }
 
+using number_list = capnp::List<std::uint16_t>;
+
+void WriteLists(const std::vector<expert_list>& from,
+                capnp::List<number_list>::Builder to) {
+  for (unsigned i = 0; i < from.size(); ++i) {
+    auto list = to.init(i, Count(from[i]));
+    for (unsigned j = 0; j < from[i].size(); ++j) {
+      list.set(j, from[i][j]);
+    }
+  }
+}
+
+std::vector<expert_list> ReadLists(capnp::List<number_list>::Reader from) {
+  std::vector<expert_list> lists;
+  for (const auto list : from) {
+    lists.push_back(ReadNumbers<std::uint16_t>(list));
+  }
+  return lists;
+}
+
+void WriteFields(const rank_status& from, proto::RankStatus::Builder to) {
+  to.setService(from.service);
+  to.setGroup(from.group);
+  to.setFormation(from.formation);
+  to.setRank(from.rank);
+  to.setRanks(from.ranks);
+  to.setOpen(from.open);
+  to.setStep(from.step);
+  to.setMapVersion(from.map_version);
+  to.setPreparedVersion(from.prepared_version);
+  to.setArmedVersion(from.armed_version);
+  to.setArmedStep(from.armed_step);
+  to.setHeldStep(from.held_step);
+  to.setExpertTokens(
+      kj::arrayPtr(from.expert_tokens.data(), from.expert_tokens.size()));
+  WriteLists(from.experts, to.initExperts(Count(from.experts)));
+}
+
+rank_status ReadFields(proto::RankStatus::Reader from) {
+  rank_status result{.service = from.getService(),
+                     .group = from.getGroup(),
+                     .formation = from.getFormation(),
+                     .rank = from.getRank(),
+                     .ranks = from.getRanks(),
+                     .open = from.getOpen(),
+                     .step = from.getStep(),
+                     .map_version = from.getMapVersion(),
+                     .prepared_version = from.getPreparedVersion(),
+                     .armed_version = from.getArmedVersion(),
+                     .armed_step = from.getArmedStep(),
+                     .held_step = from.getHeldStep()};
+  result.expert_tokens = ReadNumbers<std::uint32_t>(from.getExpertTokens());
+  result.experts = ReadLists(from.getExperts());
+  return result;
+}
+
+void WriteFields(const rank_order& from, proto::RankOrder::Builder to) {
+  to.setKind(static_cast<std::uint8_t>(from.kind));
+  to.setTerm(from.term);
+  to.setFormation(from.formation);
+  to.setVersion(from.version);
+  to.setStep(from.step);
+  auto sets = to.initPlacement(Count(from.placement));
+  for (unsigned i = 0; i < from.placement.size(); ++i) {
+    WriteLists(from.placement[i], sets.init(i, Count(from.placement[i])));
+  }
+}
+
+rank_order ReadFields(proto::RankOrder::Reader from) {
+  rank_order result{.kind = ReadEnum<rank_order_kind>(from.getKind(), 4),
+                    .term = from.getTerm(),
+                    .formation = from.getFormation(),
+                    .version = from.getVersion(),
+                    .step = from.getStep()};
+  for (const auto set : from.getPlacement()) {
+    result.placement.push_back(ReadLists(set));
+  }
+  return result;
+}
+
 struct message_writer {
   proto::ControlMessage::Builder root;
 
@@ -215,6 +295,12 @@
   void operator()(const admin_request& from) {
     WriteFields(from, root.initAdminRequest());
   }
+  void operator()(const rank_status& from) {
+    WriteFields(from, root.initRankStatus());
+  }
+  void operator()(const rank_order& from) {
+    WriteFields(from, root.initRankOrder());
+  }
   void operator()(const admin_reply& from) {
     WriteFields(from, root.initAdminReply());
   }
@@ -232,6 +318,10 @@
     }
     case proto::ControlMessage::SESSION_ACK:
       return ReadFields(root.getSessionAck());
+    case proto::ControlMessage::RANK_STATUS:
+      return ReadFields(root.getRankStatus());
+    case proto::ControlMessage::RANK_ORDER:
+      return ReadFields(root.getRankOrder());
     case proto::ControlMessage::SESSION_GOODBYE:
       return session_goodbye{};
     case proto::ControlMessage::NOT_LEADER:
--- a/src/libwisteriaroute/wire/control_messages.h
+++ b/src/libwisteriaroute/wire/control_messages.h
@@ -13,8 +13,11 @@
 
 namespace wisteriaroute::wire {
 
-/** kServer: a backend server without an agent, which reports itself. */
-enum class member_role : std::uint8_t { kEntry, kAgent, kServer };
+/**
+ * kServer: a backend server without an agent, which reports itself. kSidecar: a
+ * process beside a rank of a group that the platform forms.
+ */
+enum class member_role : std::uint8_t { kEntry, kAgent, kServer, kSidecar };
 
 /** What an agent says of its backend server. */
 struct backend_info {
@@ -412,6 +415,59 @@
   bool operator==(const rebalance_request&) const = default;
 };
 
+/** Experts of one rank in one set. */
+using expert_list = std::vector<std::uint16_t>;
+/** Experts by set and rank. */
+using expert_placement = std::vector<std::vector<expert_list>>;
+
+/** Sidecar to control: the state of its rank. Versions and steps: 0 is none. */
+struct rank_status {
+  std::string service;
+  std::string group;
+  /** The platform's number of this formation of the group. */
+  std::uint64_t formation = 0;
+  std::uint32_t rank = 0;
+  std::uint32_t ranks = 0;
+  /** Whether the group runs. */
+  bool open = false;
+  /** The last step that was begun. */
+  std::uint64_t step = 0;
+  std::uint64_t map_version = 0;
+  std::uint64_t prepared_version = 0;
+  std::uint64_t armed_version = 0;
+  std::uint64_t armed_step = 0;
+  std::uint64_t held_step = 0;
+  /** Since the last status, by set and expert; may be empty. */
+  std::vector<std::uint32_t> expert_tokens;
+  /** Of this rank by set, in the map in use; empty: as told before. */
+  std::vector<expert_list> experts;
+
+  bool operator==(const rank_status&) const = default;
+};
+
+enum class rank_order_kind : std::uint8_t {
+  /** Copy what the map needs. */
+  kPrepare,
+  /** Switch to the prepared map as the step begins. */
+  kArm,
+  /** The group doesn't begin the step until it is released at this rank. */
+  kHold,
+  kRelease,
+};
+
+/** Control to sidecar. Repeated until the status shows that it was done. */
+struct rank_order {
+  rank_order_kind kind = rank_order_kind::kPrepare;
+  /** Of the leader; orders of older terms are refused. */
+  std::uint64_t term = 0;
+  std::uint64_t formation = 0;
+  std::uint64_t version = 0;
+  std::uint64_t step = 0;
+  expert_placement placement;
+
+  bool operator==(const rank_order&) const = default;
+};
+
 /**
  * A whole configuration in the operator's format. The highest version wins; an
  * older one or the one in force is acknowledged and changes nothing.
@@ -497,7 +553,9 @@
                                      order_result,
                                      group_report,
                                      admin_request,
-                                     admin_reply>;
+                                     admin_reply,
+                                     rank_status,
+                                     rank_order>;
 
 /** Encodes for a link. */
 std::string Encode(const control_message& message);
--- /dev/null
+++ b/src/sidecar/daemon.cc
@@ -0,0 +1,224 @@
+#include "sidecar/daemon.h"
+
+#include <csignal>
+#include <memory>
+#include <utility>
+
+#include "libwisteriaroute/base/digest.h"
+#include "libwisteriaroute/base/log.h"
+#include "libwisteriaroute/base/toml_reader.h"
+#include "libwisteriaroute/net/address.h"
+#include "libwisteriaroute/net/link_context.h"
+#include "platform/ranks.h"
+
+namespace wisteriaroute::sidecar {
+
+namespace {
+
+// The server runs on the same host; it answers within a few ms or not at all.
+constexpr std::int64_t kCallTimeoutMs = 300;
+
+const char* KindName(wire::rank_order_kind kind) {
+  switch (kind) {
+    case wire::rank_order_kind::kPrepare:
+      return "prepare";
+    case wire::rank_order_kind::kArm:
+      return "arm";
+    case wire::rank_order_kind::kHold:
+      return "hold";
+    case wire::rank_order_kind::kRelease:
+      return "release";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+sidecar_settings ParseSidecarSettings(std::string_view text,
+                                      std::string_view file,
+                                      base::findings& out) {
+  sidecar_settings settings;
+  const std::optional<toml::table> root = base::ParseToml(text, file, out);
+  if (!root) {
+    return settings;
+  }
+  base::toml_reader reader(*root, file, out);
+  settings.process = base::ParseProcessSettings(reader, file, out);
+  const toml::table* table = reader.Table("sidecar");
+  if (table == nullptr) {
+    reader.Report("sidecar", "the table [sidecar] is required");
+  } else {
+    base::toml_reader fields(*table, file, out);
+    settings.server = fields.RequiredString("server");
+    if (!settings.server.empty() && !net::IsAddress(settings.server)) {
+      fields.Report("server", "'" + settings.server +
+                                  "' is not an address like 10.0.0.1:8080");
+    }
+    settings.service = fields.RequiredString("service");
+    fields.ReportUnknownKeys();
+  }
+  reader.ReportUnknownKeys();
+  return settings;
+}
+
+daemon::daemon(net::loop& event_loop, sidecar_settings settings)
+    : loop_(event_loop),
+      settings_(std::move(settings)),
+      incarnation_(base::RandomU64()),
+      hub_(net::MakeLinkContext(event_loop,
+                                settings_.process,
+                                "sidecar",
+                                incarnation_,
+                                clock_),
+           HubCallbacks()),
+      server_(event_loop),
+      tick_(event_loop.ev(), [this] { Handle(sidecar_tick{}); }) {
+  state_.service = settings_.service;
+}
+
+void daemon::Run() {
+  const wire::member_info info = {.name = settings_.process.name,
+                                  .role = wire::member_role::kSidecar,
+                                  .incarnation = incarnation_,
+                                  .address = settings_.process.advertise,
+                                  .region = settings_.process.region,
+                                  .data_center = settings_.process.data_center};
+  session_.emplace(loop_, hub_, settings_.process.controls, info,
+                   SessionCallbacks());
+  for (const int signal_number : {SIGTERM, SIGINT}) {
+    loop_.OnSignal(signal_number, [this] {
+      base::LogInfo("stopping", {});
+      session_->Stop();
+      loop_.Stop();
+    });
+  }
+  loop_.OnSignal(SIGHUP, [] {
+    base::LogInfo("reload", {{"result", "settings are read at a start"}});
+  });
+  tick_.Start(kSidecarTickUs, kSidecarTickUs);
+  base::LogInfo("sidecar_started", {{"name", settings_.process.name},
+                                    {"server", settings_.server},
+                                    {"service", settings_.service}});
+  loop_.Run();
+  base::LogInfo("sidecar_stopped", {{"name", settings_.process.name}});
+}
+
+net::hub_callbacks daemon::HubCallbacks() {
+  return {.on_up =
+              [this](net::link_id link, net::dial_id dial,
+                     const net::peer_identity& peer) {
+                if (session_->HandleUp(link, dial, peer)) {
+                  base::LogInfo("control_link_up", {{"replica", peer.name}});
+                }
+              },
+          .on_message =
+              [this](net::link_id link, std::string_view body) {
+                session_->HandleMessage(link, body);
+              },
+          .on_down =
+              [this](net::link_id link, std::string_view reason) {
+                if (session_->HandleDown(link)) {
+                  base::LogWarning("control_link_down", {{"reason", reason}});
+                }
+              }};
+}
+
+member::control_session_callbacks daemon::SessionCallbacks() {
+  return {.on_message =
+              [this](const wire::control_message& message) {
+                if (const auto* order =
+                        std::get_if<wire::rank_order>(&message)) {
+                  Handle(order_received{*order});
+                }
+              },
+          .on_opened = [this] { Handle(control_opened{}); },
+          .on_dropped = [](const wire::control_message&) {}};
+}
+
+void daemon::Handle(sidecar_event event) {
+  events_.push_back(std::move(event));
+  if (std::exchange(running_, true)) {
+    return;
+  }
+  while (!events_.empty()) {
+    const sidecar_event next = std::move(events_.front());
+    events_.pop_front();
+    for (const sidecar_effect& effect :
+         Step(state_, next, base::MonotonicUs())) {
+      Run(effect);
+    }
+  }
+  running_ = false;
+}
+
+void daemon::Run(const sidecar_effect& effect) {
+  struct visitor {
+    daemon& self;
+
+    void operator()(const poll_status&) const {
+      self.Get(platform::kReportPath, [this_ = &self](auto body) {
+        const auto status =
+            body ? platform::DecodeRankStatus(*body) : std::nullopt;
+        this_->Handle(
+            status_polled{status.has_value(),
+                          status.value_or(wire::rank_status())});
+      });
+    }
+    void operator()(const poll_counts&) const {
+      self.Get(platform::kCountsPath, [this_ = &self](auto body) {
+        const auto counts = body ? platform::DecodeCounts(*body) : std::nullopt;
+        this_->Handle(counts_polled{counts.has_value(),
+                                    counts.value_or(expert_counts())});
+      });
+    }
+    void operator()(const poll_lists&) const {
+      self.Get(platform::kListsPath, [this_ = &self](auto body) {
+        const auto lists = body ? platform::DecodeLists(*body) : std::nullopt;
+        this_->Handle(
+            lists_polled{lists.has_value(), lists.value_or(expert_lists())});
+      });
+    }
+    void operator()(const pass_order& passed) const { self.Post(passed.order); }
+    void operator()(const send_status& sent) const {
+      self.session_->Send(sent.status);
+    }
+    void operator()(const note_order& line) const {
+      base::LogInfo("rank_order", {{"kind", KindName(line.order.kind)},
+                                   {"term", line.order.term},
+                                   {"version", line.order.version},
+                                   {"step", line.order.step},
+                                   {"outcome", line.outcome}});
+    }
+  };
+  std::visit(visitor{*this}, effect);
+}
+
+void daemon::Get(const char* path,
+                 std::function<void(std::optional<std::string>)> done) {
+  auto body = std::make_shared<std::string>();
+  constexpr unsigned kOk = 200;
+  server_.Start(
+      {.url = "http://" + settings_.server + path,
+       .timeout_ms = kCallTimeoutMs,
+       .reuse_connection = true},
+      {.on_data = [body](std::string_view data) { body->append(data); },
+       .on_done =
+           [body, done = std::move(done)](const net::http_client_result& end) {
+             done(end.ok && end.status == kOk ? std::optional(std::move(*body))
+                                              : std::nullopt);
+           }});
+}
+
+void daemon::Post(const wire::rank_order& order) {
+  server_.Start({.method = "POST",
+                 .url = "http://" + settings_.server + platform::kOrderPath,
+                 .headers = {{"Content-Type", "application/json"}},
+                 .body = platform::EncodeOrder(order),
+                 .timeout_ms = kCallTimeoutMs},
+                {.on_done = [this, kind = order.kind](
+                                const net::http_client_result& end) {
+                  Handle(order_answered{kind, end.ok ? end.status : 0});
+                }});
+}
+
+}  // namespace wisteriaroute::sidecar
--- /dev/null
+++ b/src/sidecar/daemon.h
@@ -0,0 +1,66 @@
+#ifndef SIDECAR_DAEMON_H_
+#define SIDECAR_DAEMON_H_
+
+#include <deque>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "libwisteriaroute/base/hlc.h"
+#include "libwisteriaroute/base/process_settings.h"
+#include "libwisteriaroute/member/control_session.h"
+#include "libwisteriaroute/net/http_client.h"
+#include "libwisteriaroute/net/link_hub.h"
+#include "libwisteriaroute/net/loop.h"
+#include "libwisteriaroute/sidecar/sidecar.h"
+
+namespace wisteriaroute::sidecar {
+
+/** Settings of a sidecar: `[process]` and `[sidecar]`. */
+struct sidecar_settings {
+  base::process_settings process;
+  /** `IP:port` of the server of the rank. */
+  std::string server;
+  std::string service;
+};
+
+/** Reads the text of a settings file; faults are added to `out`. */
+sidecar_settings ParseSidecarSettings(std::string_view text,
+                                      std::string_view file,
+                                      base::findings& out);
+
+/** Reports a rank to control, and passes control's orders on to it. */
+class daemon {
+ public:
+  daemon(net::loop& event_loop, sidecar_settings settings);
+
+  /** Runs until SIGTERM or SIGINT. */
+  void Run();
+
+ private:
+  net::hub_callbacks HubCallbacks();
+  member::control_session_callbacks SessionCallbacks();
+  void Handle(sidecar_event event);
+  void Run(const sidecar_effect& effect);
+  /** Calls `done` with the body, or nothing if the call failed. */
+  void Get(const char* path,
+           std::function<void(std::optional<std::string>)> done);
+  void Post(const wire::rank_order& order);
+
+  net::loop& loop_;
+  sidecar_settings settings_;
+  std::uint64_t incarnation_;
+  base::hybrid_clock clock_;
+  net::link_hub hub_;
+  net::http_client server_;
+  std::optional<member::control_session> session_;
+  sidecar_state state_;
+  std::deque<sidecar_event> events_;
+  bool running_ = false;
+  net::timer tick_;
+};
+
+}  // namespace wisteriaroute::sidecar
+
+#endif  // SIDECAR_DAEMON_H_
