control: expert maps follow a shift of demand within a second

Change: one copy a rank, good enough at 1.2, windows of 200 ms, a preparation that demand has left behind is replaced, hold two steps ahead.

--- a/src/libwisteriaroute/control/rank_group.h
+++ b/src/libwisteriaroute/control/rank_group.h
@@ -47,6 +47,8 @@
   std::uint64_t version = 0;
   /** Empty if another leader began the change. */
   wire::expert_placement placement;
+  /** Skew that the placement was planned to have. */
+  double planned_skew = 0;
   std::uint64_t step = 0;
   /** Steps between the last known one and the hold. */
   std::uint64_t margin_steps = 0;
@@ -64,7 +66,6 @@
   /** Tokens by set and expert in the window in progress. */
   std::vector<std::uint64_t> tokens;
   base::time_us window_start_us = 0;
-  base::time_us next_plan_us = 0;
 };
 
 }  // namespace wisteriaroute::control
--- a/src/libwisteriaroute/control/rank_group_drive.cc
+++ b/src/libwisteriaroute/control/rank_group_drive.cc
@@ -18,18 +18,19 @@
 constexpr base::time_us kOrderRetryUs = 150'000;
 constexpr base::time_us kPrepareRetryUs = 400'000;
 // The hold has to reach its rank before the step begins.
-constexpr std::uint64_t kMinMarginSteps = 3;
+constexpr std::uint64_t kMinMarginSteps = 2;
 constexpr std::uint64_t kMaxMarginSteps = 64;
 // Copying takes about 0.4 s for each expert of a rank; a change that isn't
 // prepared by now has lost its purpose.
 constexpr base::time_us kPrepareLimitUs = 4'000'000;
 // Demand is seen over this long, which is a few steps of the group, and at
 // least over this many tokens, so that shares aren't noise.
-constexpr base::time_us kWindowUs = 300'000;
+constexpr base::time_us kWindowUs = 200'000;
 constexpr std::uint64_t kMinTokens = 20'000;
-constexpr base::time_us kPlanPeriodUs = 100'000;
+// A change in preparation is replaced if demand has left it this far behind.
+constexpr double kStaleSkew = 0.8;
 // Copies in one change: with more, copying takes longer than demand stays.
-constexpr std::uint32_t kMaxCopiesPerRank = 2;
+constexpr std::uint32_t kMaxCopiesPerRank = 1;
 
 const engine_shapes& Shapes(replica_state& state) {
   leader_view& leader = *state.leading;
@@ -182,6 +183,10 @@
         Send(one, wire::rank_order_kind::kPrepare, kPrepareRetryUs);
       }
     }
+    if (!all && IsStale()) {
+      Plan();
+      return;
+    }
     if (all) {
       group.change->margin_steps = kMinMarginSteps;
       BeginHold();
@@ -191,6 +196,36 @@
     }
   }
 
+  /** Whether demand has shifted again, away from what is being prepared. */
+  bool IsStale() {
+    const engine_shapes& shapes = Shapes(state);
+    const auto shape = shapes.find(group.service);
+    if (!HasWindow() || shape == shapes.end() ||
+        group.change->placement.empty()) {
+      return false;
+    }
+    const double skew = policy::MeanSkew(
+        group.change->placement, group.tokens,
+        static_cast<std::uint32_t>(shape->second.experts));
+    if (skew < group.change->planned_skew + kStaleSkew) {
+      StartWindow();
+      return false;
+    }
+    return true;
+  }
+
+  /** Whether the window in progress tells what demand is now. */
+  bool HasWindow() const {
+    return now.now_us - group.window_start_us >= kWindowUs &&
+           std::accumulate(group.tokens.begin(), group.tokens.end(), 0ULL) >=
+               kMinTokens;
+  }
+
+  void StartWindow() {
+    std::ranges::fill(group.tokens, 0);
+    group.window_start_us = now.now_us;
+  }
+
   void BeginHold() {
     group.change->step = HighestStep() + group.change->margin_steps;
     Enter(change_phase::kHolding);
@@ -254,8 +289,7 @@
                std::to_string((now.now_us - group.change->since_us) / 1'000) +
                " ms");
       group.change.reset();
-      group.tokens.clear();
-      group.window_start_us = now.now_us;
+      StartWindow();
     }
   }
 
@@ -278,17 +312,13 @@
   }
 
   void Plan() {
-    if (now.now_us < group.next_plan_us ||
-        now.now_us - group.window_start_us < kWindowUs) {
+    if (!HasWindow()) {
       return;
     }
-    group.next_plan_us = now.now_us + kPlanPeriodUs;
-    const std::uint64_t total =
-        std::accumulate(group.tokens.begin(), group.tokens.end(), 0ULL);
     const engine_shapes& shapes = Shapes(state);
     const auto shape = shapes.find(group.service);
     const wire::expert_placement current = Current();
-    if (total < kMinTokens || shape == shapes.end() || current.empty()) {
+    if (shape == shapes.end() || current.empty()) {
       return;
     }
     const auto change = policy::PlanSpread(
@@ -299,8 +329,7 @@
          .max_copies_per_rank =
              std::min(kMaxCopiesPerRank,
                       static_cast<std::uint32_t>(shape->second.spare_slots))});
-    group.tokens.clear();
-    group.window_start_us = now.now_us;
+    StartWindow();
     if (change) {
       Begin(*change);
     }
@@ -309,6 +338,7 @@
   void Begin(const policy::spread_change& planned) {
     group.change = rank_change{.version = ++group.last_version,
                                .placement = planned.placement,
+                               .planned_skew = planned.skew_after,
                                .since_us = now.now_us};
     Enter(change_phase::kPreparing);
     Note("map_change_begun",
--- a/src/libwisteriaroute/policy/expert_spread.cc
+++ b/src/libwisteriaroute/policy/expert_spread.cc
@@ -13,8 +13,9 @@
 
 // Bounds the time of a decision; a change needs a few moves a rank.
 constexpr std::size_t kMaxMovesPerSet = 64;
-// A set that is balanced to this isn't changed any further.
-constexpr double kGoodSkew = 1.08;
+// A set that is balanced to this isn't changed any further: the copies cost
+// more than the rest of the skew.
+constexpr double kGoodSkew = 1.2;
 
 /** Shares of the experts of one set; the last one stands for free slots. */
 std::vector<double> Shares(std::span<const std::uint64_t> tokens) {
--- a/src/libwisteriaroute/policy/expert_spread.h
+++ b/src/libwisteriaroute/policy/expert_spread.h
@@ -17,7 +17,7 @@
   /** Experts that a rank may receive in one change, over all sets. */
   std::uint32_t max_copies_per_rank = 0;
   /** Least reduction of the summed skew that is worth a change. */
-  double min_gain = 0.15;
+  double min_gain = 0.35;
 };
 
 struct spread_change {
--- a/src/libwisteriaroute/sidecar/sidecar.cc
+++ b/src/libwisteriaroute/sidecar/sidecar.cc
@@ -9,9 +9,9 @@
 // The rank answers at once and free of charge, since it runs beside us.
 constexpr base::time_us kStatusPeriodUs = 200'000;
 constexpr base::time_us kBusyStatusPeriodUs = 50'000;
-constexpr base::time_us kCountsPeriodUs = 150'000;
+constexpr base::time_us kCountsPeriodUs = 100'000;
 // Control counts a rank as lost after a second of silence.
-constexpr base::time_us kSendPeriodUs = 300'000;
+constexpr base::time_us kSendPeriodUs = 100'000;
 constexpr base::time_us kBusyUs = 3'000'000;
 
 constexpr unsigned kFirstRefusal = 400;
