control: replicas join by themselves and those that are gone are dropped

Change: a linked replica that isn't in the set is added as a learner and promoted; a voter that is silent for 4 s is dropped once enough others live; members dial a leader that isn't in their settings.

--- a/src/control/daemon.cc
+++ b/src/control/daemon.cc
@@ -17,8 +17,6 @@
 constexpr base::time_us kShutdownLimitUs = 2'000'000;
 constexpr base::time_us kShutdownPollUs = 20'000;
 
-constexpr std::string_view kControlRole = "control";
-
 }  // namespace
 
 daemon::daemon(net::loop& event_loop,
--- a/src/control/daemon.h
+++ b/src/control/daemon.h
@@ -4,6 +4,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -18,6 +19,9 @@
 
 namespace wisteriaroute::control {
 
+/** Role of replicas on links. */
+inline constexpr std::string_view kControlRole = "control";
+
 /** A control replica: links, the log and the reducer above it on one loop. */
 class daemon {
  public:
@@ -59,6 +63,8 @@
   void AnswerTimeline(const answer_timeline& request);
   void Note(base::timeline_event event);
   void ReportReplicas();
+  /** Lets replicas join and drops those that are gone. */
+  void FormReplicas(std::span<const replica_view> replicas);
 
   // Calls over HTTP.
   void StartHttp();
--- a/src/control/daemon_effects.cc
+++ b/src/control/daemon_effects.cc
@@ -2,6 +2,7 @@
 
 #include "control/daemon.h"
 #include "libwisteriaroute/base/log.h"
+#include "libwisteriaroute/control/formation.h"
 
 namespace wisteriaroute::control {
 
@@ -123,7 +124,29 @@
     }
     seen.replicas.push_back(std::move(view));
   }
+  if (leads && settings_.join_automatically) {
+    FormReplicas(seen.replicas);
+  }
   Post(std::move(seen));
 }
 
+void daemon::FormReplicas(std::span<const replica_view> replicas) {
+  std::vector<replica_address> linked;
+  for (const auto& [link, peer] : peers_) {
+    if (peer.role == kControlRole) {
+      linked.push_back({peer.name, peer.address});
+    }
+  }
+  auto change = NextReplicaChange(replicas, linked, settings_.process.name,
+                                  settings_.process.controls.size());
+  if (!change) {
+    return;
+  }
+  base::LogInfo(change->change == raft::replica_change::kRemove
+                    ? "replica_removing"
+                    : "replica_joining",
+                {{"name", change->name}, {"address", change->address}});
+  raft_.Post(std::move(*change));
+}
+
 }  // namespace wisteriaroute::control
--- a/src/control/daemon_http.cc
+++ b/src/control/daemon_http.cc
@@ -32,19 +32,18 @@
   if (settings_.listen_http.empty()) {
     return;
   }
-  http_.emplace(event_loop_,
-                net::http_server_limits{.body_bytes = kMaxBodyBytes,
-                                        .idle_timeout_ms = kIdleTimeoutMs},
-                net::http_server_callbacks{
-                    .on_request =
-                        [this](net::exchange_id exchange,
-                               const net::http_server_request& request) {
-                          HandleCall(exchange, request);
-                        },
-                    .on_abandoned =
-                        [this](net::exchange_id exchange) {
-                          calls_.erase(exchange);
-                        }});
+  http_.emplace(
+      event_loop_,
+      net::http_server_limits{.body_bytes = kMaxBodyBytes,
+                              .idle_timeout_ms = kIdleTimeoutMs},
+      net::http_server_callbacks{
+          .on_request =
+              [this](net::exchange_id exchange,
+                     const net::http_server_request& request) {
+                HandleCall(exchange, request);
+              },
+          .on_abandoned =
+              [this](net::exchange_id exchange) { calls_.erase(exchange); }});
   const std::string address = http_->Listen(settings_.listen_http);
   base::LogInfo("http_listening", {{"address", address}});
 }
@@ -101,8 +100,8 @@
         break;
       }
       // All replicas use the same port for HTTP.
-      const std::string port = settings_.listen_http.substr(
-          settings_.listen_http.rfind(':'));
+      const std::string port =
+          settings_.listen_http.substr(settings_.listen_http.rfind(':'));
       net::http_headers headers = JsonHeaders();
       headers.emplace_back("Location", "http://" + base::HostOf(reply.message) +
                                            port + node.mapped());
--- a/src/gateway/daemon.cc
+++ b/src/gateway/daemon.cc
@@ -128,10 +128,7 @@
               [this](base::time_us until_us, const wire::fencing_number&) {
                 lease_until_us_ = until_us;
               },
-          .on_opened =
-              [] {
-                base::LogInfo("control_session_opened", {});
-              },
+          .on_opened = [] { base::LogInfo("control_session_opened", {}); },
           .on_dropped = [](const wire::control_message&) {}};
 }
 
@@ -312,8 +309,8 @@
 }
 
 bool daemon::IsReadyNow() const {
-  const bool leased = settings_.serve_without_quorum ||
-                      base::MonotonicUs() < lease_until_us_;
+  const bool leased =
+      settings_.serve_without_quorum || base::MonotonicUs() < lease_until_us_;
   return stopping_us_ == 0 && leased && IsReady(state_);
 }
 
@@ -336,8 +333,7 @@
 }
 
 void daemon::CheckDrained() {
-  const base::time_ms waited_ms =
-      (base::MonotonicUs() - stopping_us_) / 1'000;
+  const base::time_ms waited_ms = (base::MonotonicUs() - stopping_us_) / 1'000;
   if (waited_ms < settings_.settle_ms) {
     return;
   }
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -25,8 +25,8 @@
   base::toml_reader reader(table, file, out);
   settings.listen_http = ReadAddress(reader, "listen_http");
   settings.listen_ready = ReadAddress(reader, "listen_ready");
-  settings.max_connections = reader.Integer(
-      "max_connections", settings.max_connections, 1, 1'000'000);
+  settings.max_connections =
+      reader.Integer("max_connections", settings.max_connections, 1, 1'000'000);
   settings.serve_without_quorum =
       reader.Boolean("serve_without_quorum", settings.serve_without_quorum);
   settings.settle_ms =
@@ -44,8 +44,8 @@
       1'000;
   options.server_queue =
       reader.Number("server_queue", options.server_queue, -1'000, 1'000);
-  options.silent_stream_ms = reader.Integer(
-      "silent_stream_ms", options.silent_stream_ms, 10, 600'000);
+  options.silent_stream_ms =
+      reader.Integer("silent_stream_ms", options.silent_stream_ms, 10, 600'000);
   reader.ReportUnknownKeys();
 }
 
--- a/src/libwisteriaroute/base/log.h
+++ b/src/libwisteriaroute/base/log.h
@@ -29,9 +29,8 @@
 /** Writes one line for a change of state: `event key=value ...`. */
 void LogInfo(std::string_view event, std::initializer_list<log_field> fields);
 /** The same for fields that were collected elsewhere. */
-void LogFields(
-    std::string_view event,
-    std::span<const std::pair<std::string, std::string>> fields);
+void LogFields(std::string_view event,
+               std::span<const std::pair<std::string, std::string>> fields);
 void LogWarning(std::string_view event,
                 std::initializer_list<log_field> fields);
 void LogError(std::string_view event, std::initializer_list<log_field> fields);
--- a/src/libwisteriaroute/base/process_settings.cc
+++ b/src/libwisteriaroute/base/process_settings.cc
@@ -40,10 +40,9 @@
   if (settings.controls.empty()) {
     reader.Report("controls", "'controls' must name at least one replica");
   }
-  settings.cluster_key_file =
-      reader.Boolean("trusted_network", false)
-          ? reader.String("cluster_key_file", "")
-          : reader.RequiredString("cluster_key_file");
+  settings.cluster_key_file = reader.Boolean("trusted_network", false)
+                                  ? reader.String("cluster_key_file", "")
+                                  : reader.RequiredString("cluster_key_file");
   settings.log_level = reader.String("log_level", "INFO");
   reader.ReportUnknownKeys();
   return settings;
--- /dev/null
+++ b/src/libwisteriaroute/control/formation.cc
@@ -0,0 +1,48 @@
+#include "libwisteriaroute/control/formation.h"
+
+#include <algorithm>
+
+namespace wisteriaroute::control {
+
+namespace {
+
+// Longer than an election and a restart, so that a voter that is only
+// restarted stays in the set.
+constexpr base::time_ms kGoneMs = 4'000;
+// A live voter answers each heartbeat of 100 ms.
+constexpr base::time_ms kLiveMs = 1'000;
+
+}  // namespace
+
+std::optional<raft::change_replicas> NextReplicaChange(
+    std::span<const replica_view> replicas,
+    std::span<const replica_address> linked,
+    std::string_view self,
+    std::size_t target_voters) {
+  for (const replica_address& one : linked) {
+    const bool known = std::ranges::any_of(
+        replicas, [&](const replica_view& r) { return r.name == one.name; });
+    if (!known && !one.address.empty()) {
+      return raft::change_replicas{.change = raft::replica_change::kAddLearner,
+                                   .name = one.name,
+                                   .address = one.address,
+                                   .promote_when_ready = true};
+    }
+  }
+  const auto live =
+      std::ranges::count_if(replicas, [&](const replica_view& one) {
+        return one.voter && (one.name == self || one.silent_ms <= kLiveMs);
+      });
+  if (static_cast<std::size_t>(live) < target_voters) {
+    return std::nullopt;
+  }
+  for (const replica_view& one : replicas) {
+    if (one.name != self && one.silent_ms > kGoneMs) {
+      return raft::change_replicas{.change = raft::replica_change::kRemove,
+                                   .name = one.name};
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace wisteriaroute::control
--- a/src/libwisteriaroute/control/rank_group_drive.cc
+++ b/src/libwisteriaroute/control/rank_group_drive.cc
@@ -80,8 +80,9 @@
 
   template <typename Test>
   bool All(Test&& test) const {
-    return std::ranges::all_of(
-        group.ranks, [&](const auto& item) { return test(item.second.status); });
+    return std::ranges::all_of(group.ranks, [&](const auto& item) {
+      return test(item.second.status);
+    });
   }
 
   std::uint64_t HighestStep() const {
@@ -93,8 +94,8 @@
   }
 
   void Note(const char* kind, std::string detail) const {
-    out.push_back(note_event{
-        {.kind = kind, .group = name, .detail = std::move(detail)}});
+    out.push_back(
+        note_event{{.kind = kind, .group = name, .detail = std::move(detail)}});
   }
 
   void Enter(change_phase phase) {
@@ -104,9 +105,7 @@
     }
   }
 
-  void Send(rank_view& to,
-            wire::rank_order_kind kind,
-            base::time_us retry_us) {
+  void Send(rank_view& to, wire::rank_order_kind kind, base::time_us retry_us) {
     if (now.now_us < to.next_order_us) {
       return;
     }
@@ -141,9 +140,9 @@
     const std::uint64_t version =
         group.ranks.begin()->second.status.prepared_version;
     const bool prepared = version != 0 && All([&](const auto& status) {
-      return status.prepared_version == version ||
-             status.map_version == version;
-    });
+                            return status.prepared_version == version ||
+                                   status.map_version == version;
+                          });
     // Ranks are armed only once all are prepared. So with a rank that isn't,
     // none was armed, and the hold alone is taken back.
     group.change = rank_change{
@@ -204,9 +203,9 @@
         group.change->placement.empty()) {
       return false;
     }
-    const double skew = policy::MeanSkew(
-        group.change->placement, group.tokens,
-        static_cast<std::uint32_t>(shape->second.experts));
+    const double skew =
+        policy::MeanSkew(group.change->placement, group.tokens,
+                         static_cast<std::uint32_t>(shape->second.experts));
     if (skew < group.change->planned_skew + kStaleSkew) {
       StartWindow();
       return false;
@@ -280,9 +279,8 @@
     const bool switched = All([&](const auto& status) {
       return status.map_version == group.change->version;
     });
-    const bool taken_back = All([](const auto& status) {
-      return status.armed_version == 0;
-    });
+    const bool taken_back =
+        All([](const auto& status) { return status.armed_version == 0; });
     if (switched || taken_back) {
       Note("map_change_ended",
            "version " + std::to_string(group.change->version) + " after " +
@@ -299,8 +297,7 @@
     const std::uint64_t version =
         group.ranks.begin()->second.status.map_version;
     for (const auto& [rank, one] : group.ranks) {
-      if (one.status.map_version != version ||
-          one.experts_version != version) {
+      if (one.status.map_version != version || one.experts_version != version) {
         return {};
       }
       placement.resize(std::max(placement.size(), one.experts.size()));
@@ -388,8 +385,8 @@
     one.experts_version = status.map_version;
   }
   group.last_version =
-      std::max({group.last_version, status.map_version,
-                status.prepared_version, status.armed_version});
+      std::max({group.last_version, status.map_version, status.prepared_version,
+                status.armed_version});
   AddTokens(group, status);
   one.status.expert_tokens.clear();
   one.status.experts.clear();
--- a/src/libwisteriaroute/control/replica.h
+++ b/src/libwisteriaroute/control/replica.h
@@ -33,8 +33,7 @@
 inline constexpr base::time_us kLeaseBoundUs = 2'750'000;
 
 /** Engine shapes by service, read from a published document. */
-using engine_shapes =
-    std::map<std::string, config::engine_shape, std::less<>>;
+using engine_shapes = std::map<std::string, config::engine_shape, std::less<>>;
 using shape_reader = engine_shapes (*)(std::string_view document);
 
 struct replica_options {
--- a/src/libwisteriaroute/control/sessions.cc
+++ b/src/libwisteriaroute/control/sessions.cc
@@ -76,11 +76,10 @@
 void NoteMember(const wire::member_info& info,
                 const char* kind,
                 replica_effects& out) {
-  out.push_back(note_event{
-      {.kind = kind,
-       .group = info.backend.group,
-       .server = info.name,
-       .detail = RoleName(info.role)}});
+  out.push_back(note_event{{.kind = kind,
+                            .group = info.backend.group,
+                            .server = info.name,
+                            .detail = RoleName(info.role)}});
 }
 
 void HandleHello(replica_state& state,
--- a/src/libwisteriaroute/control/settings.cc
+++ b/src/libwisteriaroute/control/settings.cc
@@ -53,6 +53,7 @@
   settings.kept_entries =
       reader.Integer("kept_entries", settings.kept_entries, 8, 1'000'000);
   settings.bootstrap = reader.Boolean("bootstrap", false);
+  settings.join_automatically = reader.Boolean("join_automatically", false);
   settings.listen_http = reader.String("listen_http", "");
   CheckAddress(reader, "listen_http", settings.listen_http);
   settings.replicas = ParseReplicas(reader, file, out);
--- a/src/libwisteriaroute/control/settings.h
+++ b/src/libwisteriaroute/control/settings.h
@@ -30,6 +30,11 @@
    * that sets it at the first start of the whole system and never again.
    */
   bool bootstrap = false;
+  /**
+   * Replicas that link themselves join, and silent ones are dropped once they
+   * are replaced. For platforms that replace hosts by themselves.
+   */
+  bool join_automatically = false;
   /** `IP:port` of the operators' and servers' HTTP calls; empty: none. */
   std::string listen_http;
   /** Log entries between two snapshots. */
--- a/src/libwisteriaroute/gateway/answers.cc
+++ b/src/libwisteriaroute/gateway/answers.cc
@@ -56,9 +56,9 @@
            std::string body) {
   step.out.push_back(
       relay{request.exchange, head.status, head.headers, std::move(body)});
-  NoteEnd(step, request, "relayed",
-          {{"status", std::to_string(head.status)},
-           {"server", request.server}});
+  NoteEnd(
+      step, request, "relayed",
+      {{"status", std::to_string(head.status)}, {"server", request.server}});
   Erase(step, request);
 }
 
@@ -69,12 +69,12 @@
                                     request.head->headers});
   }
   step.out.push_back(end_stream{request.exchange});
-  NoteEnd(step, request, "streamed",
-          {{"events", std::to_string(request.events)},
-           {"first_event_ms",
-            std::to_string((request.first_event_us - request.arrived_us) /
-                           1'000)},
-           {"server", request.server}});
+  NoteEnd(
+      step, request, "streamed",
+      {{"events", std::to_string(request.events)},
+       {"first_event_ms",
+        std::to_string((request.first_event_us - request.arrived_us) / 1'000)},
+       {"server", request.server}});
   Erase(step, request);
 }
 
--- a/src/libwisteriaroute/gateway/placement.cc
+++ b/src/libwisteriaroute/gateway/placement.cc
@@ -54,15 +54,14 @@
                               .priority = request.priority,
                               .last_event_id = request.last_event_id},
                     .may_use_idle = !once});
-  step.Note("attempt_sent",
-            {{"request", request.request.id},
-             {"attempt", std::to_string(request.attempts)},
-             {"server", to.info.name},
-             {"load", std::to_string(EstimatedLoad(to, step.now_us))},
-             {"load_age_ms",
-              std::to_string((step.now_us - to.load_at_us) / 1'000)},
-             {"version",
-              std::to_string(request.traffic->set().version)}});
+  step.Note(
+      "attempt_sent",
+      {{"request", request.request.id},
+       {"attempt", std::to_string(request.attempts)},
+       {"server", to.info.name},
+       {"load", std::to_string(EstimatedLoad(to, step.now_us))},
+       {"load_age_ms", std::to_string((step.now_us - to.load_at_us) / 1'000)},
+       {"version", std::to_string(request.traffic->set().version)}});
 }
 
 }  // namespace
@@ -83,10 +82,11 @@
     candidates.push_back(
         {.load = EstimatedLoad(*one, step.now_us),
          .slots = slots,
-         .queue = request.route->streams
-                      ? StreamsAllowed(step.state.paces[request.service], slots) -
-                            slots
-                      : step.state.options.server_queue});
+         .queue =
+             request.route->streams
+                 ? StreamsAllowed(step.state.paces[request.service], slots) -
+                       slots
+                 : step.state.options.server_queue});
   }
   const auto chosen = policy::ChooseServer(candidates, step.Random());
   if (chosen) {
--- a/src/libwisteriaroute/gateway/servers.cc
+++ b/src/libwisteriaroute/gateway/servers.cc
@@ -51,8 +51,9 @@
     servers_.erase(name);
   }
   if (update.full) {
-    std::erase_if(servers_,
-                  [&](const auto& item) { return !named.contains(item.first); });
+    std::erase_if(servers_, [&](const auto& item) {
+      return !named.contains(item.first);
+    });
   }
 }
 
--- a/src/libwisteriaroute/member/control_session.cc
+++ b/src/libwisteriaroute/member/control_session.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "libwisteriaroute/base/clock.h"
+#include "libwisteriaroute/base/log.h"
 
 namespace wisteriaroute::member {
 
@@ -22,6 +23,7 @@
       tick_(event_loop.ev(), [this] { Handle(session_tick{}); }) {
   state_.info = std::move(info);
   for (const std::string& address : control_addresses) {
+    addresses_.insert(address);
     dials_[hub_.Dial(address)] = 0;
   }
   tick_.Start(kTickUs, kTickUs);
@@ -44,7 +46,11 @@
     return false;
   }
   try {
-    Handle(control_received{link, wire::DecodeControl(body)});
+    const wire::control_message message = wire::DecodeControl(body);
+    if (const auto* refusal = std::get_if<wire::not_leader>(&message)) {
+      DialLeader(*refusal);
+    }
+    Handle(control_received{link, message});
   } catch (const wire::malformed_message& error) {
     hub_.Close(link, error.what());
   }
@@ -59,6 +65,17 @@
   return true;
 }
 
+void control_session::DialLeader(const wire::not_leader& refusal) {
+  // A replica that has replaced another one isn't in the settings.
+  if (refusal.leader_address.empty() ||
+      !addresses_.insert(refusal.leader_address).second) {
+    return;
+  }
+  base::LogInfo("control_added", {{"replica", refusal.leader_name},
+                                  {"address", refusal.leader_address}});
+  dials_[hub_.Dial(refusal.leader_address)] = 0;
+}
+
 void control_session::Send(wire::control_message message) {
   Handle(send_to_leader{std::move(message)});
 }
--- a/src/libwisteriaroute/member/control_session.h
+++ b/src/libwisteriaroute/member/control_session.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -54,6 +55,7 @@
   const session_state& state() const { return state_; }
 
  private:
+  void DialLeader(const wire::not_leader& refusal);
   void Handle(const session_event& event);
   void Run(const session_effect& effect);
 
@@ -61,6 +63,8 @@
   control_session_callbacks callbacks_;
   session_state state_;
   std::map<net::dial_id, net::link_id> dials_;
+  /** Addresses of replicas that are dialled. */
+  std::set<std::string> addresses_;
   net::timer tick_;
 };
 
--- a/src/libwisteriaroute/policy/expert_spread.cc
+++ b/src/libwisteriaroute/policy/expert_spread.cc
@@ -111,9 +111,8 @@
   bool Improve() {
     std::vector<std::size_t> order(layers_.size());
     std::iota(order.begin(), order.end(), 0);
-    std::ranges::sort(order, std::greater(), [&](std::size_t set) {
-      return layers_[set].MaxTime();
-    });
+    std::ranges::sort(order, std::greater(),
+                      [&](std::size_t set) { return layers_[set].MaxTime(); });
     for (const std::size_t set : order) {
       expert_layer& layer = layers_[set];
       expert_layer::move next;
--- a/src/libwisteriaroute/policy/expert_spread.h
+++ b/src/libwisteriaroute/policy/expert_spread.h
@@ -34,10 +34,9 @@
  * copies as may be, since copying takes about as long as demand stays. `tokens`
  * are by set and expert. Returns nothing if no change is worth its price.
  */
-std::optional<spread_change> PlanSpread(
-    const wire::expert_placement& current,
-    std::span<const std::uint64_t> tokens,
-    const spread_limits& limits);
+std::optional<spread_change> PlanSpread(const wire::expert_placement& current,
+                                        std::span<const std::uint64_t> tokens,
+                                        const spread_limits& limits);
 
 /** Mean skew over the sets of a placement; 1 is perfect balance. */
 double MeanSkew(const wire::expert_placement& placement,
--- a/src/libwisteriaroute/policy/pace_limit.cc
+++ b/src/libwisteriaroute/policy/pace_limit.cc
@@ -38,7 +38,8 @@
   } else if (pace < kRoom) {
     limit.streams += kRiseStreams;
   }
-  limit.streams = std::clamp(limit.streams, std::min(kMinStreams, slots), slots);
+  limit.streams =
+      std::clamp(limit.streams, std::min(kMinStreams, slots), slots);
   limit.gap_sum_ms = 0;
   limit.objective_sum_ms = 0;
   limit.window_start_us = now_us;
--- a/src/libwisteriaroute/policy/server_choice.cc
+++ b/src/libwisteriaroute/policy/server_choice.cc
@@ -28,7 +28,8 @@
   std::optional<std::size_t> chosen;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     const server_candidate& one = candidates[i];
-    if (IsFull(one) || one.load / one.slots > best + kNearRequests / one.slots) {
+    if (IsFull(one) ||
+        one.load / one.slots > best + kNearRequests / one.slots) {
       continue;
     }
     // Each of the near candidates is kept with equal probability.
--- a/src/libwisteriaroute/policy/server_choice.h
+++ b/src/libwisteriaroute/policy/server_choice.h
@@ -14,7 +14,8 @@
   double load = 0;
   /** Requests that it runs at once. */
   double slots = 1;
-  /** Requests that may wait there beyond its slots; below 0 it is filled less. */
+  /** Requests that may wait there beyond its slots; below 0 it is filled less.
+   */
   double queue = 0;
 };
 
--- a/src/libwisteriaroute/sidecar/sidecar.cc
+++ b/src/libwisteriaroute/sidecar/sidecar.cc
@@ -45,8 +45,7 @@
       return;
     }
     state.counts = event.counts;
-    if (state.counts_sent.size() != state.counts.totals.size() ||
-        Restarted()) {
+    if (state.counts_sent.size() != state.counts.totals.size() || Restarted()) {
       // Counts of another run, or the first ones: what came before is unknown.
       state.counts_sent = state.counts.totals;
     }
@@ -94,7 +93,8 @@
   void operator()(const sidecar_tick&) {
     const bool busy = now < state.busy_until_us;
     if (now >= state.next_status_us) {
-      state.next_status_us = now + (busy ? kBusyStatusPeriodUs : kStatusPeriodUs);
+      state.next_status_us =
+          now + (busy ? kBusyStatusPeriodUs : kStatusPeriodUs);
       PollStatus();
     }
     if (now >= state.next_counts_us) {
--- a/src/sidecar/daemon.cc
+++ b/src/sidecar/daemon.cc
@@ -124,15 +124,15 @@
 }
 
 member::control_session_callbacks daemon::SessionCallbacks() {
-  return {.on_message =
-              [this](const wire::control_message& message) {
-                if (const auto* order =
-                        std::get_if<wire::rank_order>(&message)) {
-                  Handle(order_received{*order});
-                }
-              },
-          .on_opened = [this] { Handle(control_opened{}); },
-          .on_dropped = [](const wire::control_message&) {}};
+  return {
+      .on_message =
+          [this](const wire::control_message& message) {
+            if (const auto* order = std::get_if<wire::rank_order>(&message)) {
+              Handle(order_received{*order});
+            }
+          },
+      .on_opened = [this] { Handle(control_opened{}); },
+      .on_dropped = [](const wire::control_message&) {}};
 }
 
 void daemon::Handle(sidecar_event event) {
@@ -159,9 +159,8 @@
       self.Get(platform::kReportPath, [this_ = &self](auto body) {
         const auto status =
             body ? platform::DecodeRankStatus(*body) : std::nullopt;
-        this_->Handle(
-            status_polled{status.has_value(),
-                          status.value_or(wire::rank_status())});
+        this_->Handle(status_polled{status.has_value(),
+                                    status.value_or(wire::rank_status())});
       });
     }
     void operator()(const poll_counts&) const {
--- a/tests/policy/expert_spread_test.cc
+++ b/tests/policy/expert_spread_test.cc
@@ -117,8 +117,7 @@
   }
 
   SUBCASE("and the same demand causes no second change") {
-    const auto again =
-        PlanSpread(change->placement, demand.Tokens(), kLimits);
+    const auto again = PlanSpread(change->placement, demand.Tokens(), kLimits);
     if (again) {
       CHECK(again->skew_before - again->skew_after >= kLimits.min_gain);
     }
