control: a change of map only goes forward, behind a fence of the term

Two leaders could also use one version for two maps. Change: sidecars refuse older terms before the first order; a change that can't be completed is replaced under a version of the new leader, which voids late orders, and holds are released only when every rank is armed.

--- a/proto/control.capnp
+++ b/proto/control.capnp
@@ -219,6 +219,8 @@
   expertTokens @12 :List(UInt32);
   # Experts of this rank by set, of map version expertsVersion; may be empty.
   experts @13 :List(List(UInt16));
+  # The highest term of a leader that the sidecar has heard.
+  term @14 :UInt64;
 }
 
 struct RankOrder {
--- a/src/gateway/daemon.cc
+++ b/src/gateway/daemon.cc
@@ -27,7 +27,6 @@
 constexpr std::size_t kMaxBufferedBytes = 1024 * 1024;
 
 constexpr unsigned kOk = 200;
-constexpr unsigned kNotFound = 404;
 constexpr unsigned kUnavailable = 503;
 
 std::string FormatSeconds(base::time_ms ms) {
--- a/src/libwisteriaroute/control/rank_group.h
+++ b/src/libwisteriaroute/control/rank_group.h
@@ -24,6 +24,8 @@
   std::vector<wire::expert_list> experts;
   std::optional<std::uint64_t> experts_version;
   base::time_us next_order_us = 0;
+  base::time_us next_fence_us = 0;
+  base::time_us next_stray_us = 0;
 };
 
 /**
@@ -33,7 +35,12 @@
  *   kHolding    the group is held at a step ahead, at one rank;
  *   kArming     every rank is told to switch as that step begins;
  *   kReleasing  all are armed; the group may begin the step.
- * The hold makes sure that no rank begins the step before all are armed.
+ * The hold makes sure that no rank begins the step before all are armed, and
+ * it is released in no other case: an order to arm may be carried out seconds
+ * after it was given up. A leader that finds a hold whose change it can't
+ * complete goes forward under a version of its own, which makes such orders
+ * void, because their version isn't prepared any more. Before it gives any
+ * order, the sidecars of all ranks have refused those of older terms.
  */
 enum class change_phase : std::uint8_t {
   kPreparing,
@@ -45,10 +52,12 @@
 struct rank_change {
   change_phase phase = change_phase::kPreparing;
   std::uint64_t version = 0;
-  /** Empty if another leader began the change. */
+  /** Empty if another leader has armed all ranks. */
   wire::expert_placement placement;
   /** Skew that the placement was planned to have. */
   double planned_skew = 0;
+  /** It replaces a change whose hold is in place, so it can't be given up. */
+  bool forward_only = false;
   std::uint64_t step = 0;
   /** Steps between the last known one and the hold. */
   std::uint64_t margin_steps = 0;
--- a/src/libwisteriaroute/control/rank_group_drive.cc
+++ b/src/libwisteriaroute/control/rank_group_drive.cc
@@ -20,6 +20,9 @@
 // The hold has to reach its rank before the step begins.
 constexpr std::uint64_t kMinMarginSteps = 2;
 constexpr std::uint64_t kMaxMarginSteps = 64;
+// Versions of a leader begin at its term times this, so that no two leaders
+// use the same one.
+constexpr std::uint64_t kVersionsPerTerm = 1'000'000;
 // Copying takes about 0.4 s for each expert of a rank; a change that isn't
 // prepared by now has lost its purpose.
 constexpr base::time_us kPrepareLimitUs = 4'000'000;
@@ -51,7 +54,7 @@
   replica_effects& out;
 
   void Run() {
-    if (!IsWhole()) {
+    if (!IsWhole() || !IsFenced()) {
       return;
     }
     if (!group.change) {
@@ -78,6 +81,29 @@
     });
   }
 
+  /** No order of an older term gets to a rank any more. */
+  bool IsFenced() {
+    const std::uint64_t term = state.leading->term;
+    bool fenced = true;
+    for (auto& [rank, one] : group.ranks) {
+      if (one.status.term > term) {
+        return false;
+      }
+      if (one.status.term < term) {
+        fenced = false;
+        if (now.now_us >= one.next_fence_us) {
+          one.next_fence_us = now.now_us + kOrderRetryUs;
+          out.push_back(send_to_links{
+              {one.link},
+              wire::rank_order{.kind = wire::rank_order_kind::kFence,
+                               .term = term,
+                               .formation = group.formation}});
+        }
+      }
+    }
+    return fenced;
+  }
+
   template <typename Test>
   bool All(Test&& test) const {
     return std::ranges::all_of(group.ranks, [&](const auto& item) {
@@ -131,29 +157,47 @@
     return nullptr;
   }
 
-  /** Goes on with a change that another leader left behind. */
+  /** Goes on with what another leader left behind. */
   void Adopt() {
     const rank_view* holder = Holder();
-    if (holder == nullptr) {
+    const auto armed = std::ranges::find_if(group.ranks, [](const auto& item) {
+      return item.second.status.armed_version != 0;
+    });
+    if (holder == nullptr && armed == group.ranks.end()) {
       return;
     }
-    const std::uint64_t version =
-        group.ranks.begin()->second.status.prepared_version;
-    const bool prepared = version != 0 && All([&](const auto& status) {
-                            return status.prepared_version == version ||
-                                   status.map_version == version;
-                          });
-    // Ranks are armed only once all are prepared. So with a rank that isn't,
-    // none was armed, and the hold alone is taken back.
-    group.change = rank_change{
-        .phase = prepared ? change_phase::kArming : change_phase::kReleasing,
-        .version = version,
-        .step = holder->status.held_step,
-        .since_us = now.now_us};
-    Enter(group.change->phase);
-    Note(prepared ? "map_change_adopted" : "hold_taken_back",
-         "version " + std::to_string(version) + " step " +
-             std::to_string(holder->status.held_step));
+    if (armed != group.ranks.end()) {
+      const wire::rank_status& status = armed->second.status;
+      group.change = rank_change{.phase = change_phase::kReleasing,
+                                 .version = status.armed_version,
+                                 .step = status.armed_step,
+                                 .since_us = now.now_us};
+      if (All([&](const auto& one) { return IsArmed(one); })) {
+        Note("map_change_adopted",
+             "version " + std::to_string(group.change->version));
+        Enter(change_phase::kReleasing);
+        return;
+      }
+      group.change.reset();
+    }
+    const wire::expert_placement current = Current();
+    if (current.empty()) {
+      return;
+    }
+    group.change = rank_change{.version = NextVersion(),
+                               .placement = current,
+                               .forward_only = true,
+                               .since_us = now.now_us};
+    Enter(change_phase::kPreparing);
+    Note("map_change_replaced",
+         "version " + std::to_string(group.change->version));
+  }
+
+  /** Above all versions of the ranks, and never used by another leader. */
+  std::uint64_t NextVersion() {
+    group.last_version = std::max(group.last_version + 1,
+                                  state.leading->term * kVersionsPerTerm);
+    return group.last_version;
   }
 
   void Advance() {
@@ -177,24 +221,44 @@
     const rank_change& change = *group.change;
     bool all = true;
     for (auto& [rank, one] : group.ranks) {
-      if (one.status.prepared_version != change.version) {
+      if (one.status.armed_version != 0 &&
+          one.status.armed_version != change.version) {
+        all = false;
+        Disarm(one);
+      } else if (one.status.prepared_version != change.version) {
         all = false;
         Send(one, wire::rank_order_kind::kPrepare, kPrepareRetryUs);
       }
     }
-    if (!all && IsStale()) {
-      Plan();
-      return;
-    }
     if (all) {
       group.change->margin_steps = kMinMarginSteps;
       BeginHold();
+      return;
+    }
+    if (change.forward_only || Holder() != nullptr) {
+      return;
+    }
+    if (IsStale()) {
+      Plan();
     } else if (now.now_us - change.since_us > kPrepareLimitUs) {
       Note("map_change_given_up", "not prepared in time");
       group.change.reset();
     }
   }
 
+  void Disarm(rank_view& one) {
+    if (now.now_us < one.next_order_us) {
+      return;
+    }
+    one.next_order_us = now.now_us + kOrderRetryUs;
+    out.push_back(
+        send_to_links{{one.link},
+                      wire::rank_order{.kind = wire::rank_order_kind::kDisarm,
+                                       .term = state.leading->term,
+                                       .formation = group.formation,
+                                       .version = one.status.armed_version}});
+  }
+
   /** Whether demand has shifted again, away from what is being prepared. */
   bool IsStale() {
     const engine_shapes& shapes = Shapes(state);
@@ -256,7 +320,30 @@
            status.map_version == group.change->version;
   }
 
+  /**
+   * Releases a hold at an earlier step, which was ordered before and carried
+   * out late. No rank is armed for it: that takes a hold that was seen.
+   */
+  void ReleaseStray() {
+    for (auto& [rank, one] : group.ranks) {
+      const std::uint64_t held = one.status.held_step;
+      if (held == 0 || held >= group.change->step ||
+          now.now_us < one.next_stray_us) {
+        continue;
+      }
+      one.next_stray_us = now.now_us + kOrderRetryUs;
+      Note("stray_hold", "step " + std::to_string(held));
+      out.push_back(send_to_links{
+          {one.link},
+          wire::rank_order{.kind = wire::rank_order_kind::kRelease,
+                           .term = state.leading->term,
+                           .formation = group.formation,
+                           .step = held}});
+    }
+  }
+
   void Arm() {
+    ReleaseStray();
     bool all = true;
     for (auto& [rank, one] : group.ranks) {
       if (!IsArmed(one.status)) {
@@ -271,17 +358,15 @@
   }
 
   void Release() {
-    rank_view* holder = Holder();
-    if (holder != nullptr && holder->status.held_step == group.change->step) {
-      Send(*holder, wire::rank_order_kind::kRelease, kOrderRetryUs);
-      return;
+    ReleaseStray();
+    for (auto& [rank, one] : group.ranks) {
+      if (one.status.held_step == group.change->step) {
+        Send(one, wire::rank_order_kind::kRelease, kOrderRetryUs);
+      }
     }
-    const bool switched = All([&](const auto& status) {
-      return status.map_version == group.change->version;
-    });
-    const bool taken_back =
-        All([](const auto& status) { return status.armed_version == 0; });
-    if (switched || taken_back) {
+    if (All([&](const auto& status) {
+          return status.map_version == group.change->version;
+        })) {
       Note("map_change_ended",
            "version " + std::to_string(group.change->version) + " after " +
                std::to_string((now.now_us - group.change->since_us) / 1'000) +
@@ -333,7 +418,7 @@
   }
 
   void Begin(const policy::spread_change& planned) {
-    group.change = rank_change{.version = ++group.last_version,
+    group.change = rank_change{.version = NextVersion(),
                                .placement = planned.placement,
                                .planned_skew = planned.skew_after,
                                .since_us = now.now_us};
--- a/src/libwisteriaroute/sidecar/sidecar.cc
+++ b/src/libwisteriaroute/sidecar/sidecar.cc
@@ -32,11 +32,15 @@
     const bool other_map = event.status.map_version != state.status.map_version;
     state.status = event.status;
     state.status.service = state.service;
+    state.status.term = state.poll_term;
     if (reformed || other_map || !state.lists) {
       state.lists.reset();
       PollLists();
     }
     SendIfChanged();
+    if (state.poll_term != state.highest_term) {
+      PollStatus();
+    }
   }
 
   void operator()(const counts_polled& event) {
@@ -70,6 +74,11 @@
       return;
     }
     state.highest_term = order.term;
+    if (order.kind == wire::rank_order_kind::kFence) {
+      out.push_back(note_order{order, "fenced"});
+      PollStatus();
+      return;
+    }
     state.busy_until_us = now + kBusyUs;
     out.push_back(note_order{order, "passed on"});
     out.push_back(pass_order{order});
@@ -123,6 +132,7 @@
 
   void PollStatus() {
     if (!std::exchange(state.polling_status, true)) {
+      state.poll_term = state.highest_term;
       out.push_back(poll_status{});
     }
   }
@@ -136,7 +146,7 @@
   void SendIfChanged() {
     const wire::rank_status& a = state.status;
     const wire::rank_status& b = state.sent;
-    if (a.formation != b.formation || a.open != b.open ||
+    if (a.term != b.term || a.formation != b.formation || a.open != b.open ||
         a.map_version != b.map_version ||
         a.prepared_version != b.prepared_version ||
         a.armed_version != b.armed_version || a.armed_step != b.armed_step ||
--- a/src/libwisteriaroute/sidecar/sidecar.h
+++ b/src/libwisteriaroute/sidecar/sidecar.h
@@ -38,6 +38,8 @@
   bool lists_sent = false;
   /** Orders of lower terms are refused. */
   std::uint64_t highest_term = 0;
+  /** `highest_term` when the poll of the status in progress began. */
+  std::uint64_t poll_term = 0;
   bool polling_status = false;
   bool polling_counts = false;
   bool polling_lists = false;
--- a/src/libwisteriaroute/wire/control_messages.cc
+++ b/src/libwisteriaroute/wire/control_messages.cc
@@ -191,6 +191,7 @@
   to.setExpertTokens(
       kj::arrayPtr(from.expert_tokens.data(), from.expert_tokens.size()));
   WriteLists(from.experts, to.initExperts(Count(from.experts)));
+  to.setTerm(from.term);
 }
 
 rank_status ReadFields(proto::RankStatus::Reader from) {
@@ -208,6 +209,7 @@
                      .held_step = from.getHeldStep()};
   result.expert_tokens = ReadNumbers<std::uint32_t>(from.getExpertTokens());
   result.experts = ReadLists(from.getExperts());
+  result.term = from.getTerm();
   return result;
 }
 
@@ -224,7 +226,7 @@
 }
 
 rank_order ReadFields(proto::RankOrder::Reader from) {
-  rank_order result{.kind = ReadEnum<rank_order_kind>(from.getKind(), 4),
+  rank_order result{.kind = ReadEnum<rank_order_kind>(from.getKind(), 6),
                     .term = from.getTerm(),
                     .formation = from.getFormation(),
                     .version = from.getVersion(),
--- a/src/libwisteriaroute/wire/control_messages.h
+++ b/src/libwisteriaroute/wire/control_messages.h
@@ -441,15 +441,21 @@
   std::vector<std::uint32_t> expert_tokens;
   /** Of this rank by set, in the map in use; empty: as told before. */
   std::vector<expert_list> experts;
+  /** The highest term of a leader that the sidecar has heard. */
+  std::uint64_t term = 0;
 
   bool operator==(const rank_status&) const = default;
 };
 
 enum class rank_order_kind : std::uint8_t {
+  /** Refuse orders of older terms from now on. For the sidecar itself. */
+  kFence,
   /** Copy what the map needs. */
   kPrepare,
   /** Switch to the prepared map as the step begins. */
   kArm,
+  /** Take an arm back that can't be completed. */
+  kDisarm,
   /** The group doesn't begin the step until it is released at this rank. */
   kHold,
   kRelease,
--- a/src/sidecar/daemon.cc
+++ b/src/sidecar/daemon.cc
@@ -20,6 +20,10 @@
 
 const char* KindName(wire::rank_order_kind kind) {
   switch (kind) {
+    case wire::rank_order_kind::kFence:
+      return "fence";
+    case wire::rank_order_kind::kDisarm:
+      return "disarm";
     case wire::rank_order_kind::kPrepare:
       return "prepare";
     case wire::rank_order_kind::kArm:
--- /dev/null
+++ b/tests/control/rank_group_property_test.cc
@@ -0,0 +1,339 @@
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "libwisteriaroute/control/rank_group_drive.h"
+#include "libwisteriaroute/control/replica.h"
+
+namespace wisteriaroute::control {
+namespace {
+
+constexpr std::uint32_t kRanks = 4;
+constexpr std::uint16_t kExperts = 8;
+constexpr std::uint32_t kSlots = 3;
+constexpr std::uint32_t kSpare = 2;
+constexpr base::time_us kTickUs = 10'000;
+constexpr base::time_us kStepUs = 40'000;
+
+engine_shapes Shapes(std::string_view) {
+  return {{"model",
+           {.expert_sets = 1,
+            .experts = kExperts,
+            .expert_slots = kSlots,
+            .spare_slots = kSpare}}};
+}
+
+/** A rank that follows the platform's rules for orders. */
+struct fake_rank {
+  std::vector<wire::expert_list> experts;
+  std::uint64_t map_version = 0;
+  std::uint64_t highest_version = 0;
+  std::uint64_t highest_term = 0;
+  std::uint64_t prepared = 0;
+  std::vector<wire::expert_list> prepared_experts;
+  base::time_us prepared_at_us = 0;
+  std::uint64_t armed_version = 0;
+  std::uint64_t armed_step = 0;
+  std::uint64_t held = 0;
+
+  bool IsPrepared(std::uint64_t version, base::time_us now_us) const {
+    return prepared == version && prepared_at_us <= now_us;
+  }
+};
+
+/** A group of fake ranks in lockstep. */
+struct fake_group {
+  std::uint64_t formation = 1;
+  std::uint64_t step = 0;
+  base::time_us next_step_us = 0;
+  bool idle = false;
+  std::vector<fake_rank> ranks{kRanks};
+  int switches = 0;
+  bool consistent = true;
+
+  fake_group() { Form(); }
+
+  void Form() {
+    for (std::uint32_t rank = 0; rank < kRanks; ++rank) {
+      const std::uint64_t term = ranks[rank].highest_term;
+      ranks[rank] = {.highest_term = term};
+      auto& list = ranks[rank].experts.emplace_back();
+      for (std::uint32_t e = rank; e < kExperts; e += kRanks) {
+        list.push_back(static_cast<std::uint16_t>(e));
+      }
+    }
+  }
+
+  void Pass(base::time_us now_us) {
+    const std::uint64_t next = step + 1;
+    const bool held = std::ranges::any_of(
+        ranks, [&](const fake_rank& one) { return one.held == next; });
+    if (idle || held || now_us < next_step_us) {
+      return;
+    }
+    next_step_us = now_us + kStepUs;
+    step = next;
+    for (fake_rank& one : ranks) {
+      if (one.armed_step == step && one.armed_version != 0) {
+        one.map_version = one.armed_version;
+        one.experts = one.prepared_experts;
+        one.armed_version = one.armed_step = one.prepared = 0;
+        ++switches;
+      }
+    }
+    for (const fake_rank& one : ranks) {
+      consistent = consistent && one.map_version == ranks.front().map_version;
+    }
+  }
+
+  void Carry(std::uint32_t rank,
+             const wire::rank_order& order,
+             base::time_us now_us) {
+    fake_rank& one = ranks[rank];
+    if (order.formation != formation) {
+      return;
+    }
+    switch (order.kind) {
+      case wire::rank_order_kind::kFence:
+        break;
+      case wire::rank_order_kind::kDisarm:
+        if (one.armed_version == order.version) {
+          one.armed_version = one.armed_step = 0;
+        }
+        break;
+      case wire::rank_order_kind::kPrepare:
+        if (order.version > one.highest_version && one.armed_version == 0) {
+          one.highest_version = order.version;
+          one.prepared = order.version;
+          one.prepared_at_us = now_us + 200'000;
+          one.prepared_experts = {order.placement.at(0).at(rank)};
+        }
+        break;
+      case wire::rank_order_kind::kArm:
+        if (one.IsPrepared(order.version, now_us) && order.step > step) {
+          one.armed_version = order.version;
+          one.armed_step = order.step;
+        }
+        break;
+      case wire::rank_order_kind::kHold:
+        if (one.held <= step && order.step > step) {
+          one.held = order.step;
+        }
+        break;
+      case wire::rank_order_kind::kRelease:
+        if (one.held == order.step) {
+          one.held = 0;
+        }
+        break;
+    }
+  }
+};
+
+/** A message on its way to a leader or to a rank. */
+template <typename Body>
+struct delayed {
+  base::time_us at_us = 0;
+  std::uint32_t rank = 0;
+  std::size_t leader = 0;
+  Body body;
+};
+
+/**
+ * Leaders drive a group through lost, late and repeated messages and orders
+ * that are carried out seconds late. Leaders of an earlier term go on until
+ * they notice, as in a partition.
+ */
+struct world {
+  std::mt19937 random;
+  fake_group group;
+  std::vector<replica_state> leaders;
+  base::time_us now_us = 1'000'000;
+  std::deque<delayed<wire::rank_order>> orders;
+  std::deque<delayed<wire::rank_status>> statuses;
+  std::vector<std::uint64_t> sidecar_terms = std::vector<std::uint64_t>(kRanks);
+  double late = 0.3;
+
+  explicit world(std::uint32_t seed) : random(seed) { Elect(); }
+
+  double Chance() { return std::uniform_real_distribution<>()(random); }
+  base::time_us Between(base::time_us low, base::time_us high) {
+    return std::uniform_int_distribution<base::time_us>(low, high)(random);
+  }
+
+  void Elect() {
+    replica_state& state = leaders.emplace_back();
+    state.options.read_shapes = &Shapes;
+    state.leading.emplace();
+    state.leading->term = leaders.size();
+    if (leaders.size() > 2) {
+      leaders[leaders.size() - 3].leading.reset();
+    }
+  }
+
+  void Take(std::size_t leader, const replica_effects& effects) {
+    for (const replica_effect& effect : effects) {
+      const auto* send = std::get_if<send_to_links>(&effect);
+      if (send == nullptr) {
+        continue;
+      }
+      const auto* order = std::get_if<wire::rank_order>(&send->message);
+      if (order != nullptr && Chance() > 0.1) {
+        orders.push_back({now_us + Between(1'000, 30'000),
+                          static_cast<std::uint32_t>(send->links.at(0) - 1),
+                          leader, *order});
+      }
+    }
+  }
+
+  void DeliverOrders() {
+    std::deque<delayed<wire::rank_order>> rest;
+    for (auto& one : std::exchange(orders, {})) {
+      if (one.at_us > now_us) {
+        rest.push_back(one);
+        continue;
+      }
+      if (one.leader != kAccepted) {
+        // The sidecar refuses older terms, and so does the rank on arrival.
+        if (one.body.term < sidecar_terms[one.rank]) {
+          continue;
+        }
+        sidecar_terms[one.rank] = one.body.term;
+        if (Chance() < late) {
+          one.leader = kAccepted;
+          one.at_us = now_us + Between(2'000'000, 12'000'000);
+          rest.push_back(one);
+          continue;
+        }
+      }
+      group.Carry(one.rank, one.body, now_us);
+    }
+    for (auto& one : rest) {
+      orders.push_back(one);
+    }
+  }
+
+  void SendStatuses() {
+    for (std::uint32_t rank = 0; rank < kRanks; ++rank) {
+      const fake_rank& one = group.ranks[rank];
+      wire::rank_status status{
+          .service = "model",
+          .group = "g",
+          .formation = group.formation,
+          .rank = rank,
+          .ranks = kRanks,
+          .open = true,
+          .step = group.step,
+          .map_version = one.map_version,
+          .armed_version = one.armed_version,
+          .armed_step = one.armed_step,
+          .held_step = one.held > group.step ? one.held : 0,
+          .experts = one.experts,
+          .term = sidecar_terms[rank]};
+      if (one.prepared != 0 && one.prepared_at_us <= now_us) {
+        status.prepared_version = one.prepared;
+      }
+      // One expert gets most of the tokens, and another one later.
+      status.expert_tokens.assign(kExperts, 1'000);
+      status.expert_tokens[(now_us / 3'000'000) % kExperts] = 20'000;
+      for (std::size_t leader = 0; leader < leaders.size(); ++leader) {
+        if (leaders[leader].leading && Chance() > 0.1) {
+          statuses.push_back(
+              {now_us + Between(1'000, 60'000), rank, leader, status});
+        }
+      }
+    }
+  }
+
+  void DeliverStatuses() {
+    std::deque<delayed<wire::rank_status>> rest;
+    for (auto& one : std::exchange(statuses, {})) {
+      if (one.at_us > now_us) {
+        rest.push_back(std::move(one));
+        continue;
+      }
+      replica_state& state = leaders[one.leader];
+      if (state.leading) {
+        replica_effects out;
+        HandleRankStatus(state, one.rank + 1, one.body, {now_us, 0}, out);
+        Take(one.leader, out);
+      }
+    }
+    statuses = std::move(rest);
+  }
+
+  void Tick(bool faults) {
+    now_us += kTickUs;
+    if (faults && Chance() < 0.002) {
+      Elect();
+    }
+    if (faults && Chance() < 0.0005) {
+      ++group.formation;
+      group.step += 1;
+      group.Form();
+    }
+    if (faults && Chance() < 0.01) {
+      group.idle = !group.idle;
+    }
+    if (!faults) {
+      group.idle = false;
+      late = 0;
+    }
+    group.Pass(now_us);
+    DeliverOrders();
+    if (now_us % 50'000 == 0) {
+      SendStatuses();
+    }
+    DeliverStatuses();
+    for (std::size_t leader = 0; leader < leaders.size(); ++leader) {
+      if (leaders[leader].leading) {
+        replica_effects out;
+        DriveRankGroups(leaders[leader], {now_us, 0}, out);
+        Take(leader, out);
+      }
+    }
+  }
+
+  static constexpr std::size_t kAccepted = static_cast<std::size_t>(-1);
+};
+
+TEST_CASE("all ranks begin every step with the same map") {
+  int switches = 0;
+  CHECK(rc::check("whatever is late, lost or repeated", [&] {
+    world w(*rc::gen::arbitrary<std::uint32_t>());
+    for (int i = 0; i < 3'000; ++i) {
+      w.Tick(true);
+      RC_ASSERT(w.group.consistent);
+    }
+    switches += w.group.switches;
+  }));
+  CHECK(switches > 100);
+}
+
+TEST_CASE("a group isn't held for good") {
+  CHECK(rc::check("steps go on once the faults have ended", [] {
+    world w(*rc::gen::arbitrary<std::uint32_t>());
+    for (int i = 0; i < 1'000; ++i) {
+      w.Tick(true);
+    }
+    // The latest orders are carried out 12 s after they were accepted.
+    for (int i = 0; i < 1'600; ++i) {
+      w.Tick(false);
+    }
+    const std::uint64_t before = w.group.step;
+    for (int i = 0; i < 300; ++i) {
+      w.Tick(false);
+    }
+    RC_ASSERT(w.group.consistent);
+    RC_ASSERT(w.group.step > before + 20);
+  }));
+}
+
+}  // namespace
+}  // namespace wisteriaroute::control
--- /dev/null
+++ b/tests/gateway/gateway_test.cc
@@ -0,0 +1,332 @@
+#include "libwisteriaroute/gateway/gateway.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace wisteriaroute::gateway {
+namespace {
+
+constexpr base::time_us kStartUs = 1'000'000'000;
+
+config::traffic_set Traffic() {
+  config::traffic_set set{.version = 7};
+  set.routes = {{.name = "lookup",
+                 .host = "shop.example",
+                 .path_prefix = "/lookup/",
+                 .repeats = config::repetition::kRepeatable,
+                 .timeout_ms = 2'000,
+                 .max_attempts = 2,
+                 .targets = {{.service = "orders"}}},
+                {.name = "pay",
+                 .host = "shop.example",
+                 .path_prefix = "/pay/",
+                 .timeout_ms = 2'000,
+                 .max_attempts = 2,
+                 .targets = {{.service = "orders"}}},
+                {.name = "draft",
+                 .host = "shop.example",
+                 .path_prefix = "/draft/",
+                 .repeats = config::repetition::kRepeatable,
+                 .streams = true,
+                 .resumable = true,
+                 .timeout_ms = 8'000,
+                 .max_attempts = 2,
+                 .targets = {{.service = "orders"}}}};
+  set.services = {{.name = "orders"}};
+  set.workspaces = {
+      {.name = "counter", .key_digests = {base::Digest128("key-1")}}};
+  return set;
+}
+
+wire::member_info Server(std::string name, std::uint64_t incarnation = 1) {
+  return {.name = std::move(name),
+          .role = wire::member_role::kServer,
+          .incarnation = incarnation,
+          .address = "10.0.0.1:80",
+          .backend = {.service = "orders", .slots = 4}};
+}
+
+/** A gateway with servers whose answers the test gives. */
+struct world {
+  gateway_state state;
+  base::time_us now_us = kStartUs;
+  gateway_effects seen;
+
+  world() {
+    Do(traffic_published{
+        std::make_shared<const config::traffic_index>(Traffic())});
+    Do(members_updated{{.changed = {Server("a"), Server("b"), Server("c")}}});
+  }
+
+  void Do(const gateway_event& event) {
+    for (gateway_effect& effect : Step(state, event, now_us)) {
+      seen.push_back(std::move(effect));
+    }
+  }
+
+  void Ask(exchange_id exchange,
+           const std::string& path,
+           const std::string& key = "key-1") {
+    Do(request_arrived{exchange,
+                       {.id = "r" + std::to_string(exchange),
+                        .host = "shop.example",
+                        .path = path,
+                        .key = base::Digest128(key),
+                        .deadline_ms = 4'000}});
+  }
+
+  template <typename Effect>
+  std::vector<Effect> All() const {
+    std::vector<Effect> all;
+    for (const gateway_effect& effect : seen) {
+      if (const auto* one = std::get_if<Effect>(&effect)) {
+        all.push_back(*one);
+      }
+    }
+    return all;
+  }
+
+  start_attempt LastAttempt() const { return All<start_attempt>().back(); }
+
+  void Head(unsigned status, bool sealed = true, bool events = false) {
+    Do(attempt_head{LastAttempt().attempt,
+                    {.status = status,
+                     .headers = {{"x-seal", "s"}},
+                     .sealed = sealed,
+                     .event_stream = events}});
+  }
+  void Data(const std::string& data) {
+    Do(attempt_data{LastAttempt().attempt, data});
+  }
+  void End(bool ok, bool never_sent = false) {
+    Do(attempt_ended{LastAttempt().attempt, ok, never_sent, "cut"});
+  }
+  std::string Written() const {
+    std::string text;
+    for (const write_stream& piece : All<write_stream>()) {
+      text += piece.data;
+    }
+    return text;
+  }
+};
+
+TEST_CASE("a request goes to a server of its route") {
+  world w;
+
+  SUBCASE("with the terms that the server needs") {
+    w.Ask(1, "/lookup/4");
+    const start_attempt sent = w.LastAttempt();
+    CHECK(sent.terms.workspace == "counter");
+    CHECK(sent.terms.deadline_ms == 2'000);
+    CHECK_FALSE(sent.terms.expected_server.empty());
+    w.Head(200);
+    w.Data("found");
+    CHECK(w.All<relay>().empty());
+    w.End(true);
+    REQUIRE(w.All<relay>().size() == 1);
+    CHECK(w.All<relay>()[0].body == "found");
+    CHECK(w.state.requests.empty());
+  }
+
+  SUBCASE("and is refused at once where none may run it") {
+    w.Ask(1, "/nowhere/");
+    w.Ask(2, "/pay/1", "no such key");
+    REQUIRE(w.All<refuse>().size() == 2);
+    CHECK(w.All<refuse>()[0].status == 404);
+    CHECK(w.All<refuse>()[1].status == 401);
+    CHECK(w.All<start_attempt>().empty());
+  }
+
+  SUBCASE("and a key that was taken away is refused from then on") {
+    config::traffic_set next = Traffic();
+    next.workspaces.clear();
+    next.workspaces.push_back({.name = "other"});
+    w.Do(
+        traffic_published{std::make_shared<const config::traffic_index>(next)});
+    w.Ask(1, "/lookup/4");
+    CHECK(w.All<refuse>().at(0).status == 401);
+  }
+}
+
+TEST_CASE("without a configuration nothing is said to be missing") {
+  gateway_state state;
+  const auto effects =
+      Step(state, request_arrived{1, {.host = "shop.example", .path = "/"}},
+           kStartUs);
+  const auto* answer = std::get_if<refuse>(&effects.at(0));
+  REQUIRE(answer != nullptr);
+  CHECK(answer->status == 503);
+  CHECK(answer->retry_after_ms > 0);
+}
+
+// Guards against a payment that is sent again after it may have run.
+TEST_CASE("a request that may run once is sent again only if it didn't run") {
+  world w;
+  w.Ask(1, "/pay/1");
+
+  SUBCASE("a cut connection ends it") {
+    w.End(false);
+    CHECK(w.All<start_attempt>().size() == 1);
+    CHECK(w.All<refuse>().at(0).status == 502);
+  }
+
+  SUBCASE("a success without a seal isn't the server's, but it may have run") {
+    w.Head(200, false);
+    CHECK(w.All<start_attempt>().size() == 1);
+    CHECK(w.All<refuse>().at(0).status == 502);
+  }
+
+  SUBCASE("so does its time limit, which says nothing of the run") {
+    w.now_us += 2'100'000;
+    w.Do(gateway_tick{});
+    CHECK(w.All<refuse>().at(0).status == 504);
+    CHECK(w.All<cancel_attempt>().size() == 1);
+  }
+
+  SUBCASE("the server's word that it didn't run sends it to another one") {
+    w.Do(attempt_head{w.LastAttempt().attempt,
+                      {.status = 503, .not_run = true}});
+    REQUIRE(w.All<start_attempt>().size() == 2);
+    CHECK(w.All<start_attempt>()[0].terms.expected_server !=
+          w.All<start_attempt>()[1].terms.expected_server);
+    SUBCASE("and if that one doesn't either, it certainly hasn't run") {
+      w.Do(attempt_head{w.LastAttempt().attempt,
+                        {.status = 503, .not_run = true}});
+      CHECK(w.All<start_attempt>().size() == 2);
+      CHECK(w.All<refuse>().at(0).status == 503);
+      CHECK(w.All<refuse>().at(0).retry_after_ms > 0);
+    }
+  }
+
+  SUBCASE("so does a connection that was never made") {
+    w.End(false, true);
+    CHECK(w.All<start_attempt>().size() == 2);
+  }
+}
+
+TEST_CASE("a repeatable request is sent to another server") {
+  world w;
+  w.Ask(1, "/lookup/1");
+  w.Head(500);
+  w.Data("no");
+  w.End(true);
+  REQUIRE(w.All<start_attempt>().size() == 2);
+
+  SUBCASE("whose answer counts") {
+    w.Head(200);
+    w.Data("yes");
+    w.End(true);
+    CHECK(w.All<relay>().at(0).body == "yes");
+  }
+
+  SUBCASE("and the first server's failure is passed on if it fails, too") {
+    w.End(false);
+    CHECK(w.All<relay>().at(0).status == 500);
+    CHECK(w.All<relay>().at(0).body == "no");
+    CHECK(w.All<start_attempt>().size() == 2);
+  }
+}
+
+TEST_CASE("a stream goes on at another server") {
+  world w;
+  w.Ask(1, "/draft/1");
+  w.Head(200, true, true);
+  CHECK(w.All<start_stream>().empty());
+  w.Data("id: 0\ndata: a\n\nid: 1\nda");
+  CHECK(w.All<start_stream>().size() == 1);
+  CHECK(w.Written() == "id: 0\ndata: a\n\n");
+
+  SUBCASE("from the last whole event, within one response") {
+    w.End(false);
+    REQUIRE(w.All<start_attempt>().size() == 2);
+    CHECK(w.LastAttempt().terms.last_event_id == 0);
+    w.Head(200, true, true);
+    w.Data("id: 1\ndata: b\n\n");
+    w.End(true);
+    CHECK(w.Written() == "id: 0\ndata: a\n\nid: 1\ndata: b\n\n");
+    CHECK(w.All<start_stream>().size() == 1);
+    CHECK(w.All<end_stream>().size() == 1);
+  }
+
+  SUBCASE("an end within an event isn't the end of the stream") {
+    w.End(true);
+    CHECK(w.All<end_stream>().empty());
+    CHECK(w.All<start_attempt>().size() == 2);
+  }
+
+  SUBCASE("events that the caller has are left out, a gap ends the attempt") {
+    w.End(false);
+    w.Head(200, true, true);
+    w.Data("id: 0\ndata: a\n\nid: 2\ndata: c\n\n");
+    CHECK(w.Written() == "id: 0\ndata: a\n\n");
+    CHECK(w.All<cancel_attempt>().size() == 1);
+    CHECK(w.All<abort_stream>().size() == 1);
+    CHECK(w.All<end_stream>().empty());
+  }
+
+  SUBCASE("a silent one, too") {
+    w.now_us += 1'900'000;
+    w.Do(gateway_tick{});
+    CHECK(w.All<cancel_attempt>().size() == 1);
+    CHECK(w.All<start_attempt>().size() == 2);
+  }
+
+  SUBCASE("its caller's leaving ends the server's work") {
+    w.Do(caller_left{1});
+    CHECK(w.All<cancel_attempt>().size() == 1);
+    CHECK(w.state.requests.empty());
+    CHECK(w.state.servers.Find("a")->in_flight +
+              w.state.servers.Find("b")->in_flight +
+              w.state.servers.Find("c")->in_flight ==
+          0);
+  }
+}
+
+TEST_CASE("servers that leave get no new work") {
+  world w;
+  wire::member_info leaving = Server("a");
+  leaving.leaving = true;
+  w.Do(members_updated{{.changed = {leaving}}});
+
+  SUBCASE("also if a late report says that they are ready") {
+    w.Do(members_updated{{.changed = {Server("a")}}});
+    w.Do(members_updated{{.removed = {"b", "c"}}});
+    w.Ask(1, "/lookup/1");
+    CHECK(w.All<start_attempt>().empty());
+    CHECK(w.All<refuse>().at(0).status == 503);
+  }
+
+  SUBCASE("until they start again") {
+    w.Do(members_updated{{.changed = {Server("a", 2)}}});
+    w.Do(members_updated{{.removed = {"b", "c"}}});
+    w.Ask(1, "/lookup/1");
+    CHECK(w.All<start_attempt>().size() == 1);
+  }
+}
+
+TEST_CASE("repeats are bounded while all servers fail") {
+  world w;
+  constexpr int kRequests = 400;
+  for (int i = 1; i <= kRequests; ++i) {
+    w.now_us += 20'000;
+    // A failing server is suspended; the load has to reach them all the same.
+    w.Do(members_updated{{.full = true,
+                          .changed = {Server("a", 10 + i), Server("b", 10 + i),
+                                      Server("c", 10 + i)}}});
+    w.Ask(static_cast<exchange_id>(i), "/lookup/1");
+    while (!w.state.requests.empty()) {
+      w.End(false);
+    }
+  }
+  const std::size_t repeats = w.All<start_attempt>().size() - kRequests;
+  const retry_limits& limits = w.state.options.retries;
+  CHECK(repeats > 0);
+  CHECK(static_cast<double>(repeats) <=
+        limits.floor + limits.ratio * kRequests + 1);
+}
+
+}  // namespace
+}  // namespace wisteriaroute::gateway
--- /dev/null
+++ b/tests/platform/platform_codec_test.cc
@@ -0,0 +1,221 @@
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "platform/configuration.h"
+#include "platform/control_calls.h"
+#include "platform/ranks.h"
+#include "platform/requests.h"
+
+namespace wisteriaroute::platform {
+namespace {
+
+const std::string kConfiguration =
+    R"({"version":7,"routes":[{"name":"r","hostname":"a.example","path_prefix":"/x/","route_type":"streaming","timeout_ms":8000,"target_latency_ms":500,"priority":1,"weighted_backends":[{"service":"s","weight":90},{"service":"t","weight":10}],"max_attempts":2,"public":false,"stream_resume":true,"gap_aim_ms":120}],"services":[{"name":"s","health_path":"/health","max_connections":358,"engine":{"slots":12,"stride":4,"sets":3,"experts":96,"places":11,"spare":4}},{"name":"t"}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[{"name":"w","api_keys":["k1","k2"],"priority":1}]})";
+
+std::string Replaced(std::string text,
+                     const std::string& from,
+                     const std::string& to) {
+  const std::size_t at = text.find(from);
+  REQUIRE(at != text.npos);
+  return text.replace(at, from.size(), to);
+}
+
+bool IsAccepted(const std::string& body) {
+  base::findings findings;
+  const bool accepted = DecodeConfiguration(body, findings).has_value();
+  CHECK(accepted == findings.empty());
+  return accepted;
+}
+
+TEST_CASE("a configuration is read as a whole or not at all") {
+  SUBCASE("its fields keep their meaning") {
+    base::findings findings;
+    const auto set = DecodeConfiguration(kConfiguration, findings);
+    REQUIRE(set);
+    CHECK(set->version == 7);
+    const config::route& route = set->routes.at(0);
+    CHECK(route.host == "a.example");
+    CHECK(route.streams);
+    CHECK(route.resumable);
+    CHECK(route.repeats == config::repetition::kRepeatable);
+    CHECK(route.gap_objective_ms == 120);
+    CHECK(route.targets.at(0).weight == 90);
+    CHECK(set->services.at(0).engine->expert_slots == 11);
+    CHECK(set->limits.idle_timeout_ms == 15'000);
+    CHECK(set->workspaces.at(0).key_digests.at(1) == base::Digest128("k2"));
+    const config::traffic_index index(*set);
+    CHECK(index.FindRoute("a.example", "/x/y/z")->name == "r");
+    CHECK(index.FindRoute("a.example", "/xy") == nullptr);
+    CHECK(index.FindRoute("b.example", "/x/y") == nullptr);
+  }
+
+  SUBCASE("every cut of it is refused, and no process ends") {
+    for (std::size_t size = 0; size < kConfiguration.size(); ++size) {
+      CHECK_FALSE(IsAccepted(kConfiguration.substr(0, size)));
+    }
+  }
+
+  SUBCASE("contradictions are refused") {
+    const auto with = [](const std::string& from, const std::string& to) {
+      return Replaced(kConfiguration, from, to);
+    };
+    CHECK(IsAccepted(kConfiguration));
+    CHECK_FALSE(IsAccepted(with(R"("service":"t")", R"("service":"u")")));
+    CHECK_FALSE(IsAccepted(with(R"("weight":90},{"service":"t","weight":10)",
+                                R"("weight":0},{"service":"t","weight":0)")));
+    CHECK_FALSE(IsAccepted(with(R"("timeout_ms":8000)", R"("timeout_ms":0)")));
+    CHECK_FALSE(IsAccepted(with(R"("version":7)", R"("version":"7")")));
+    CHECK_FALSE(IsAccepted(with(
+        R"("tenants":[)", R"("tenants":[{"name":"v","api_keys":["k2"]},)")));
+    CHECK_FALSE(IsAccepted(with(
+        R"("routes":[)",
+        R"("routes":[{"name":"q","hostname":"a.example","path_prefix":"/x/","route_type":"safe","timeout_ms":1,"service":"s"},)")));
+  }
+}
+
+net::http_server_request Call(std::string method,
+                              std::string path,
+                              std::string body) {
+  return {.method = std::move(method),
+          .path = std::move(path),
+          .body = std::move(body)};
+}
+
+TEST_CASE("calls to control") {
+  const std::string beat =
+      R"({"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1","slots":12,"state":"ready","born":5,"sequence":4,"group":{"name":"g","rank":3}})";
+
+  SUBCASE("a report names its server") {
+    const auto call =
+        DecodeControlCall(Call("POST", "/instances/i-1/heartbeat", beat));
+    const auto* report = std::get_if<wire::report_server>(&call);
+    REQUIRE(report != nullptr);
+    CHECK(report->info.name == "i-1");
+    CHECK(report->info.incarnation == 5);
+    CHECK(report->info.data_center == "z");
+    CHECK(report->sequence == 4);
+    CHECK_FALSE(report->info.leaving);
+    CHECK(report->info.backend.group == "g");
+  }
+
+  SUBCASE("reports of other writers name no server") {
+    for (const std::string& bad :
+         {std::string("{"), std::string("[]"), std::string("\xff\xfe"),
+          Replaced(beat, R"("ready")", R"("resting")"),
+          Replaced(beat, R"("10.0.0.9:80")", "17"),
+          Replaced(beat, R"("s")", "null")}) {
+      const auto call =
+          DecodeControlCall(Call("POST", "/instances/i-1/heartbeat", bad));
+      CHECK(std::holds_alternative<control::api_refusal>(call));
+    }
+  }
+
+  SUBCASE("a goodbye needs no body") {
+    const auto call =
+        DecodeControlCall(Call("POST", "/instances/i-1/leave", ""));
+    REQUIRE(std::holds_alternative<wire::report_server>(call));
+    CHECK(std::get<wire::report_server>(call).gone);
+  }
+
+  SUBCASE("a configuration is published under its version") {
+    const auto call =
+        DecodeControlCall(Call("POST", "/configuration/put", kConfiguration));
+    REQUIRE(std::holds_alternative<wire::publish_document>(call));
+    CHECK(std::get<wire::publish_document>(call).version == 7);
+    CHECK(std::get<wire::publish_document>(call).body == kConfiguration);
+  }
+
+  SUBCASE("anything else is refused") {
+    const auto call = DecodeControlCall(Call("GET", "/other", ""));
+    REQUIRE(std::holds_alternative<control::api_refusal>(call));
+    CHECK(std::get<control::api_refusal>(call).status == 404);
+  }
+}
+
+TEST_CASE("requests and responses") {
+  const net::http_server_request request{
+      .method = "POST",
+      .path = "/x/y",
+      .headers = {{"host", "A.example:80"},
+                  {"wisteriaroute-request-id", "9c41"},
+                  {"wisteriaroute-deadline-ms", "8000"},
+                  {"wisteriaroute-token-usage", "1460,80"},
+                  {"wisteriaroute-tenant", "forged"},
+                  {"authorization", "Bearer secret"},
+                  {"connection", "x-hop"},
+                  {"x-hop", "1"},
+                  {"x-kept", "2"}}};
+
+  SUBCASE("a request is read") {
+    const gateway::caller_request read = DecodeRequest(request);
+    CHECK(read.id == "9c41");
+    CHECK(read.host == "a.example");
+    CHECK(read.key == base::Digest128("secret"));
+    CHECK(read.deadline_ms == 8'000);
+    CHECK(read.prompt_tokens == 1'460);
+    CHECK(read.max_output_tokens == 80);
+    CHECK_FALSE(read.last_event_id);
+  }
+
+  SUBCASE("the server gets neither the key nor what callers may not set") {
+    const net::http_headers sent =
+        AttemptHeaders(request, {.deadline_ms = 70,
+                                 .expected_server = "i-1",
+                                 .workspace = "w",
+                                 .last_event_id = 12});
+    CHECK(net::FindHeader(sent, "authorization").empty());
+    CHECK(net::FindHeader(sent, "x-hop").empty());
+    CHECK(net::FindHeader(sent, "x-kept") == "2");
+    CHECK(net::FindHeader(sent, "wisteriaroute-tenant") == "w");
+    CHECK(net::FindHeader(sent, "wisteriaroute-deadline-ms") == "70");
+    CHECK(net::FindHeader(sent, "wisteriaroute-expect-instance") == "i-1");
+    CHECK(net::FindHeader(sent, "last-event-id") == "12");
+    CHECK(net::FindHeader(sent, "wisteriaroute-request-id") == "9c41");
+  }
+
+  SUBCASE("what a response says of its run") {
+    const auto head = DecodeHead(200, {{"wisteriaroute-response-seal", "s"},
+                                       {"wisteriaroute-server-load", "3,1,8"},
+                                       {"content-type", "text/event-stream"},
+                                       {"keep-alive", "timeout=5"}});
+    CHECK(head.sealed);
+    CHECK(head.event_stream);
+    CHECK_FALSE(head.not_run);
+    CHECK(head.load->running == 3);
+    CHECK(net::FindHeader(head.headers, "keep-alive").empty());
+    CHECK(DecodeHead(421, {}).not_run);
+    CHECK(DecodeHead(503, {{"wisteriaroute-not-executed", "1"}}).not_run);
+    CHECK_FALSE(DecodeHead(503, {}).not_run);
+    CHECK_FALSE(DecodeHead(200, {{"wisteriaroute-server-load", "x"}}).load);
+  }
+}
+
+TEST_CASE("ranks") {
+  const std::string report =
+      R"({"group":{"name":"g","epoch":2,"rank":3,"state":"open"},"size":12,"step":92,"map":1,"prepared":2,"armed":{"version":2,"step":95},"held":95})";
+  const auto status = DecodeRankStatus(report);
+  REQUIRE(status);
+  CHECK(status->formation == 2);
+  CHECK(status->open);
+  CHECK(status->armed_step == 95);
+  CHECK(status->held_step == 95);
+  CHECK_FALSE(DecodeRankStatus("{}"));
+  CHECK_FALSE(DecodeRankStatus("not JSON"));
+  CHECK(DecodeCounts(R"({"epoch":1,"counts":[1,2]})")->totals.size() == 2);
+  CHECK_FALSE(DecodeCounts(R"({"epoch":1,"counts":"x"})"));
+  CHECK(DecodeLists(R"({"epoch":1,"map":{"version":0,"experts":[[1],[2]]}})")
+            ->experts.size() == 2);
+  CHECK(
+      EncodeOrder({.kind = wire::rank_order_kind::kArm,
+                   .term = 4,
+                   .formation = 2,
+                   .version = 9,
+                   .step = 95}) ==
+      R"({"epoch":2,"fencing_token":4,"operation":"arm","step":95,"version":9})");
+  CHECK(ReadShapes(kConfiguration).at("s").experts == 96);
+  CHECK(ReadShapes("not JSON").empty());
+}
+
+}  // namespace
+}  // namespace wisteriaroute::platform
