--- a/src/libwisteriaroute/base/log.cc
+++ b/src/libwisteriaroute/base/log.cc
@@ -1,11 +1,19 @@
 #include "libwisteriaroute/base/log.h"
 
-#include <log4cplus/consoleappender.h>
+#include <log4cplus/appender.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 
+#include <unistd.h>
+
+#include <algorithm>
 #include <memory>
+#include <sstream>
+#include <utility>
+
+#include "libwisteriaroute/base/clock.h"
+#include "libwisteriaroute/base/log_sink.h"
 
 namespace wisteriaroute::base {
 
@@ -16,17 +24,65 @@
   return logger;
 }
 
+// More of one kind says nothing new and costs the requests their time.
+constexpr std::uint64_t kLinesPerSecond = 400;
+
+log_limiter& Limiter() {
+  static log_limiter limiter(kLinesPerSecond);
+  return limiter;
+}
+
+std::uint64_t unwritten_lines = 0;
+
+/** Writes lines to standard output, and drops them rather than wait. */
+class unblocking_appender final : public log4cplus::Appender {
+ public:
+  ~unblocking_appender() override { destructorImpl(); }
+
+  void close() override { closed = true; }
+
+ protected:
+  void append(const log4cplus::spi::InternalLoggingEvent& event) override {
+    std::ostringstream line;
+    layout->formatAndAppend(line, event);
+    if (!WriteWithoutBlocking(STDOUT_FILENO, line.str())) {
+      ++unwritten_lines;
+    }
+  }
+};
+
+/** Whether a line is due; notes first what was left out before. */
+bool Admit(std::string_view event) {
+  if (!Limiter().Admit(event, MonotonicMs())) {
+    return false;
+  }
+  const std::uint64_t dropped =
+      Limiter().TakeDropped() + std::exchange(unwritten_lines, 0);
+  if (dropped > 0) {
+    LOG4CPLUS_WARN(ProcessLogger(),
+                   "log_lines_dropped count=" + std::to_string(dropped));
+  }
+  return true;
+}
+
+// Longer values from outside are cut.
+constexpr std::size_t kMaxValueBytes = 1'024;
+
 bool NeedsQuotes(std::string_view value) {
-  return value.empty() || value.find_first_of(" \"=\n") != value.npos;
+  return value.empty() || value.size() > kMaxValueBytes ||
+         std::ranges::any_of(value, [](unsigned char c) {
+           return c <= ' ' || c == '"' || c == '=';
+         });
 }
 
 std::string Quote(std::string_view value) {
   std::string quoted = "\"";
-  for (const char c : value) {
+  for (const char c : value.substr(0, kMaxValueBytes)) {
     if (c == '"' || c == '\\') {
       quoted += '\\';
     }
-    quoted += c == '\n' ? ' ' : c;
+    // Ids come from outside and must not forge lines.
+    quoted += static_cast<unsigned char>(c) < ' ' ? ' ' : c;
   }
   return quoted + "\"";
 }
@@ -70,8 +126,7 @@
 
 void InitializeLog(std::string_view process_name, std::string_view level) {
   log4cplus::initialize();
-  log4cplus::SharedAppenderPtr appender(
-      new log4cplus::ConsoleAppender(true, true));
+  log4cplus::SharedAppenderPtr appender(new unblocking_appender);
   appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
       "%D{%Y-%m-%dT%H:%M:%S.%q} %p process=" + std::string(process_name) +
       " %m%n"));
@@ -81,11 +136,16 @@
 }
 
 void LogInfo(std::string_view event, std::initializer_list<log_field> fields) {
-  LOG4CPLUS_INFO(ProcessLogger(), FormatLine(event, fields));
+  if (Admit(event)) {
+    LOG4CPLUS_INFO(ProcessLogger(), FormatLine(event, fields));
+  }
 }
 
 void LogFields(std::string_view event,
                std::span<const std::pair<std::string, std::string>> fields) {
+  if (!Admit(event)) {
+    return;
+  }
   std::string line(event);
   for (const auto& [key, value] : fields) {
     AppendField(key, value, line);
@@ -95,11 +155,15 @@
 
 void LogWarning(std::string_view event,
                 std::initializer_list<log_field> fields) {
-  LOG4CPLUS_WARN(ProcessLogger(), FormatLine(event, fields));
+  if (Admit(event)) {
+    LOG4CPLUS_WARN(ProcessLogger(), FormatLine(event, fields));
+  }
 }
 
 void LogError(std::string_view event, std::initializer_list<log_field> fields) {
-  LOG4CPLUS_ERROR(ProcessLogger(), FormatLine(event, fields));
+  if (Admit(event)) {
+    LOG4CPLUS_ERROR(ProcessLogger(), FormatLine(event, fields));
+  }
 }
 
 }  // namespace wisteriaroute::base
--- a/src/libwisteriaroute/base/log.h
+++ b/src/libwisteriaroute/base/log.h
@@ -23,7 +23,10 @@
   std::string value;
 };
 
-/** Sends log lines of this process to standard error. */
+/**
+ * Sends log lines of this process to standard output. Lines that the reader
+ * doesn't take, and many of one kind in a second, are dropped and counted.
+ */
 void InitializeLog(std::string_view process_name, std::string_view level);
 
 /** Writes one line for a change of state: `event key=value ...`. */
--- a/src/libwisteriaroute/net/loop.cc
+++ b/src/libwisteriaroute/net/loop.cc
@@ -1,5 +1,6 @@
 #include "libwisteriaroute/net/loop.h"
 
+#include <csignal>
 #include <stdexcept>
 #include <utility>
 
@@ -39,6 +40,8 @@
   if (ev_ == nullptr) {
     throw std::runtime_error("can't create the event loop");
   }
+  // Writes to closed connections and pipes are reported as errors.
+  std::signal(SIGPIPE, SIG_IGN);
   ev_prepare_init(&prepare_, [](struct ev_loop*, ev_prepare* watcher, int) {
     static_cast<loop*>(watcher->data)->RunPending();
   });
