--- /dev/null
+++ b/tests/control/server_reports_test.cc
@@ -0,0 +1,154 @@
+#include "libwisteriaroute/control/server_reports.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+#include "libwisteriaroute/control/formation.h"
+
+namespace wisteriaroute::control {
+namespace {
+
+constexpr net::link_id kEntryLink = 5;
+constexpr step_time kNow{.now_us = 50'000'000};
+
+wire::report_server Report(std::uint64_t incarnation,
+                           std::uint64_t sequence,
+                           bool leaving = false) {
+  return {.info = {.name = "i-1",
+                   .role = wire::member_role::kServer,
+                   .incarnation = incarnation,
+                   .address = "10.0.0.1:80",
+                   .leaving = leaving,
+                   .backend = {.service = "orders"}},
+          .sequence = sequence};
+}
+
+/** A leader with one entry; collects what the entry is told. */
+struct leader_world {
+  replica_state state;
+  std::vector<wire::member_info> told;
+
+  leader_world() {
+    state.leading.emplace();
+    member_session& entry = state.leading->sessions["entry"];
+    entry.link = kEntryLink;
+    entry.info.name = "entry";
+    state.leading->session_links[kEntryLink] = "entry";
+    state.leading->settled = true;
+  }
+
+  void Take(const wire::report_server& report) {
+    replica_effects out;
+    RecordServer(state, report, kNow, out);
+    for (const replica_effect& effect : out) {
+      const auto* send = std::get_if<send_to_links>(&effect);
+      if (send == nullptr) {
+        continue;
+      }
+      const auto& update = std::get<wire::member_update>(send->message);
+      told.insert(told.end(), update.changed.begin(), update.changed.end());
+    }
+  }
+};
+
+TEST_CASE("entries hear of servers that report themselves") {
+  leader_world w;
+  w.Take(Report(1, 1));
+  REQUIRE(w.told.size() == 1);
+
+  SUBCASE("but not of reports that change nothing") {
+    w.Take(Report(1, 2));
+    CHECK(w.told.size() == 1);
+  }
+
+  SUBCASE("at once when one leaves, before that is acknowledged") {
+    w.Take(Report(1, 2, true));
+    REQUIRE(w.told.size() == 2);
+    CHECK(w.told.back().leaving);
+
+    SUBCASE("which a late report doesn't undo") {
+      w.Take(Report(1, 1));
+      w.Take(Report(1, 3));
+      CHECK(w.told.size() == 2);
+    }
+    SUBCASE("but a new run does, under the same id") {
+      w.Take(Report(2, 1));
+      REQUIRE(w.told.size() == 3);
+      CHECK_FALSE(w.told.back().leaving);
+      SUBCASE("which no report of the old run replaces") {
+        w.Take(Report(1, 9));
+        CHECK(w.told.size() == 3);
+      }
+    }
+  }
+
+  SUBCASE("a goodbye means leaving, too") {
+    w.Take({.info = {.name = "i-1", .role = wire::member_role::kServer},
+            .gone = true});
+    REQUIRE(w.told.size() == 2);
+    CHECK(w.told.back().leaving);
+    CHECK(w.told.back().address == "10.0.0.1:80");
+  }
+}
+
+TEST_CASE("the highest version of a document wins") {
+  config_history history;
+  CHECK_FALSE(PublishDocument(history, {7, "seven"}).repeated);
+
+  SUBCASE("an older one and another content change nothing") {
+    CHECK(PublishDocument(history, {5, "five"}).repeated);
+    CHECK(PublishDocument(history, {7, "other"}).repeated);
+    CHECK(history.revision == 7);
+    CHECK(DocumentBody(history) == "seven");
+  }
+
+  SUBCASE("members that are behind get the newest one whole") {
+    PublishDocument(history, {12, "twelve"});
+    const wire::config_update update = UpdateSince(history, 7);
+    CHECK(update.revision == 12);
+    CHECK(update.base_revision == 0);
+    REQUIRE(update.changed.size() == 1);
+    CHECK(update.changed[0].body == "twelve");
+  }
+
+  SUBCASE("it survives a snapshot") {
+    const control_state state{.config = history};
+    CHECK(DocumentBody(DecodeState(EncodeState(state)).config) == "seven");
+  }
+}
+
+TEST_CASE("replicas form by themselves") {
+  const std::vector<replica_view> three = {
+      {.name = "a", .voter = true},
+      {.name = "b", .voter = true, .silent_ms = 90},
+      {.name = "c", .voter = true, .silent_ms = 9'000}};
+
+  SUBCASE("one that is lost stays while nothing replaces it") {
+    CHECK_FALSE(NextReplicaChange(three, {}, "a", 3));
+  }
+
+  SUBCASE("one that links itself joins") {
+    const std::vector<replica_address> linked = {{"b", "b:1"}, {"d", "d:1"}};
+    const auto change = NextReplicaChange(three, linked, "a", 3);
+    REQUIRE(change);
+    CHECK(change->change == raft::replica_change::kAddLearner);
+    CHECK(change->name == "d");
+    CHECK(change->promote_when_ready);
+  }
+
+  SUBCASE("the lost one goes once another one votes in its place") {
+    std::vector<replica_view> four = three;
+    four.push_back({.name = "d", .voter = false, .silent_ms = 50});
+    CHECK_FALSE(NextReplicaChange(four, {}, "a", 3));
+    four.back().voter = true;
+    const auto change = NextReplicaChange(four, {}, "a", 3);
+    REQUIRE(change);
+    CHECK(change->change == raft::replica_change::kRemove);
+    CHECK(change->name == "c");
+  }
+}
+
+}  // namespace
+}  // namespace wisteriaroute::control
--- a/tests/net/http_test.cc
+++ b/tests/net/http_test.cc
@@ -187,5 +187,87 @@
   CHECK(server.requests() == 2);
 }
 
+/** Sends the same bytes on each connection, whatever is asked. */
+class scripted_server {
+ public:
+  explicit scripted_server(std::string answer)
+      : answer_(std::move(answer)), fd_(OpenListener("127.0.0.1:0")) {
+    address_ = LocalAddress(fd_);
+    fcntl(fd_, F_SETFL, fcntl(fd_, F_GETFL) & ~O_NONBLOCK);
+    thread_ = std::thread([this] {
+      for (int fd = accept(fd_, nullptr, nullptr); fd >= 0;
+           fd = accept(fd_, nullptr, nullptr)) {
+        char buffer[4'096];
+        if (read(fd, buffer, sizeof buffer) > 0) {
+          CHECK(write(fd, answer_.data(), answer_.size()) > 0);
+        }
+        close(fd);
+      }
+    });
+  }
+  ~scripted_server() {
+    shutdown(fd_, SHUT_RDWR);
+    thread_.join();
+    close(fd_);
+  }
+
+  const std::string& address() const { return address_; }
+
+ private:
+  std::string answer_;
+  int fd_;
+  std::string address_;
+  std::thread thread_;
+};
+
+std::string Answer(const std::string& id, const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nx-id: " + id +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
+}
+
+// Guards against a response that belongs to another request.
+TEST_CASE("a response is matched with its request") {
+  loop event_loop;
+  http_client client(event_loop);
+  recorded_response response;
+  const auto ask = [&](const scripted_server& server) {
+    client.Start({.url = "http://" + server.address() + "/",
+                  .headers = {{"x-id", "2"}},
+                  .reuse_connection = true,
+                  .match_header = "x-id"},
+                 RecordInto(response));
+    REQUIRE(RunUntil(event_loop, [&] { return response.done; }));
+  };
+
+  SUBCASE("a late one of an earlier request is discarded") {
+    const scripted_server server(Answer("1", "other") + Answer("2", "mine"));
+    ask(server);
+    CHECK(response.ok);
+    CHECK(response.body == "mine");
+  }
+
+  SUBCASE("one without an id answers nobody") {
+    const scripted_server server("HTTP/1.1 200 OK\r\n\r\nbody");
+    ask(server);
+    CHECK_FALSE(response.ok);
+    CHECK(response.body.empty());
+  }
+
+  SUBCASE("bytes that are no response fail it") {
+    const scripted_server server("what is this\r\n\r\n");
+    ask(server);
+    CHECK_FALSE(response.ok);
+  }
+
+  SUBCASE("one that is cut isn't complete") {
+    std::string answer = Answer("2", "mine");
+    answer.resize(answer.size() - 2);
+    const scripted_server server(answer);
+    ask(server);
+    CHECK_FALSE(response.ok);
+  }
+}
+
 }  // namespace
 }  // namespace wisteriaroute::net
