--- a/src/libwisteriaroute/control/rank_group_drive.cc
+++ b/src/libwisteriaroute/control/rank_group_drive.cc
@@ -239,6 +239,8 @@
       return;
     }
     if (IsStale()) {
+      Note("map_change_outdated", "version " + std::to_string(change.version) +
+                                      ": demand has shifted again");
       Plan();
     } else if (now.now_us - change.since_us > kPrepareLimitUs) {
       Note("map_change_given_up", "not prepared in time");
--- a/src/libwisteriaroute/net/http_server.cc
+++ b/src/libwisteriaroute/net/http_server.cc
@@ -413,7 +413,7 @@
 void http_server::Respond(exchange_id id,
                           unsigned status,
                           const http_headers& headers,
-                          std::string body) {
+                          std::string_view body) {
   connection* target = Find(id);
   if (target == nullptr || target->current != connection::phase::kWaiting) {
     return;
--- a/src/libwisteriaroute/net/http_server.h
+++ b/src/libwisteriaroute/net/http_server.h
@@ -82,7 +82,7 @@
   void Respond(exchange_id id,
                unsigned status,
                const http_headers& headers,
-               std::string body);
+               std::string_view body);
 
   /** Starts a chunked response. */
   void StartStream(exchange_id id,
--- a/src/sidecar/daemon.cc
+++ b/src/sidecar/daemon.cc
@@ -160,24 +160,24 @@
     daemon& self;
 
     void operator()(const poll_status&) const {
-      self.Get(platform::kReportPath, [this_ = &self](auto body) {
+      self.Get(platform::kReportPath, [owner = &self](auto body) {
         const auto status =
             body ? platform::DecodeRankStatus(*body) : std::nullopt;
-        this_->Handle(status_polled{status.has_value(),
+        owner->Handle(status_polled{status.has_value(),
                                     status.value_or(wire::rank_status())});
       });
     }
     void operator()(const poll_counts&) const {
-      self.Get(platform::kCountsPath, [this_ = &self](auto body) {
+      self.Get(platform::kCountsPath, [owner = &self](auto body) {
         const auto counts = body ? platform::DecodeCounts(*body) : std::nullopt;
-        this_->Handle(counts_polled{counts.has_value(),
+        owner->Handle(counts_polled{counts.has_value(),
                                     counts.value_or(expert_counts())});
       });
     }
     void operator()(const poll_lists&) const {
-      self.Get(platform::kListsPath, [this_ = &self](auto body) {
+      self.Get(platform::kListsPath, [owner = &self](auto body) {
         const auto lists = body ? platform::DecodeLists(*body) : std::nullopt;
-        this_->Handle(
+        owner->Handle(
             lists_polled{lists.has_value(), lists.value_or(expert_lists())});
       });
     }
