--- a/src/gateway/daemon.cc
+++ b/src/gateway/daemon.cc
@@ -72,7 +72,7 @@
   ready_.Listen(settings_.listen_ready);
   const std::string callers = callers_.Listen(settings_.listen_http);
   session_.emplace(loop_, hub_, settings_.process.controls, Describe(),
-                   SessionCallbacks());
+                   SessionCallbacks(), settings_.process.learn_controls);
   for (const int signal_number : {SIGTERM, SIGINT}) {
     loop_.OnSignal(signal_number, [this] { Stop(); });
   }
--- a/src/libwisteriaroute/base/process_settings.cc
+++ b/src/libwisteriaroute/base/process_settings.cc
@@ -40,6 +40,7 @@
   if (settings.controls.empty()) {
     reader.Report("controls", "'controls' must name at least one replica");
   }
+  settings.learn_controls = reader.Boolean("learn_controls", false);
   settings.cluster_key_file = reader.Boolean("trusted_network", false)
                                   ? reader.String("cluster_key_file", "")
                                   : reader.RequiredString("cluster_key_file");
--- a/src/libwisteriaroute/base/process_settings.h
+++ b/src/libwisteriaroute/base/process_settings.h
@@ -19,6 +19,11 @@
   std::string advertise;
   /** Link addresses of the control replicas. */
   std::vector<std::string> controls;
+  /**
+   * Whether replicas that aren't among `controls` are dialled when one of them
+   * leads, for platforms that replace hosts by themselves.
+   */
+  bool learn_controls = false;
   /** Empty only on a trusted network: links are then not authenticated. */
   std::string cluster_key_file;
   std::string log_level = "INFO";
--- a/src/libwisteriaroute/member/control_session.cc
+++ b/src/libwisteriaroute/member/control_session.cc
@@ -17,8 +17,10 @@
                                  net::link_hub& hub,
                                  std::span<const std::string> control_addresses,
                                  wire::member_info info,
-                                 control_session_callbacks callbacks)
+                                 control_session_callbacks callbacks,
+                                 bool learn_controls)
     : hub_(hub),
+      learn_controls_(learn_controls),
       callbacks_(std::move(callbacks)),
       tick_(event_loop.ev(), [this] { Handle(session_tick{}); }) {
   state_.info = std::move(info);
@@ -67,7 +69,7 @@
 
 void control_session::DialLeader(const wire::not_leader& refusal) {
   // A replica that has replaced another one isn't in the settings.
-  if (refusal.leader_address.empty() ||
+  if (!learn_controls_ || refusal.leader_address.empty() ||
       !addresses_.insert(refusal.leader_address).second) {
     return;
   }
--- a/src/libwisteriaroute/member/control_session.h
+++ b/src/libwisteriaroute/member/control_session.h
@@ -35,7 +35,8 @@
                   net::link_hub& hub,
                   std::span<const std::string> control_addresses,
                   wire::member_info info,
-                  control_session_callbacks callbacks);
+                  control_session_callbacks callbacks,
+                  bool learn_controls = false);
 
   bool HandleUp(net::link_id link,
                 net::dial_id dial,
@@ -60,6 +61,7 @@
   void Run(const session_effect& effect);
 
   net::link_hub& hub_;
+  bool learn_controls_;
   control_session_callbacks callbacks_;
   session_state state_;
   std::map<net::dial_id, net::link_id> dials_;
--- a/src/sidecar/daemon.cc
+++ b/src/sidecar/daemon.cc
@@ -88,7 +88,7 @@
                                   .region = settings_.process.region,
                                   .data_center = settings_.process.data_center};
   session_.emplace(loop_, hub_, settings_.process.controls, info,
-                   SessionCallbacks());
+                   SessionCallbacks(), settings_.process.learn_controls);
   for (const int signal_number : {SIGTERM, SIGINT}) {
     loop_.OnSignal(signal_number, [this] {
       base::LogInfo("stopping", {});
