--- a/src/libwisteriaroute/net/http_client.cc
+++ b/src/libwisteriaroute/net/http_client.cc
@@ -227,6 +227,9 @@
   target.timeout.Stop();
   if (target.on != nullptr) {
     target.on->current = nullptr;
+    // With a reset a host that doesn't answer now drops what it hasn't read.
+    const linger reset{.l_onoff = 1, .l_linger = 0};
+    setsockopt(target.on->fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
     Destroy(*target.on);
     target.on = nullptr;
   }
