--- a/src/gateway/daemon.cc
+++ b/src/gateway/daemon.cc
@@ -52,7 +52,7 @@
                                 "entry",
                                 incarnation_,
                                 clock_),
-           HubCallbacks()),
+           member::ControlLinks(session_)),
       callers_(event_loop, CallerLimits(settings_), CallerCallbacks()),
       ready_(event_loop,
              {},
@@ -86,26 +86,6 @@
   base::LogInfo("gateway_stopped", {{"name", settings_.process.name}});
 }
 
-net::hub_callbacks daemon::HubCallbacks() {
-  return {.on_up =
-              [this](net::link_id link, net::dial_id dial,
-                     const net::peer_identity& peer) {
-                if (session_->HandleUp(link, dial, peer)) {
-                  base::LogInfo("control_link_up", {{"replica", peer.name}});
-                }
-              },
-          .on_message =
-              [this](net::link_id link, std::string_view body) {
-                session_->HandleMessage(link, body);
-              },
-          .on_down =
-              [this](net::link_id link, std::string_view reason) {
-                if (session_->HandleDown(link)) {
-                  base::LogWarning("control_link_down", {{"reason", reason}});
-                }
-              }};
-}
-
 net::http_server_callbacks daemon::CallerCallbacks() {
   return {.on_request =
               [this](net::exchange_id id, net::http_server_request request) {
@@ -145,6 +125,9 @@
                            net::http_server_request request) {
   if (!settings_.serve_without_quorum &&
       base::MonotonicUs() >= lease_until_us_) {
+    base::LogInfo("request_refused",
+                  {{"request", platform::DecodeRequest(request).id},
+                   {"cause", "lease expired"}});
     Answer({.exchange = exchange, .code = "lease_expired"});
     return;
   }
--- a/src/gateway/daemon.h
+++ b/src/gateway/daemon.h
@@ -32,7 +32,6 @@
  private:
   using request_pointer = std::shared_ptr<const net::http_server_request>;
 
-  net::hub_callbacks HubCallbacks();
   net::http_server_callbacks CallerCallbacks();
   member::control_session_callbacks SessionCallbacks();
   wire::member_info Describe() const;
--- a/src/gateway/main.cc
+++ b/src/gateway/main.cc
@@ -1,15 +1,8 @@
-#include <gflags/gflags.h>
-
-#include <cstdio>
-#include <exception>
 #include <string_view>
 
 #include "gateway/daemon.h"
 #include "libwisteriaroute/base/log.h"
-#include "libwisteriaroute/base/toml_reader.h"
-
-DEFINE_string(settings, "", "settings file (TOML)");
-DEFINE_bool(check_settings, false, "check the settings file and exit");
+#include "libwisteriaroute/base/program.h"
 
 namespace {
 
@@ -35,47 +28,26 @@
 Exit status: 0 stopped as asked, 1 the process failed, 2 wrong settings.
 )";
 
-int Run() {
-  using namespace wisteriaroute;
-  base::findings findings;
-  const gateway::gateway_settings settings = gateway::ParseGatewaySettings(
-      base::ReadFile(FLAGS_settings), FLAGS_settings, findings);
-  for (const base::finding& found : findings) {
-    std::fprintf(stderr, "%s\n", base::ToString(found).c_str());
-  }
-  if (!findings.empty()) {
-    return 2;
-  }
-  if (FLAGS_check_settings) {
-    std::puts("settings are valid");
-    return 0;
-  }
-  base::InitializeLog(settings.process.name, settings.process.log_level);
-  net::loop event_loop;
-  gateway::daemon daemon(event_loop, settings);
-  daemon.Run();
-  return 0;
-}
-
 }  // namespace
 
 int main(int argc, char** argv) {
-  for (int i = 1; i < argc; ++i) {
-    const std::string_view argument = argv[i];
-    if (argument == "--help" || argument == "-h" || argument == "-help") {
-      std::fputs(kHelp.data(), stdout);
-      return 0;
-    }
-  }
-  gflags::ParseCommandLineFlags(&argc, &argv, true);
-  if (FLAGS_settings.empty()) {
-    std::fputs("--settings FILE is required; see --help\n", stderr);
-    return 2;
-  }
-  try {
-    return Run();
-  } catch (const std::exception& error) {
-    std::fprintf(stderr, "wisteriaroute-gateway: %s\n", error.what());
-    return 1;
-  }
+  using namespace wisteriaroute;
+  gateway::gateway_settings settings;
+  return base::RunProgram(
+      argc, argv,
+      {.name = "wisteriaroute-gateway",
+       .help = kHelp,
+       .read_settings =
+           [&](std::string_view text, std::string_view file,
+               base::findings& out) {
+             settings = gateway::ParseGatewaySettings(text, file, out);
+           },
+       .run =
+           [&] {
+             base::InitializeLog(settings.process.name,
+                                 settings.process.log_level);
+             net::loop event_loop;
+             gateway::daemon daemon(event_loop, settings);
+             daemon.Run();
+           }});
 }
--- a/src/libwisteriaroute/member/control_session.cc
+++ b/src/libwisteriaroute/member/control_session.cc
@@ -130,4 +130,24 @@
   std::visit(runner{*this}, effect);
 }
 
+net::hub_callbacks ControlLinks(std::optional<control_session>& session) {
+  return {.on_up =
+              [&session](net::link_id link, net::dial_id dial,
+                         const net::peer_identity& peer) {
+                if (session->HandleUp(link, dial, peer)) {
+                  base::LogInfo("control_link_up", {{"replica", peer.name}});
+                }
+              },
+          .on_message =
+              [&session](net::link_id link, std::string_view body) {
+                session->HandleMessage(link, body);
+              },
+          .on_down =
+              [&session](net::link_id link, std::string_view reason) {
+                if (session->HandleDown(link)) {
+                  base::LogWarning("control_link_down", {{"reason", reason}});
+                }
+              }};
+}
+
 }  // namespace wisteriaroute::member
--- a/src/libwisteriaroute/member/control_session.h
+++ b/src/libwisteriaroute/member/control_session.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -70,6 +71,12 @@
   net::timer tick_;
 };
 
+/**
+ * Callbacks of a hub whose links all belong to the session, which may be made
+ * later. Links that are gained and lost are logged.
+ */
+net::hub_callbacks ControlLinks(std::optional<control_session>& session);
+
 }  // namespace wisteriaroute::member
 
 #endif  // LIBWISTERIAROUTE_MEMBER_CONTROL_SESSION_H_
--- a/src/libwisteriaroute/net/http_server.cc
+++ b/src/libwisteriaroute/net/http_server.cc
@@ -227,14 +227,12 @@
     body_bytes_ += parser.body.size() - from.counted_bytes;
     from.counted_bytes = parser.body.size();
     if (fed.failed) {
-      RefuseInput(from, fed.limit_status != 0 ? fed.limit_status : kBadRequest);
+      RefuseInput(from, fed.limit_status != 0 ? fed.limit_status : kBadRequest,
+                  fed.error);
       return;
     }
     if (body_bytes_ > limits_.total_body_bytes) {
-      base::LogWarning("request_refused",
-                       {{"cause", "memory of request bodies"},
-                        {"bytes", std::uint64_t{body_bytes_}}});
-      RefuseInput(from, kUnavailable);
+      RefuseInput(from, kUnavailable, "memory of request bodies");
       return;
     }
     if (parser.is_done()) {
@@ -270,7 +268,11 @@
   callbacks_.on_request(from.exchange, std::move(request));
 }
 
-void http_server::RefuseInput(connection& from, unsigned status) {
+void http_server::RefuseInput(connection& from,
+                              unsigned status,
+                              std::string_view cause) {
+  base::LogInfo("input_refused",
+                {{"status", std::uint64_t{status}}, {"cause", cause}});
   body_bytes_ -= std::exchange(from.counted_bytes, 0);
   from.parser.reset();
   from.in.clear();
@@ -384,7 +386,7 @@
   }
   for (connection* one : late) {
     if (one->current == connection::phase::kReceiving) {
-      RefuseInput(*one, kRequestTimeout);
+      RefuseInput(*one, kRequestTimeout, "not received in time");
     } else {
       Destroy(*one);
     }
--- a/src/libwisteriaroute/net/http_server.h
+++ b/src/libwisteriaroute/net/http_server.h
@@ -108,7 +108,8 @@
   void HandleReadable(connection& from);
   void Parse(connection& from);
   void Dispatch(connection& from);
-  void RefuseInput(connection& from, unsigned status);
+  /** Answers a request that can't be received, and ends its connection. */
+  void RefuseInput(connection& from, unsigned status, std::string_view cause);
   void WriteHead(connection& to, unsigned status, const http_headers& headers);
   void Flush(connection& to);
   void UpdateWatcher(connection& of);
--- a/src/sidecar/daemon.cc
+++ b/src/sidecar/daemon.cc
@@ -74,7 +74,7 @@
                                 "sidecar",
                                 incarnation_,
                                 clock_),
-           HubCallbacks()),
+           member::ControlLinks(session_)),
       server_(event_loop),
       tick_(event_loop.ev(), [this] { Handle(sidecar_tick{}); }) {
   state_.service = settings_.service;
@@ -107,26 +107,6 @@
   base::LogInfo("sidecar_stopped", {{"name", settings_.process.name}});
 }
 
-net::hub_callbacks daemon::HubCallbacks() {
-  return {.on_up =
-              [this](net::link_id link, net::dial_id dial,
-                     const net::peer_identity& peer) {
-                if (session_->HandleUp(link, dial, peer)) {
-                  base::LogInfo("control_link_up", {{"replica", peer.name}});
-                }
-              },
-          .on_message =
-              [this](net::link_id link, std::string_view body) {
-                session_->HandleMessage(link, body);
-              },
-          .on_down =
-              [this](net::link_id link, std::string_view reason) {
-                if (session_->HandleDown(link)) {
-                  base::LogWarning("control_link_down", {{"reason", reason}});
-                }
-              }};
-}
-
 member::control_session_callbacks daemon::SessionCallbacks() {
   return {
       .on_message =
--- a/src/sidecar/daemon.h
+++ b/src/sidecar/daemon.h
@@ -39,7 +39,6 @@
   void Run();
 
  private:
-  net::hub_callbacks HubCallbacks();
   member::control_session_callbacks SessionCallbacks();
   void Handle(sidecar_event event);
   void Run(const sidecar_effect& effect);
