--- a/src/control/daemon.cc
+++ b/src/control/daemon.cc
@@ -5,6 +5,7 @@
 
 #include "libwisteriaroute/base/digest.h"
 #include "libwisteriaroute/base/log.h"
+#include "libwisteriaroute/member/process_reload.h"
 #include "libwisteriaroute/net/link_context.h"
 
 namespace wisteriaroute::control {
@@ -19,10 +20,7 @@
 
 }  // namespace
 
-daemon::daemon(net::loop& event_loop,
-               control_settings settings,
-               api_decoder decode_api,
-               shape_reader read_shapes)
+daemon::daemon(net::loop& event_loop, control_settings settings)
     : event_loop_(event_loop),
       settings_(std::move(settings)),
       incarnation_(base::RandomU64()),
@@ -47,7 +45,8 @@
             {.on_effect =
                  [this](const raft::effect& effect) { HandleRaft(effect); },
              .on_failed = [this](const std::string& reason) { Fail(reason); }}),
-      decode_api_(std::move(decode_api)),
+      protocol_(protocol::Select(settings_.process.protocol)),
+      metrics_server_(event_loop, [this] { return RenderMetrics(); }),
       tick_(event_loop.ev(), [this] { Post(replica_tick{}); }),
       report_(event_loop.ev(), [this] { ReportReplicas(); }),
       shutdown_(event_loop.ev(), [this] {
@@ -56,12 +55,16 @@
         }
       }) {
   state_.options.incarnation = incarnation_;
-  state_.options.read_shapes = read_shapes;
+  state_.options.decode_traffic = [this](std::string_view document,
+                                         base::findings& out) {
+    return DecodeTraffic(protocol_, document, out);
+  };
   state_.options.max_pending_proposals =
       static_cast<std::size_t>(settings_.max_pending_proposals);
 }
 
 void daemon::Start() {
+  base::SetLogClock(&clock_);
   if (const raft::snapshot* stored = raft_.stored_snapshot()) {
     state_.durable = DecodeState(*stored->data);
     state_.applied_index = stored->last_index;
@@ -74,17 +77,26 @@
                             {"applied_index", state_.applied_index},
                             {"term", raft_.state().hard.term}});
   StartHttp();
-  wire::replica_list initial;
-  for (const replica_address& replica : settings_.replicas) {
-    initial.push_back({.name = replica.name, .address = replica.address});
-  }
-  DialReplicas(initial);
+  reload_.emplace(event_loop_, settings_.process.file,
+                  [this](std::string_view text, base::findings& out) {
+                    return Reload(text, out);
+                  });
+  metrics_server_.Listen(settings_.process.listen_metrics);
+  DialReplicas(ListedReplicas());
   DialReplicas(raft::Replicas(raft_.state()));
   raft_.Start();
   tick_.Start(kReplicaTickUs, kReplicaTickUs);
   report_.Start(kReportPeriodUs, kReportPeriodUs);
 }
 
+wire::replica_list daemon::ListedReplicas() const {
+  wire::replica_list listed;
+  for (const replica_address& replica : settings_.replicas) {
+    listed.push_back({.name = replica.name, .address = replica.address});
+  }
+  return listed;
+}
+
 void daemon::Shutdown() {
   if (shutdown_until_us_ != 0) {
     return;
@@ -180,6 +192,52 @@
   }
 }
 
+net::restart_list daemon::Reload(std::string_view text, base::findings& out) {
+  control_settings next =
+      ParseControlSettings(text, settings_.process.file, out);
+  if (!out.empty()) {
+    return {};
+  }
+  net::restart_list restart =
+      member::ReloadProcess(settings_.process, next.process);
+  if (next.data_dir != settings_.data_dir) {
+    restart.emplace_back("data_dir");
+  }
+  if (next.listen_http != settings_.listen_http) {
+    restart.emplace_back("listen_http");
+  }
+  settings_.snapshot_entries = next.snapshot_entries;
+  settings_.kept_entries = next.kept_entries;
+  settings_.max_pending_proposals = next.max_pending_proposals;
+  settings_.join_automatically = next.join_automatically;
+  settings_.replicas = std::move(next.replicas);
+  state_.options.max_pending_proposals =
+      static_cast<std::size_t>(settings_.max_pending_proposals);
+  DialReplicas(ListedReplicas());
+  return restart;
+}
+
+std::string daemon::RenderMetrics() {
+  const raft::raft_state& raft = raft_.state();
+  metrics_.Set("wisteriaroute_leading",
+               raft.current_role == raft::role::kLeader ? 1 : 0);
+  metrics_.Set("wisteriaroute_term", static_cast<double>(raft.hard.term));
+  metrics_.Set("wisteriaroute_applied_index",
+               static_cast<double>(state_.applied_index));
+  metrics_.Set("wisteriaroute_synced_index",
+               static_cast<double>(raft.synced_index));
+  metrics_.Set("wisteriaroute_replicas",
+               static_cast<double>(raft::Replicas(raft).size()));
+  metrics_.Set("wisteriaroute_links", static_cast<double>(peers_.size()));
+  metrics_.Set("wisteriaroute_calls_waiting",
+               static_cast<double>(calls_.size()));
+  metrics_.Set("wisteriaroute_malformed_messages",
+               static_cast<double>(malformed_messages_));
+  metrics_.Set("wisteriaroute_log_lines_dropped",
+               static_cast<double>(base::DroppedLogLines()));
+  return metrics_.Render();
+}
+
 void daemon::Fail(const std::string& reason) {
   failure_ = reason;
   base::LogError("failed", {{"cause", reason}});
--- a/src/control/daemon.h
+++ b/src/control/daemon.h
@@ -12,10 +12,14 @@
 #include "control/raft_runner.h"
 #include "libwisteriaroute/base/event_ring.h"
 #include "libwisteriaroute/base/hlc.h"
+#include "libwisteriaroute/base/metrics.h"
 #include "libwisteriaroute/control/replica.h"
 #include "libwisteriaroute/control/settings.h"
 #include "libwisteriaroute/net/link_hub.h"
 #include "libwisteriaroute/net/loop.h"
+#include "libwisteriaroute/net/metrics_server.h"
+#include "libwisteriaroute/net/settings_reload.h"
+#include "protocol/protocol.h"
 
 namespace wisteriaroute::control {
 
@@ -26,10 +30,7 @@
 class daemon {
  public:
   /** Opens the data directory. Throws if it is damaged or in use. */
-  daemon(net::loop& event_loop,
-         control_settings settings,
-         api_decoder decode_api,
-         shape_reader read_shapes);
+  daemon(net::loop& event_loop, control_settings settings);
 
   /** Accepts links and joins the other replicas. */
   void Start();
@@ -46,6 +47,8 @@
   void HandleMessage(net::link_id link, std::string_view body);
   void HandleDown(net::link_id link);
   void DialReplicas(const wire::replica_list& replicas);
+  /** The replicas that the settings name. */
+  wire::replica_list ListedReplicas() const;
   void SendToReplica(const std::string& name, std::string body);
 
   // The log.
@@ -72,6 +75,8 @@
                   const net::http_server_request& request);
   void AnswerCall(const wire::admin_reply& reply);
 
+  net::restart_list Reload(std::string_view text, base::findings& out);
+  std::string RenderMetrics();
   void Fail(const std::string& reason);
   bool HandOver();
 
@@ -83,10 +88,20 @@
   net::link_hub hub_;
   raft_runner raft_;
   replica_state state_;
-  api_decoder decode_api_;
+  protocol::any_protocol protocol_;
+  std::optional<net::settings_reload> reload_;
+  base::metrics metrics_;
+  net::metrics_server metrics_server_;
   std::optional<net::http_server> http_;
-  /** Targets of the calls that wait for an answer, for redirections. */
-  std::map<net::exchange_id, std::string> calls_;
+  /** A call over HTTP that waits for its answer. */
+  struct waiting_call {
+    /** Path and query, for redirections. */
+    std::string target;
+    /** Whether the answer is the published document. */
+    bool reads_document = false;
+  };
+
+  std::map<net::exchange_id, waiting_call> calls_;
   net::timer tick_;
   net::timer report_;
   net::timer shutdown_;
--- a/src/control/daemon_effects.cc
+++ b/src/control/daemon_effects.cc
@@ -87,6 +87,7 @@
 void daemon::Note(base::timeline_event event) {
   event.hlc = clock_.Tick(base::WallMs());
   event.process = settings_.process.name;
+  metrics_.Count("wisteriaroute_events_total{kind=\"" + event.kind + "\"}");
   if (!event.group.empty()) {
     base::LogInfo(event.kind,
                   {{"group", event.group}, {"detail", event.detail}});
--- a/src/control/daemon_http.cc
+++ b/src/control/daemon_http.cc
@@ -50,7 +50,8 @@
 
 void daemon::HandleCall(net::exchange_id exchange,
                         const net::http_server_request& request) {
-  calls_[exchange] = request.path + request.query;
+  waiting_call& waiting = calls_[exchange];
+  waiting.target = request.path + request.query;
   if (!state_.leading) {
     AnswerCall({.correlation = exchange,
                 .result = wire::admin_result::kNotLeader,
@@ -58,17 +59,19 @@
                 .message = state_.leader_address});
     return;
   }
-  api_call call = decode_api_(request);
+  api_call call = DecodeControlCall(protocol_, request);
   if (const auto* refusal = std::get_if<api_refusal>(&call)) {
-    base::LogInfo("call_refused", {{"target", calls_[exchange]},
+    base::LogInfo("call_refused", {{"target", waiting.target},
                                    {"status", std::uint64_t{refusal->status}},
                                    {"code", refusal->code},
                                    {"cause", refusal->message}});
     calls_.erase(exchange);
+    metrics_.Count("wisteriaroute_calls_total{result=\"refused\"}");
     http_->Respond(exchange, refusal->status, JsonHeaders(),
                    ErrorJson(refusal->code, refusal->message));
     return;
   }
+  waiting.reads_document = std::holds_alternative<wire::get_document>(call);
   std::visit(
       [&]<typename Call>(Call& accepted) {
         if constexpr (!std::is_same_v<Call, api_refusal>) {
@@ -87,14 +90,26 @@
   const net::exchange_id exchange = reply.correlation;
   switch (reply.result) {
     case wire::admin_result::kOk:
-      http_->Respond(exchange, kOk, JsonHeaders(),
-                     reply.json.empty() ? "{}" : reply.json);
+      metrics_.Count("wisteriaroute_calls_total{result=\"done\"}");
+      http_->Respond(
+          exchange, kOk,
+          node.mapped().reads_document
+              ? net::http_headers{{"Content-Type",
+                                   std::string(DocumentType(protocol_))}}
+              : JsonHeaders(),
+          reply.json.empty() ? "{}" : reply.json);
       return;
     case wire::admin_result::kRefused:
+      metrics_.Count("wisteriaroute_calls_total{result=\"refused\"}");
+      base::LogInfo("call_refused", {{"target", node.mapped().target},
+                                     {"status", std::uint64_t{kBadRequest}},
+                                     {"code", reply.code},
+                                     {"cause", reply.message}});
       http_->Respond(exchange, kBadRequest, JsonHeaders(),
                      ErrorJson(reply.code, reply.message));
       return;
     case wire::admin_result::kNotLeader: {
+      metrics_.Count("wisteriaroute_calls_total{result=\"not_leader\"}");
       if (reply.message.empty() ||
           reply.message == settings_.process.advertise) {
         break;
@@ -104,13 +119,14 @@
           settings_.listen_http.substr(settings_.listen_http.rfind(':'));
       net::http_headers headers = JsonHeaders();
       headers.emplace_back("Location", "http://" + base::HostOf(reply.message) +
-                                           port + node.mapped());
+                                           port + node.mapped().target);
       http_->Respond(exchange, kTemporaryRedirect, headers, "{}");
       return;
     }
     case wire::admin_result::kUnavailable:
       break;
   }
+  metrics_.Count("wisteriaroute_calls_total{result=\"unavailable\"}");
   http_->Respond(exchange, kUnavailable, JsonHeaders(),
                  ErrorJson("unavailable", "no leader is known; ask again"));
 }
--- a/src/control/main.cc
+++ b/src/control/main.cc
@@ -10,8 +10,6 @@
 #include "libwisteriaroute/base/log.h"
 #include "libwisteriaroute/base/toml_reader.h"
 #include "libwisteriaroute/control/settings.h"
-#include "platform/control_calls.h"
-#include "platform/ranks.h"
 
 DEFINE_string(settings, "", "TOML settings file (required)");
 DEFINE_bool(check_settings, false, "check the settings file and exit");
@@ -50,11 +48,7 @@
 int RunDaemon(control::control_settings settings) {
   base::InitializeLog(settings.process.name, settings.process.log_level);
   net::loop event_loop;
-  control::daemon daemon(event_loop, std::move(settings),
-                         platform::DecodeControlCall, platform::ReadShapes);
-  event_loop.OnSignal(SIGHUP, [] {
-    base::LogInfo("reload", {{"result", "settings are read at a start"}});
-  });
+  control::daemon daemon(event_loop, std::move(settings));
   event_loop.OnSignal(SIGTERM, [&] { daemon.Shutdown(); });
   event_loop.OnSignal(SIGINT, [&] { daemon.Shutdown(); });
   daemon.Start();
--- a/src/entry/daemon.cc
+++ b/src/entry/daemon.cc
@@ -53,6 +53,7 @@
 }
 
 void daemon::Run() {
+  base::SetLogClock(&clock_);
   const std::string links = hub_.Listen(settings_.process.listen);
   const std::string callers = http_.Listen(settings_.entry.listen_http);
   session_.emplace(loop_, hub_, settings_.process.controls, Describe(),
--- a/src/gateway/daemon.cc
+++ b/src/gateway/daemon.cc
@@ -7,9 +7,8 @@
 
 #include "libwisteriaroute/base/digest.h"
 #include "libwisteriaroute/base/log.h"
+#include "libwisteriaroute/member/process_reload.h"
 #include "libwisteriaroute/net/link_context.h"
-#include "platform/configuration.h"
-#include "platform/requests.h"
 
 namespace wisteriaroute::gateway {
 
@@ -46,6 +45,7 @@
 daemon::daemon(net::loop& event_loop, gateway_settings settings)
     : loop_(event_loop),
       settings_(std::move(settings)),
+      protocol_(protocol::Select(settings_.process.protocol)),
       incarnation_(base::RandomU64()),
       hub_(net::MakeLinkContext(event_loop,
                                 settings_.process,
@@ -61,6 +61,7 @@
                     HandleReady(id);
                   }}),
       servers_(event_loop),
+      metrics_server_(event_loop, [this] { return RenderMetrics(); }),
       tick_(event_loop.ev(), [this] { Handle(gateway_tick{}); }),
       drain_(event_loop.ev(), [this] { CheckDrained(); }) {
   state_.options = settings_.options;
@@ -68,6 +69,7 @@
 }
 
 void daemon::Run() {
+  base::SetLogClock(&clock_);
   const std::string links = hub_.Listen(settings_.process.listen);
   ready_.Listen(settings_.listen_ready);
   const std::string callers = callers_.Listen(settings_.listen_http);
@@ -76,9 +78,11 @@
   for (const int signal_number : {SIGTERM, SIGINT}) {
     loop_.OnSignal(signal_number, [this] { Stop(); });
   }
-  loop_.OnSignal(SIGHUP, [] {
-    base::LogInfo("reload", {{"result", "settings are read at a start"}});
-  });
+  reload_.emplace(loop_, settings_.process.file,
+                  [this](std::string_view text, base::findings& out) {
+                    return Reload(text, out);
+                  });
+  metrics_server_.Listen(settings_.process.listen_metrics);
   base::LogInfo(
       "gateway_started",
       {{"name", settings_.process.name}, {"http", callers}, {"links", links}});
@@ -126,12 +130,12 @@
   if (!settings_.serve_without_quorum &&
       base::MonotonicUs() >= lease_until_us_) {
     base::LogInfo("request_refused",
-                  {{"request", platform::DecodeRequest(request).id},
+                  {{"request", request.Header(Headers(protocol_).request_id)},
                    {"cause", "lease expired"}});
     Answer({.exchange = exchange, .code = "lease_expired"});
     return;
   }
-  caller_request decoded = platform::DecodeRequest(request);
+  caller_request decoded = DecodeRequest(Headers(protocol_), request);
   requests_[exchange] =
       std::make_shared<const net::http_server_request>(std::move(request));
   Handle(request_arrived{exchange, std::move(decoded)});
@@ -155,8 +159,7 @@
     return;
   }
   base::findings findings;
-  auto set =
-      platform::DecodeConfiguration(update.changed.front().body, findings);
+  auto set = DecodeTraffic(protocol_, update.changed.front().body, findings);
   if (!set) {
     base::LogError("configuration_unreadable",
                    {{"revision", update.revision},
@@ -164,15 +167,21 @@
     return;
   }
   revision_ = update.revision;
-  const config::caller_limits& limits = set->limits;
-  net::http_server_limits http = CallerLimits(settings_);
-  http.header_bytes = static_cast<std::size_t>(limits.header_bytes);
-  http.body_bytes = static_cast<std::size_t>(limits.body_bytes);
-  http.header_timeout_ms = limits.header_timeout_ms;
-  http.idle_timeout_ms = limits.idle_timeout_ms;
-  callers_.SetLimits(http);
   Handle(traffic_published{
       std::make_shared<const config::traffic_index>(std::move(*set))});
+  SetCallerLimits();
+}
+
+void daemon::SetCallerLimits() {
+  net::http_server_limits http = CallerLimits(settings_);
+  if (state_.traffic != nullptr) {
+    const config::caller_limits& limits = state_.traffic->set().limits;
+    http.header_bytes = static_cast<std::size_t>(limits.header_bytes);
+    http.body_bytes = static_cast<std::size_t>(limits.body_bytes);
+    http.header_timeout_ms = limits.header_timeout_ms;
+    http.idle_timeout_ms = limits.idle_timeout_ms;
+  }
+  callers_.SetLimits(http);
 }
 
 void daemon::Handle(gateway_event event) {
@@ -231,6 +240,12 @@
     void operator()(const note& line) const {
       base::LogFields(line.event, line.fields);
     }
+    void operator()(const count& counted) const {
+      self.metrics_.Count(counted.series);
+    }
+    void operator()(const measure& measured) const {
+      self.metrics_.Latency(measured.name, measured.latency_us);
+    }
   };
   std::visit(visitor{*this}, effect);
 }
@@ -245,15 +260,16 @@
   transfers_[id] = servers_.Start(
       {.method = original.method,
        .url = "http://" + attempt.address + original.path + original.query,
-       .headers = platform::AttemptHeaders(original, attempt.terms),
+       .headers = AttemptHeaders(Headers(protocol_), original, attempt.terms),
        .body = original.body,
        .connect_timeout_ms = kConnectTimeoutMs,
        .reuse_connection = true,
        .max_idle_ms = attempt.may_use_idle ? kMaxIdleMs : kFreshIdleMs,
-       .match_header = platform::kMatchHeader},
+       .match_header = std::string(Headers(protocol_).request_id)},
       {.on_head =
            [this, id](unsigned status, const net::http_headers& headers) {
-             Handle(attempt_head{id, platform::DecodeHead(status, headers)});
+             Handle(attempt_head{
+                 id, DecodeHead(Headers(protocol_), status, headers)});
            },
        .on_data =
            [this, id](std::string_view data) {
@@ -290,6 +306,46 @@
   }
 }
 
+net::restart_list daemon::Reload(std::string_view text, base::findings& out) {
+  const gateway_settings next =
+      ParseGatewaySettings(text, settings_.process.file, out);
+  if (!out.empty()) {
+    return {};
+  }
+  net::restart_list restart =
+      member::ReloadProcess(settings_.process, next.process);
+  session_->SetControls(settings_.process.controls);
+  if (next.listen_http != settings_.listen_http) {
+    restart.emplace_back("listen_http");
+  }
+  if (next.listen_ready != settings_.listen_ready) {
+    restart.emplace_back("listen_ready");
+  }
+  settings_.max_connections = next.max_connections;
+  settings_.serve_without_quorum = next.serve_without_quorum;
+  settings_.settle_ms = next.settle_ms;
+  settings_.drain_limit_ms = next.drain_limit_ms;
+  settings_.options = next.options;
+  SetCallerLimits();
+  Handle(options_changed{next.options});
+  return restart;
+}
+
+std::string daemon::RenderMetrics() {
+  const base::time_us now_us = base::MonotonicUs();
+  ReportGauges(state_, now_us, metrics_);
+  metrics_.Set("wisteriaroute_ready", IsReadyNow() ? 1 : 0);
+  metrics_.Set("wisteriaroute_caller_connections",
+               static_cast<double>(callers_.connection_count()));
+  metrics_.Set("wisteriaroute_server_connections_made",
+               static_cast<double>(servers_.connections_made()));
+  metrics_.Set("wisteriaroute_lease_left_seconds",
+               static_cast<double>(lease_until_us_ - now_us) / 1e6);
+  metrics_.Set("wisteriaroute_log_lines_dropped",
+               static_cast<double>(base::DroppedLogLines()));
+  return metrics_.Render();
+}
+
 bool daemon::IsReadyNow() const {
   const bool leased =
       settings_.serve_without_quorum || base::MonotonicUs() < lease_until_us_;
--- a/src/gateway/daemon.h
+++ b/src/gateway/daemon.h
@@ -9,12 +9,16 @@
 
 #include "gateway/settings.h"
 #include "libwisteriaroute/base/hlc.h"
+#include "libwisteriaroute/base/metrics.h"
 #include "libwisteriaroute/gateway/gateway.h"
 #include "libwisteriaroute/member/control_session.h"
 #include "libwisteriaroute/net/http_client.h"
 #include "libwisteriaroute/net/http_server.h"
 #include "libwisteriaroute/net/link_hub.h"
 #include "libwisteriaroute/net/loop.h"
+#include "libwisteriaroute/net/metrics_server.h"
+#include "libwisteriaroute/net/settings_reload.h"
+#include "protocol/protocol.h"
 
 namespace wisteriaroute::gateway {
 
@@ -41,6 +45,7 @@
   void HandleReady(net::exchange_id exchange);
   void HandleControl(const wire::control_message& message);
   void HandleDocument(const wire::config_update& update);
+  void SetCallerLimits();
 
   void Handle(gateway_event event);
   void Run(const gateway_effect& effect);
@@ -48,6 +53,10 @@
   void Answer(const refuse& answer);
   void Write(const write_stream& piece);
 
+  /** Puts changed settings into force. */
+  net::restart_list Reload(std::string_view text, base::findings& out);
+  std::string RenderMetrics();
+
   bool IsReadyNow() const;
   void UpdateSession();
   void Stop();
@@ -55,6 +64,7 @@
 
   net::loop& loop_;
   gateway_settings settings_;
+  protocol::any_protocol protocol_;
   std::uint64_t incarnation_;
   base::hybrid_clock clock_;
   net::link_hub hub_;
@@ -62,6 +72,9 @@
   net::http_server ready_;
   net::http_client servers_;
   std::optional<member::control_session> session_;
+  std::optional<net::settings_reload> reload_;
+  base::metrics metrics_;
+  net::metrics_server metrics_server_;
   gateway_state state_;
   std::deque<gateway_event> events_;
   bool running_ = false;
--- a/src/libwisteriaroute/base/digest.cc
+++ b/src/libwisteriaroute/base/digest.cc
@@ -6,6 +6,7 @@
 #include <openssl/rand.h>
 #include <openssl/sha.h>
 #include <xxhash.h>
+#include <charconv>
 
 #include <array>
 #include <cstring>
@@ -51,6 +52,22 @@
   return HexEncode(AsText(Sha256(data)));
 }
 
+std::optional<digest128> ParseSha256Hex(std::string_view text) {
+  constexpr std::size_t kSha256Digits = 64;
+  constexpr std::size_t kHalfDigits = 16;
+  constexpr int kBase = 16;
+  const bool valid = text.size() == kSha256Digits &&
+                     text.find_first_not_of("0123456789abcdef") == text.npos;
+  if (!valid) {
+    return std::nullopt;
+  }
+  digest128 digest;
+  std::from_chars(text.data(), text.data() + kHalfDigits, digest.high, kBase);
+  std::from_chars(text.data() + kHalfDigits, text.data() + 2 * kHalfDigits,
+                  digest.low, kBase);
+  return digest;
+}
+
 std::string HmacSha256(std::string_view key, std::string_view data) {
   sha256_bytes result{};
   unsigned int length = 0;
--- a/src/libwisteriaroute/base/digest.h
+++ b/src/libwisteriaroute/base/digest.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -37,6 +38,9 @@
 
 std::string HexEncode(std::string_view bytes);
 
+/** The digest of Digest128 from the text of Sha256Hex, if it is one. */
+std::optional<digest128> ParseSha256Hex(std::string_view text);
+
 /** 32 hexadecimal digits. */
 std::string ToString(const digest128& digest);
 
--- a/src/libwisteriaroute/base/log.cc
+++ b/src/libwisteriaroute/base/log.cc
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <memory>
 #include <sstream>
 #include <utility>
@@ -33,6 +34,8 @@
 }
 
 std::uint64_t unwritten_lines = 0;
+std::uint64_t dropped_lines = 0;
+hybrid_clock* line_clock = nullptr;
 
 /** Writes lines to standard output, and drops them rather than wait. */
 class unblocking_appender final : public log4cplus::Appender {
@@ -52,13 +55,17 @@
 };
 
 /** Whether a line is due; notes first what was left out before. */
-bool Admit(std::string_view event) {
+bool Admit(std::string_view event, log4cplus::LogLevel level) {
+  if (!ProcessLogger().isEnabledFor(level)) {
+    return false;
+  }
   if (!Limiter().Admit(event, MonotonicMs())) {
     return false;
   }
   const std::uint64_t dropped =
       Limiter().TakeDropped() + std::exchange(unwritten_lines, 0);
   if (dropped > 0) {
+    dropped_lines += dropped;
     LOG4CPLUS_WARN(ProcessLogger(),
                    "log_lines_dropped count=" + std::to_string(dropped));
   }
@@ -100,9 +107,18 @@
   }
 }
 
+std::string StartLine(std::string_view event) {
+  std::string line;
+  if (line_clock != nullptr) {
+    line = "hlc=" + std::to_string(line_clock->Tick(WallMs())) + " ";
+  }
+  line += event;
+  return line;
+}
+
 std::string FormatLine(std::string_view event,
                        std::initializer_list<log_field> fields) {
-  std::string line(event);
+  std::string line = StartLine(event);
   for (const log_field& field : fields) {
     AppendField(field.key, field.value, line);
   }
@@ -131,22 +147,40 @@
       "%D{%Y-%m-%dT%H:%M:%S.%q} %p process=" + std::string(process_name) +
       " %m%n"));
   ProcessLogger().addAppender(appender);
+  SetLogLevel(level);
+}
+
+bool IsLogLevel(std::string_view level) {
+  constexpr std::array<std::string_view, 4> kLevels = {"DEBUG", "INFO", "WARN",
+                                                       "ERROR"};
+  return std::ranges::find(kLevels, level) != kLevels.end();
+}
+
+void SetLogLevel(std::string_view level) {
   ProcessLogger().setLogLevel(
       log4cplus::getLogLevelManager().fromString(std::string(level)));
 }
 
+void SetLogClock(hybrid_clock* clock) {
+  line_clock = clock;
+}
+
+std::uint64_t DroppedLogLines() {
+  return dropped_lines;
+}
+
 void LogInfo(std::string_view event, std::initializer_list<log_field> fields) {
-  if (Admit(event)) {
+  if (Admit(event, log4cplus::INFO_LOG_LEVEL)) {
     LOG4CPLUS_INFO(ProcessLogger(), FormatLine(event, fields));
   }
 }
 
 void LogFields(std::string_view event,
                std::span<const std::pair<std::string, std::string>> fields) {
-  if (!Admit(event)) {
+  if (!Admit(event, log4cplus::INFO_LOG_LEVEL)) {
     return;
   }
-  std::string line(event);
+  std::string line = StartLine(event);
   for (const auto& [key, value] : fields) {
     AppendField(key, value, line);
   }
@@ -155,13 +189,13 @@
 
 void LogWarning(std::string_view event,
                 std::initializer_list<log_field> fields) {
-  if (Admit(event)) {
+  if (Admit(event, log4cplus::WARN_LOG_LEVEL)) {
     LOG4CPLUS_WARN(ProcessLogger(), FormatLine(event, fields));
   }
 }
 
 void LogError(std::string_view event, std::initializer_list<log_field> fields) {
-  if (Admit(event)) {
+  if (Admit(event, log4cplus::ERROR_LOG_LEVEL)) {
     LOG4CPLUS_ERROR(ProcessLogger(), FormatLine(event, fields));
   }
 }
--- a/src/libwisteriaroute/base/log.h
+++ b/src/libwisteriaroute/base/log.h
@@ -8,6 +8,8 @@
 #include <string_view>
 #include <utility>
 
+#include "libwisteriaroute/base/hlc.h"
+
 namespace wisteriaroute::base {
 
 /** A `key=value` pair of a log line. */
@@ -29,6 +31,18 @@
  */
 void InitializeLog(std::string_view process_name, std::string_view level);
 
+/** Whether `level` names a level: DEBUG, INFO, WARN or ERROR. */
+bool IsLogLevel(std::string_view level);
+
+/** Lines below the level aren't written from now on. */
+void SetLogLevel(std::string_view level);
+
+/** Stamps lines with the clock, which orders them over all processes. */
+void SetLogClock(hybrid_clock* clock);
+
+/** Lines that were left out since the start. */
+std::uint64_t DroppedLogLines();
+
 /** Writes one line for a change of state: `event key=value ...`. */
 void LogInfo(std::string_view event, std::initializer_list<log_field> fields);
 /** The same for fields that were collected elsewhere. */
--- a/src/libwisteriaroute/base/log_sink.cc
+++ b/src/libwisteriaroute/base/log_sink.cc
@@ -4,6 +4,7 @@
 #include <poll.h>
 #include <unistd.h>
 
+#include <string>
 #include <utility>
 
 namespace wisteriaroute::base {
@@ -37,11 +38,17 @@
 
 bool WriteWithoutBlocking(int fd, std::string_view line) {
   pollfd writable{.fd = fd, .events = POLLOUT, .revents = 0};
+  if (poll(&writable, 1, 0) != 1 || (writable.revents & POLLOUT) == 0) {
+    return false;
+  }
   // A pipe that polls as writable takes PIPE_BUF bytes at once.
-  line = line.substr(0, PIPE_BUF);
-  return poll(&writable, 1, 0) == 1 && (writable.revents & POLLOUT) != 0 &&
-         write(fd, line.data(), line.size()) ==
-             static_cast<ssize_t>(line.size());
+  std::string cut;
+  if (line.size() > PIPE_BUF) {
+    cut = std::string(line.substr(0, PIPE_BUF - 1)) + "\n";
+    line = cut;
+  }
+  return write(fd, line.data(), line.size()) ==
+         static_cast<ssize_t>(line.size());
 }
 
 }  // namespace wisteriaroute::base
--- a/src/libwisteriaroute/base/metrics.h
+++ b/src/libwisteriaroute/base/metrics.h
@@ -44,6 +44,9 @@
   void Set(std::string_view series, double value);
   void Latency(std::string_view name, time_us latency_us);
 
+  /** Drops all gauges, for instance before those of today's servers are set. */
+  void ForgetGauges() { gauges_.clear(); }
+
   std::uint64_t counter(std::string_view series) const;
   const latency_histogram* latency(std::string_view name) const;
 
--- a/src/libwisteriaroute/base/process_settings.cc
+++ b/src/libwisteriaroute/base/process_settings.cc
@@ -18,7 +18,7 @@
 process_settings ParseProcessSettings(toml_reader& root,
                                       std::string_view file,
                                       findings& out) {
-  process_settings settings;
+  process_settings settings{.file = std::string(file)};
   const toml::table* table = root.Table("process");
   if (table == nullptr) {
     root.Report("process", "the table [process] is required");
@@ -44,7 +44,17 @@
   settings.cluster_key_file = reader.Boolean("trusted_network", false)
                                   ? reader.String("cluster_key_file", "")
                                   : reader.RequiredString("cluster_key_file");
-  settings.log_level = reader.String("log_level", "INFO");
+  settings.log_level = reader.String("log_level", settings.log_level);
+  if (!IsLogLevel(settings.log_level)) {
+    reader.Report("log_level", "'" + settings.log_level +
+                                   "' is none of DEBUG, INFO, WARN, ERROR");
+  }
+  settings.listen_metrics = reader.String("listen_metrics", "");
+  settings.protocol = reader.String("protocol", settings.protocol);
+  if (settings.protocol != "native" && settings.protocol != "platform") {
+    reader.Report("protocol", "'" + settings.protocol +
+                                  "' is no protocol: use native or platform");
+  }
   reader.ReportUnknownKeys();
   return settings;
 }
--- a/src/libwisteriaroute/base/process_settings.h
+++ b/src/libwisteriaroute/base/process_settings.h
@@ -10,6 +10,8 @@
 
 /** Settings that every process has, under `[process]` of its TOML file. */
 struct process_settings {
+  /** The file that the settings were read from. */
+  std::string file;
   std::string name;
   std::string region;
   std::string data_center;
@@ -27,6 +29,13 @@
   /** Empty only on a trusted network: links are then not authenticated. */
   std::string cluster_key_file;
   std::string log_level = "INFO";
+  /** `IP:port` of the counters as Prometheus text; empty: none. */
+  std::string listen_metrics;
+  /**
+   * Name of the format that callers, backend servers and operators speak with
+   * the processes that serve them over HTTP.
+   */
+  std::string protocol = "native";
 };
 
 /** Reads `[process]` of `root`; faults are added to `out`. */
--- a/src/libwisteriaroute/control/admin.cc
+++ b/src/libwisteriaroute/control/admin.cc
@@ -81,6 +81,15 @@
       Refuse("too_large", "a configuration may have 3.5 MB");
       return;
     }
+    if (link != kHttpLink && state.options.decode_traffic) {
+      base::findings found;
+      const auto set = state.options.decode_traffic(request.body, found);
+      if (!set || set->version != request.version) {
+        Refuse("invalid_config", found.empty() ? "the version isn't the body's"
+                                               : base::ToString(found.front()));
+        return;
+      }
+    }
     Submit(request);
   }
   void operator()(const wire::report_server& report) const {
--- a/src/libwisteriaroute/control/rank_group_drive.cc
+++ b/src/libwisteriaroute/control/rank_group_drive.cc
@@ -38,10 +38,8 @@
 const engine_shapes& Shapes(replica_state& state) {
   leader_view& leader = *state.leading;
   if (!leader.shapes) {
-    leader.shapes =
-        state.options.read_shapes == nullptr
-            ? engine_shapes()
-            : state.options.read_shapes(DocumentBody(state.durable.config));
+    leader.shapes = ReadShapes(state.options.decode_traffic,
+                               DocumentBody(state.durable.config));
   }
   return *leader.shapes;
 }
@@ -490,4 +488,21 @@
   }
 }
 
+engine_shapes ReadShapes(const traffic_decoder& decode,
+                         std::string_view document) {
+  engine_shapes shapes;
+  base::findings ignored;
+  const auto set =
+      decode ? decode(document, ignored) : std::optional<config::traffic_set>();
+  if (!set) {
+    return shapes;
+  }
+  for (const config::traffic_service& one : set->services) {
+    if (one.engine && one.engine->expert_sets > 0) {
+      shapes[one.name] = *one.engine;
+    }
+  }
+  return shapes;
+}
+
 }  // namespace wisteriaroute::control
--- a/src/libwisteriaroute/control/replica.h
+++ b/src/libwisteriaroute/control/replica.h
@@ -2,6 +2,8 @@
 #define LIBWISTERIAROUTE_CONTROL_REPLICA_H_
 
 #include <cstdint>
+#include <functional>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -11,6 +13,7 @@
 
 #include "libwisteriaroute/base/clock.h"
 #include "libwisteriaroute/base/event_ring.h"
+#include "libwisteriaroute/base/finding.h"
 #include "libwisteriaroute/config/named_set.h"
 #include "libwisteriaroute/config/traffic_set.h"
 #include "libwisteriaroute/control/control_state.h"
@@ -32,9 +35,24 @@
 /** The same on the leader's clock: 10% more, for different clock rates. */
 inline constexpr base::time_us kLeaseBoundUs = 2'750'000;
 
-/** Engine shapes by service, read from a published document. */
+/**
+ * Stands among the links for the HTTP server, whose calls were decoded and
+ * checked; the correlation of its requests is the exchange.
+ */
+inline constexpr net::link_id kHttpLink =
+    std::numeric_limits<net::link_id>::max();
+
+/** Engine shapes by service. */
 using engine_shapes = std::map<std::string, config::engine_shape, std::less<>>;
-using shape_reader = engine_shapes (*)(std::string_view document);
+
+/** Reads a published document and checks it as a whole. Never throws. */
+using traffic_decoder =
+    std::function<std::optional<config::traffic_set>(std::string_view document,
+                                                     base::findings& out)>;
+
+/** Shapes of a document's services; those that it can't tell are left out. */
+engine_shapes ReadShapes(const traffic_decoder& decode,
+                         std::string_view document);
 
 struct replica_options {
   /** Random number of this run. */
@@ -47,8 +65,8 @@
   base::time_us clock_tick_us = 10'000'000;
   /** Time between two looks at the expert map of a group. */
   base::time_us map_period_us = 30'000'000;
-  /** Null: documents tell nothing of engines. */
-  shape_reader read_shapes = nullptr;
+  /** Empty: documents aren't checked and tell nothing of engines. */
+  traffic_decoder decode_traffic;
 };
 
 /** The leader's view of one member. */
--- a/src/libwisteriaroute/gateway/answers.cc
+++ b/src/libwisteriaroute/gateway/answers.cc
@@ -25,6 +25,9 @@
   fields.insert(fields.end(), std::make_move_iterator(more.begin()),
                 std::make_move_iterator(more.end()));
   step.Note("request_ended", std::move(fields));
+  step.Count("wisteriaroute_requests_total", "outcome", outcome);
+  step.Measure("wisteriaroute_request_seconds",
+               step.now_us - request.arrived_us);
 }
 
 void Erase(step_context& step, const request_state& request) {
@@ -42,6 +45,7 @@
                             .status = status,
                             .code = std::string(code),
                             .retry_after_ms = retry_after_ms});
+  step.Count("wisteriaroute_refusals_total", "code", code);
   NoteEnd(step, request, "refused",
           {{"status", std::to_string(status)},
            {"code", std::string(code)},
@@ -81,6 +85,7 @@
 void GiveUp(step_context& step, request_state& request, std::string_view code) {
   if (request.phase == request_phase::kStreaming) {
     step.out.push_back(abort_stream{request.exchange});
+    step.Count("wisteriaroute_aborted_streams_total", "code", code);
     NoteEnd(step, request, "aborted",
             {{"code", std::string(code)},
              {"events", std::to_string(request.events)}});
--- a/src/libwisteriaroute/gateway/attempts.cc
+++ b/src/libwisteriaroute/gateway/attempts.cc
@@ -106,11 +106,15 @@
   }
   if (request.phase == request_phase::kStreaming) {
     NotePace(step, request);
+    step.Measure("wisteriaroute_event_gap_seconds",
+                 step.now_us - request.last_event_us);
   }
   request.last_event_us = step.now_us;
   if (request.phase != request_phase::kStreaming) {
     request.phase = request_phase::kStreaming;
     request.first_event_us = step.now_us;
+    step.Measure("wisteriaroute_first_event_seconds",
+                 step.now_us - request.arrived_us);
     step.out.push_back(start_stream{request.exchange, request.head->status,
                                     request.head->headers});
   }
@@ -167,6 +171,7 @@
   Judge(step, step.state.servers.Find(request.server),
         wrong_server ? attempt_verdict::kReplaced : attempt_verdict::kBusy,
         request, "not run");
+  step.Count("wisteriaroute_attempt_ends_total", "end", "not_run");
   step.Note("attempt_not_run",
             {{"request", request.request.id},
              {"server", request.server},
@@ -257,6 +262,9 @@
                  attempt_verdict verdict,
                  std::string_view cause) {
   Judge(step, step.state.servers.Find(request.server), verdict, request, cause);
+  step.Count(
+      "wisteriaroute_attempt_ends_total", "end",
+      verdict == attempt_verdict::kUnreachable ? "unreachable" : "failed");
   step.Note("attempt_failed",
             {{"request", request.request.id},
              {"server", request.server},
--- a/src/libwisteriaroute/gateway/gateway.cc
+++ b/src/libwisteriaroute/gateway/gateway.cc
@@ -119,6 +119,9 @@
               {{"version", std::to_string(event.traffic->set().version)},
                {"routes", std::to_string(event.traffic->set().routes.size())}});
   }
+  void operator()(const options_changed& event) const {
+    step.state.options = event.options;
+  }
   void operator()(const members_updated& event) const {
     step.state.servers.Update(event.update, step.now_us);
     step.Note("servers_updated",
@@ -157,6 +160,22 @@
   out.push_back(note{std::move(event), std::move(fields)});
 }
 
+void step_context::Count(std::string_view name,
+                         std::string_view label,
+                         std::string_view value) {
+  std::string series(name);
+  series += '{';
+  series += label;
+  series += "=\"";
+  series += value;
+  series += "\"}";
+  out.push_back(count{std::move(series)});
+}
+
+void step_context::Measure(const char* name, base::time_us latency_us) {
+  out.push_back(measure{name, latency_us});
+}
+
 gateway_effects Step(gateway_state& state,
                      const gateway_event& event,
                      base::time_us now_us) {
--- a/src/libwisteriaroute/gateway/gateway.h
+++ b/src/libwisteriaroute/gateway/gateway.h
@@ -11,6 +11,7 @@
 #include <variant>
 #include <vector>
 
+#include "libwisteriaroute/base/metrics.h"
 #include "libwisteriaroute/config/traffic_set.h"
 #include "libwisteriaroute/gateway/event_framer.h"
 #include "libwisteriaroute/gateway/messages.h"
@@ -101,6 +102,10 @@
 struct traffic_published {
   std::shared_ptr<const config::traffic_index> traffic;
 };
+/** The settings have changed. */
+struct options_changed {
+  gateway_options options;
+};
 struct members_updated {
   wire::member_update update;
 };
@@ -133,6 +138,7 @@
 inline constexpr base::time_us kGatewayTickUs = 50'000;
 
 using gateway_event = std::variant<traffic_published,
+                                   options_changed,
                                    members_updated,
                                    request_arrived,
                                    caller_left,
@@ -192,6 +198,16 @@
   std::vector<std::pair<std::string, std::string>> fields;
 };
 
+/** Adds one to a counter; `series` holds its labels. */
+struct count {
+  std::string series;
+};
+/** Adds to a latency histogram. */
+struct measure {
+  const char* name = "";
+  base::time_us latency_us = 0;
+};
+
 using gateway_effect = std::variant<start_attempt,
                                     cancel_attempt,
                                     refuse,
@@ -200,7 +216,9 @@
                                     write_stream,
                                     end_stream,
                                     abort_stream,
-                                    note>;
+                                    note,
+                                    count,
+                                    measure>;
 using gateway_effects = std::vector<gateway_effect>;
 
 /** One step. Never throws. */
@@ -208,6 +226,11 @@
                      const gateway_event& event,
                      base::time_us now_us);
 
+/** Sets the gauges that tell what the gateway believes. */
+void ReportGauges(gateway_state& state,
+                  base::time_us now_us,
+                  base::metrics& out);
+
 /** Whether the gateway can serve: it knows a configuration and servers. */
 bool IsReady(const gateway_state& state);
 
--- /dev/null
+++ b/src/libwisteriaroute/gateway/gauges.cc
@@ -0,0 +1,58 @@
+#include <string>
+
+#include "libwisteriaroute/gateway/gateway.h"
+
+namespace wisteriaroute::gateway {
+
+namespace {
+
+constexpr double kUsPerSecond = 1e6;
+
+std::string Labelled(std::string_view name,
+                     std::string_view label,
+                     std::string_view value) {
+  std::string series(name);
+  series += "{";
+  series += label;
+  series += "=\"";
+  for (const char c : value) {
+    // Names come from outside and must not break a line of the text.
+    series +=
+        c == '"' || c == '\\' || static_cast<unsigned char>(c) < ' ' ? '_' : c;
+  }
+  return series + "\"}";
+}
+
+}  // namespace
+
+void ReportGauges(gateway_state& state,
+                  base::time_us now_us,
+                  base::metrics& out) {
+  out.ForgetGauges();
+  out.Set("wisteriaroute_requests_in_progress",
+          static_cast<double>(state.requests.size()));
+  out.Set("wisteriaroute_traffic_version",
+          state.traffic == nullptr
+              ? 0
+              : static_cast<double>(state.traffic->set().version));
+  out.Set("wisteriaroute_servers_known",
+          static_cast<double>(state.servers.size()));
+  for (auto& [service, budget] : state.budgets) {
+    out.Set(Labelled("wisteriaroute_retry_budget_left", "service", service),
+            budget.Left(now_us, state.options.retries));
+  }
+  for (const auto& [service, pace] : state.paces) {
+    out.Set(Labelled("wisteriaroute_streams_allowed", "service", service),
+            pace.streams);
+  }
+  for (const auto& [id, one] : state.servers.all()) {
+    out.Set(Labelled("wisteriaroute_server_load", "server", id),
+            EstimatedLoad(one, now_us));
+    out.Set(Labelled("wisteriaroute_server_load_age_seconds", "server", id),
+            static_cast<double>(now_us - one.load_at_us) / kUsPerSecond);
+    out.Set(Labelled("wisteriaroute_server_suspended", "server", id),
+            one.suspended_until_us > now_us ? 1 : 0);
+  }
+}
+
+}  // namespace wisteriaroute::gateway
--- a/platform/requests.cc
+++ b/src/libwisteriaroute/gateway/http_codec.cc
@@ -1,18 +1,21 @@
-#include "platform/requests.h"
+#include "libwisteriaroute/gateway/http_codec.h"
 
 #include <charconv>
+#include <optional>
 #include <string>
 #include <string_view>
 
-#include "platform/names.h"
-
-namespace wisteriaroute::platform {
+namespace wisteriaroute::gateway {
 
 namespace {
 
 using net::FindHeader;
 
 constexpr unsigned kMisdirected = 421;
+// Names of HTTP itself and of event streams.
+constexpr std::string_view kAuthorization = "authorization";
+constexpr std::string_view kBearer = "Bearer ";
+constexpr std::string_view kLastEventId = "last-event-id";
 
 template <typename Number>
 std::optional<Number> ParseNumber(std::string_view text) {
@@ -38,21 +41,22 @@
   return host.substr(0, host.rfind(':'));
 }
 
-std::optional<gateway::server_load> ParseLoad(std::string_view text) {
+std::optional<server_load> ParseLoad(std::string_view text) {
   const auto running = ParseNumber<std::int64_t>(NextField(text));
   const auto waiting = ParseNumber<std::int64_t>(NextField(text));
   const auto slots = ParseNumber<std::int64_t>(NextField(text));
   if (!running || !waiting || !slots) {
     return std::nullopt;
   }
-  return gateway::server_load{*running, *waiting, *slots};
+  return server_load{*running, *waiting, *slots};
 }
 
 /** Whether the system sets the header itself, or it concerns only us. */
-bool IsReplaced(std::string_view name) {
-  return name == kAuthorization || name == kDeadlineMs || name == kTenant ||
-         name == kExpectInstance || name == kRequestPriority ||
-         name == kLastEventId || name == "content-length" || name == "expect";
+bool IsReplaced(const header_names& names, std::string_view name) {
+  return name == kAuthorization || name == names.deadline_ms ||
+         name == names.workspace || name == names.expected_server ||
+         name == names.priority || name == kLastEventId ||
+         name == "content-length" || name == "expect";
 }
 
 bool IsForwarded(std::string_view name, std::string_view connection) {
@@ -61,50 +65,50 @@
 
 }  // namespace
 
-const char* const kMatchHeader = kRequestId;
-
-gateway::caller_request DecodeRequest(const net::http_server_request& request) {
-  gateway::caller_request decoded{
-      .id = std::string(request.Header(kRequestId)),
+caller_request DecodeRequest(const header_names& names,
+                             const net::http_server_request& request) {
+  caller_request decoded{
+      .id = std::string(request.Header(names.request_id)),
       .host = net::LowerCase(WithoutPort(request.Header("host"))),
       .path = request.path};
   const std::string_view authorization = request.Header(kAuthorization);
   if (authorization.starts_with(kBearer)) {
     decoded.key =
-        base::Digest128(authorization.substr(std::string_view(kBearer).size()));
+        base::Digest128(authorization.substr(kBearer.size()));
   }
   decoded.deadline_ms =
-      ParseNumber<std::int64_t>(request.Header(kDeadlineMs)).value_or(0);
+      ParseNumber<std::int64_t>(request.Header(names.deadline_ms)).value_or(0);
   decoded.last_event_id =
       ParseNumber<std::uint64_t>(request.Header(kLastEventId));
-  std::string_view usage = request.Header(kTokenUsage);
+  std::string_view usage = request.Header(names.token_usage);
   decoded.prompt_tokens =
       ParseNumber<std::int64_t>(NextField(usage)).value_or(0);
   decoded.max_output_tokens =
       ParseNumber<std::int64_t>(NextField(usage)).value_or(0);
   decoded.expected_output_tokens =
-      ParseNumber<std::int64_t>(request.Header(kLengthHint)).value_or(0);
+      ParseNumber<std::int64_t>(request.Header(names.expected_output)).value_or(0);
   return decoded;
 }
 
-net::http_headers AttemptHeaders(const net::http_server_request& request,
-                                 const gateway::attempt_terms& terms) {
+net::http_headers AttemptHeaders(const header_names& names,
+                                 const net::http_server_request& request,
+                                 const attempt_terms& terms) {
   net::http_headers headers;
   const std::string_view connection = request.Header("connection");
   for (const auto& [name, value] : request.headers) {
-    if (IsForwarded(name, connection) && !IsReplaced(name)) {
+    if (IsForwarded(name, connection) && !IsReplaced(names, name)) {
       headers.emplace_back(name, value);
     }
   }
-  headers.emplace_back(kDeadlineMs, std::to_string(terms.deadline_ms));
+  headers.emplace_back(names.deadline_ms, std::to_string(terms.deadline_ms));
   if (!terms.expected_server.empty()) {
-    headers.emplace_back(kExpectInstance, terms.expected_server);
+    headers.emplace_back(names.expected_server, terms.expected_server);
   }
   if (!terms.workspace.empty()) {
-    headers.emplace_back(kTenant, terms.workspace);
+    headers.emplace_back(names.workspace, terms.workspace);
   }
   if (terms.priority) {
-    headers.emplace_back(kRequestPriority, std::to_string(*terms.priority));
+    headers.emplace_back(names.priority, std::to_string(*terms.priority));
   }
   if (terms.last_event_id) {
     headers.emplace_back(kLastEventId, std::to_string(*terms.last_event_id));
@@ -112,18 +116,19 @@
   return headers;
 }
 
-gateway::response_head DecodeHead(unsigned status,
-                                  const net::http_headers& headers) {
-  gateway::response_head head{
+response_head DecodeHead(const header_names& names,
+                         unsigned status,
+                         const net::http_headers& headers) {
+  response_head head{
       .status = status,
-      .sealed = !FindHeader(headers, kSeal).empty(),
+      .sealed = !FindHeader(headers, names.seal).empty(),
       .not_run =
-          !FindHeader(headers, kNotExecuted).empty() || status == kMisdirected,
+          !FindHeader(headers, names.not_run).empty() || status == kMisdirected,
       .wrong_server = status == kMisdirected,
       .encoded = !FindHeader(headers, "content-encoding").empty(),
       .event_stream =
           FindHeader(headers, "content-type").starts_with("text/event-stream"),
-      .load = ParseLoad(FindHeader(headers, kServerLoad))};
+      .load = ParseLoad(FindHeader(headers, names.server_load))};
   const std::string_view connection = FindHeader(headers, "connection");
   for (const auto& [name, value] : headers) {
     if (IsForwarded(name, connection) && name != "content-length") {
@@ -133,4 +138,4 @@
   return head;
 }
 
-}  // namespace wisteriaroute::platform
+}  // namespace wisteriaroute::gateway
--- a/src/libwisteriaroute/gateway/placement.cc
+++ b/src/libwisteriaroute/gateway/placement.cc
@@ -42,6 +42,8 @@
   request.body.clear();
   request.framer = {};
   ++request.attempts;
+  step.Count("wisteriaroute_attempts_total", "repeat",
+             request.attempts > 1 ? "yes" : "no");
   ++to.in_flight;
   const bool once = request.route->repeats == config::repetition::kOnce;
   step.out.push_back(
--- a/src/libwisteriaroute/gateway/servers.h
+++ b/src/libwisteriaroute/gateway/servers.h
@@ -50,6 +50,9 @@
   void NoteVerdict(server& of, attempt_verdict verdict, base::time_us now_us);
 
   std::size_t size() const { return servers_.size(); }
+  const std::map<std::string, server, std::less<>>& all() const {
+    return servers_;
+  }
 
  private:
   std::map<std::string, server, std::less<>> servers_;
--- a/src/libwisteriaroute/gateway/step_context.h
+++ b/src/libwisteriaroute/gateway/step_context.h
@@ -19,6 +19,11 @@
   std::uint64_t Random();
   void Note(std::string event,
             std::vector<std::pair<std::string, std::string>> fields);
+  /** Counts under `name{label="value"}`; the value is one of our own words. */
+  void Count(std::string_view name,
+             std::string_view label,
+             std::string_view value);
+  void Measure(const char* name, base::time_us latency_us);
 };
 
 using note_fields = std::vector<std::pair<std::string, std::string>>;
--- a/src/libwisteriaroute/member/control_session.cc
+++ b/src/libwisteriaroute/member/control_session.cc
@@ -25,8 +25,7 @@
       tick_(event_loop.ev(), [this] { Handle(session_tick{}); }) {
   state_.info = std::move(info);
   for (const std::string& address : control_addresses) {
-    addresses_.insert(address);
-    dials_[hub_.Dial(address)] = 0;
+    Dial(address);
   }
   tick_.Start(kTickUs, kTickUs);
 }
@@ -70,12 +69,45 @@
 void control_session::DialLeader(const wire::not_leader& refusal) {
   // A replica that has replaced another one isn't in the settings.
   if (!learn_controls_ || refusal.leader_address.empty() ||
-      !addresses_.insert(refusal.leader_address).second) {
+      addresses_.contains(refusal.leader_address)) {
     return;
   }
   base::LogInfo("control_added", {{"replica", refusal.leader_name},
                                   {"address", refusal.leader_address}});
-  dials_[hub_.Dial(refusal.leader_address)] = 0;
+  Dial(refusal.leader_address);
+}
+
+void control_session::Dial(const std::string& address) {
+  const net::dial_id dial = hub_.Dial(address);
+  addresses_[address] = dial;
+  dials_[dial] = 0;
+}
+
+void control_session::SetControls(std::span<const std::string> addresses) {
+  for (const std::string& address : addresses) {
+    if (!addresses_.contains(address)) {
+      base::LogInfo("control_added", {{"address", address}});
+      Dial(address);
+    }
+  }
+  // Those that were learnt stay: the list may lag behind the replicas.
+  if (learn_controls_) {
+    return;
+  }
+  const std::set<std::string> wanted(addresses.begin(), addresses.end());
+  for (auto it = addresses_.begin(); it != addresses_.end();) {
+    if (wanted.contains(it->first)) {
+      ++it;
+      continue;
+    }
+    base::LogInfo("control_removed", {{"address", it->first}});
+    const auto dialled = dials_.extract(it->second);
+    hub_.Undial(it->second);
+    if (dialled.mapped() != 0) {
+      HandleDown(dialled.mapped());
+    }
+    it = addresses_.erase(it);
+  }
 }
 
 void control_session::Send(wire::control_message message) {
--- a/src/libwisteriaroute/member/control_session.h
+++ b/src/libwisteriaroute/member/control_session.h
@@ -45,6 +45,9 @@
   bool HandleMessage(net::link_id link, std::string_view body);
   bool HandleDown(net::link_id link);
 
+  /** Dials the replicas that are new among `addresses`, and no others. */
+  void SetControls(std::span<const std::string> addresses);
+
   /** Sends to the leader; on_dropped follows if none is known. */
   void Send(wire::control_message message);
 
@@ -58,6 +61,7 @@
 
  private:
   void DialLeader(const wire::not_leader& refusal);
+  void Dial(const std::string& address);
   void Handle(const session_event& event);
   void Run(const session_effect& effect);
 
@@ -66,8 +70,8 @@
   control_session_callbacks callbacks_;
   session_state state_;
   std::map<net::dial_id, net::link_id> dials_;
-  /** Addresses of replicas that are dialled. */
-  std::set<std::string> addresses_;
+  /** Replicas that are dialled, by address. */
+  std::map<std::string, net::dial_id> addresses_;
   net::timer tick_;
 };
 
--- /dev/null
+++ b/src/libwisteriaroute/net/metrics_server.cc
@@ -0,0 +1,42 @@
+#include "libwisteriaroute/net/metrics_server.h"
+
+#include <utility>
+
+#include "libwisteriaroute/base/log.h"
+
+namespace wisteriaroute::net {
+
+namespace {
+
+constexpr std::string_view kPath = "/metrics";
+constexpr unsigned kOk = 200;
+constexpr unsigned kNotFound = 404;
+// Few read it; more would cost descriptors that requests need.
+constexpr unsigned kMaxConnections = 16;
+
+}  // namespace
+
+metrics_server::metrics_server(loop& event_loop,
+                               std::function<std::string()> render)
+    : render_(std::move(render)),
+      server_(event_loop,
+              {.connections = kMaxConnections},
+              {.on_request = [this](exchange_id id,
+                                    const http_server_request& request) {
+                if (request.path != kPath || request.method != "GET") {
+                  server_.Respond(id, kNotFound, {}, "");
+                  return;
+                }
+                server_.Respond(id, kOk,
+                                {{"Content-Type", "text/plain; version=0.0.4"}},
+                                render_());
+              }}) {}
+
+void metrics_server::Listen(std::string_view address) {
+  if (address.empty()) {
+    return;
+  }
+  base::LogInfo("metrics_listening", {{"address", server_.Listen(address)}});
+}
+
+}  // namespace wisteriaroute::net
--- /dev/null
+++ b/src/libwisteriaroute/net/settings_reload.h
@@ -0,0 +1,45 @@
+#ifndef LIBWISTERIAROUTE_NET_SETTINGS_RELOAD_H_
+#define LIBWISTERIAROUTE_NET_SETTINGS_RELOAD_H_
+
+#include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "libwisteriaroute/base/finding.h"
+#include "libwisteriaroute/net/loop.h"
+
+namespace wisteriaroute::net {
+
+/** Settings that differ but take effect only at the next start, by name. */
+using restart_list = std::vector<std::string>;
+
+/**
+ * Follows the settings file of a running process: at SIGHUP, and when its text
+ * changes without a signal. Each look that finds a change is logged.
+ */
+class settings_reload {
+ public:
+  /**
+   * Puts the settings in `text` into force. Adds faults to `out` instead, and
+   * then changes nothing.
+   */
+  using apply_function =
+      std::function<restart_list(std::string_view text, base::findings& out)>;
+
+  settings_reload(loop& event_loop, std::string file, apply_function apply);
+
+ private:
+  enum class trigger { kSignal, kPoll };
+
+  void Look(trigger why);
+
+  std::string file_;
+  apply_function apply_;
+  std::string text_;
+  timer poll_;
+};
+
+}  // namespace wisteriaroute::net
+
+#endif  // LIBWISTERIAROUTE_NET_SETTINGS_RELOAD_H_
--- a/src/libwisteriaroute/sidecar/sidecar.cc
+++ b/src/libwisteriaroute/sidecar/sidecar.cc
@@ -25,6 +25,7 @@
 
   void operator()(const status_polled& event) {
     state.polling_status = false;
+    NoteReachable(event);
     if (!event.ok) {
       return;
     }
@@ -121,6 +122,19 @@
   }
 
  private:
+  void NoteReachable(const status_polled& event) {
+    if (event.ok != state.reachable) {
+      out.push_back(note_rank{.reachable = event.ok,
+                              .silent_ms = (now - state.heard_us) / 1'000,
+                              .formation = event.status.formation,
+                              .map_version = event.status.map_version});
+    }
+    state.reachable = event.ok;
+    if (event.ok) {
+      state.heard_us = now;
+    }
+  }
+
   bool Restarted() const {
     for (std::size_t i = 0; i < state.counts_sent.size(); ++i) {
       if (state.counts.totals[i] < state.counts_sent[i]) {
--- a/src/libwisteriaroute/sidecar/sidecar.h
+++ b/src/libwisteriaroute/sidecar/sidecar.h
@@ -43,6 +43,10 @@
   bool polling_status = false;
   bool polling_counts = false;
   bool polling_lists = false;
+  /** When the rank last told its state; 0: it hasn't. */
+  base::time_us heard_us = 0;
+  /** Whether the last call was answered. */
+  bool reachable = false;
   base::time_us next_status_us = 0;
   base::time_us next_counts_us = 0;
   base::time_us next_send_us = 0;
@@ -105,12 +109,22 @@
   std::string outcome;
 };
 
+/** The rank was lost or found again. */
+struct note_rank {
+  bool reachable = false;
+  /** Time since the last answer. */
+  base::time_ms silent_ms = 0;
+  std::uint64_t formation = 0;
+  std::uint64_t map_version = 0;
+};
+
 using sidecar_effect = std::variant<poll_status,
                                     poll_counts,
                                     poll_lists,
                                     pass_order,
                                     send_status,
-                                    note_order>;
+                                    note_order,
+                                    note_rank>;
 
 /** One step. Never throws. */
 std::vector<sidecar_effect> Step(sidecar_state& state,
--- a/src/sidecar/daemon.cc
+++ b/src/sidecar/daemon.cc
@@ -7,6 +7,7 @@
 #include "libwisteriaroute/base/digest.h"
 #include "libwisteriaroute/base/log.h"
 #include "libwisteriaroute/base/toml_reader.h"
+#include "libwisteriaroute/member/process_reload.h"
 #include "libwisteriaroute/net/address.h"
 #include "libwisteriaroute/net/link_context.h"
 #include "platform/ranks.h"
@@ -76,11 +77,13 @@
                                 clock_),
            member::ControlLinks(session_)),
       server_(event_loop),
+      metrics_server_(event_loop, [this] { return RenderMetrics(); }),
       tick_(event_loop.ev(), [this] { Handle(sidecar_tick{}); }) {
   state_.service = settings_.service;
 }
 
 void daemon::Run() {
+  base::SetLogClock(&clock_);
   const wire::member_info info = {.name = settings_.process.name,
                                   .role = wire::member_role::kSidecar,
                                   .incarnation = incarnation_,
@@ -96,9 +99,11 @@
       loop_.Stop();
     });
   }
-  loop_.OnSignal(SIGHUP, [] {
-    base::LogInfo("reload", {{"result", "settings are read at a start"}});
-  });
+  reload_.emplace(loop_, settings_.process.file,
+                  [this](std::string_view text, base::findings& out) {
+                    return Reload(text, out);
+                  });
+  metrics_server_.Listen(settings_.process.listen_metrics);
   tick_.Start(kSidecarTickUs, kSidecarTickUs);
   base::LogInfo("sidecar_started", {{"name", settings_.process.name},
                                     {"server", settings_.server},
@@ -171,11 +176,59 @@
                                    {"version", line.order.version},
                                    {"step", line.order.step},
                                    {"outcome", line.outcome}});
+      self.metrics_.Count("wisteriaroute_rank_orders_total{kind=\"" +
+                          std::string(KindName(line.order.kind)) +
+                          "\",outcome=\"" + line.outcome + "\"}");
+    }
+    void operator()(const note_rank& line) const {
+      base::LogInfo(line.reachable ? "rank_found" : "rank_lost",
+                    {{"server", self.settings_.server},
+                     {"silent_ms", line.silent_ms},
+                     {"formation", line.formation},
+                     {"map_version", line.map_version}});
+      self.metrics_.Count(line.reachable ? "wisteriaroute_rank_found_total"
+                                         : "wisteriaroute_rank_lost_total");
     }
   };
   std::visit(visitor{*this}, effect);
 }
 
+net::restart_list daemon::Reload(std::string_view text, base::findings& out) {
+  const sidecar_settings next =
+      ParseSidecarSettings(text, settings_.process.file, out);
+  if (!out.empty()) {
+    return {};
+  }
+  net::restart_list restart =
+      member::ReloadProcess(settings_.process, next.process);
+  session_->SetControls(settings_.process.controls);
+  if (next.server != settings_.server) {
+    restart.emplace_back("server");
+  }
+  if (next.service != settings_.service) {
+    restart.emplace_back("service");
+  }
+  return restart;
+}
+
+std::string daemon::RenderMetrics() {
+  const wire::rank_status& rank = state_.status;
+  metrics_.Set("wisteriaroute_rank_reachable", state_.reachable ? 1 : 0);
+  metrics_.Set(
+      "wisteriaroute_rank_status_age_seconds",
+      static_cast<double>(base::MonotonicUs() - state_.heard_us) / 1e6);
+  metrics_.Set("wisteriaroute_rank_formation",
+               static_cast<double>(rank.formation));
+  metrics_.Set("wisteriaroute_rank_step", static_cast<double>(rank.step));
+  metrics_.Set("wisteriaroute_rank_map_version",
+               static_cast<double>(rank.map_version));
+  metrics_.Set("wisteriaroute_highest_term",
+               static_cast<double>(state_.highest_term));
+  metrics_.Set("wisteriaroute_log_lines_dropped",
+               static_cast<double>(base::DroppedLogLines()));
+  return metrics_.Render();
+}
+
 void daemon::Get(const char* path,
                  std::function<void(std::optional<std::string>)> done) {
   auto body = std::make_shared<std::string>();
--- a/src/sidecar/daemon.h
+++ b/src/sidecar/daemon.h
@@ -8,11 +8,14 @@
 #include <string_view>
 
 #include "libwisteriaroute/base/hlc.h"
+#include "libwisteriaroute/base/metrics.h"
 #include "libwisteriaroute/base/process_settings.h"
 #include "libwisteriaroute/member/control_session.h"
 #include "libwisteriaroute/net/http_client.h"
 #include "libwisteriaroute/net/link_hub.h"
 #include "libwisteriaroute/net/loop.h"
+#include "libwisteriaroute/net/metrics_server.h"
+#include "libwisteriaroute/net/settings_reload.h"
 #include "libwisteriaroute/sidecar/sidecar.h"
 
 namespace wisteriaroute::sidecar {
@@ -46,6 +49,8 @@
   void Get(const char* path,
            std::function<void(std::optional<std::string>)> done);
   void Post(const wire::rank_order& order);
+  net::restart_list Reload(std::string_view text, base::findings& out);
+  std::string RenderMetrics();
 
   net::loop& loop_;
   sidecar_settings settings_;
@@ -57,6 +62,9 @@
   sidecar_state state_;
   std::deque<sidecar_event> events_;
   bool running_ = false;
+  std::optional<net::settings_reload> reload_;
+  base::metrics metrics_;
+  net::metrics_server metrics_server_;
   net::timer tick_;
 };
 
--- a/src/standin/main.cc
+++ b/src/standin/main.cc
@@ -3,10 +3,17 @@
 #include <csignal>
 #include <exception>
 #include <iostream>
+#include <sstream>
+#include <string>
+#include <vector>
 
+#include "standin/reporting_server.h"
 #include "standin/server.h"
 
-DEFINE_string(mode, "engine", "engine: a model engine; plain: a plain service");
+DEFINE_string(mode,
+              "engine",
+              "engine: a model engine; plain: a plain service; reporting: a "
+              "server without an agent, which reports itself to control");
 DEFINE_string(listen, "127.0.0.1:0", "IP:port; port 0 takes a free one");
 DEFINE_string(model, "standin", "name of the model that is served");
 DEFINE_string(group, "", "model group of which this engine is a rank");
@@ -24,6 +31,13 @@
 DEFINE_uint64(slot_bytes, 1'000'000, "bytes staged per layer and expert slot");
 DEFINE_uint64(store_bytes_per_s, 500'000'000, "rate of the weight store");
 DEFINE_uint32(booking_time_ms, 0, "time that one booking takes (plain)");
+DEFINE_string(id, "", "id of this server (reporting)");
+DEFINE_string(service, "", "service that it belongs to (reporting)");
+DEFINE_string(controls,
+              "",
+              "IP:port of the replicas' HTTP calls, separated by commas "
+              "(reporting)");
+DEFINE_string(data_center, "", "where it runs (reporting)");
 DEFINE_string(crash_marker, "", "exit when a request contains this text");
 
 namespace {
@@ -52,9 +66,42 @@
           .crash_marker = FLAGS_crash_marker};
 }
 
+std::vector<std::string> SplitAtCommas(const std::string& text) {
+  std::vector<std::string> parts;
+  std::istringstream stream(text);
+  for (std::string part; std::getline(stream, part, ',');) {
+    parts.push_back(part);
+  }
+  return parts;
+}
+
+int RunReporting() {
+  const standin::reporting_settings settings{
+      .id = FLAGS_id,
+      .service = FLAGS_service,
+      .data_center = FLAGS_data_center,
+      .controls = SplitAtCommas(FLAGS_controls),
+      .slots = FLAGS_slots};
+  if (settings.id.empty() || settings.service.empty() ||
+      settings.controls.empty()) {
+    std::cerr << "--id, --service and --controls are required\n";
+    return 2;
+  }
+  net::loop event_loop;
+  standin::reporting_server server(event_loop, settings);
+  event_loop.OnSignal(SIGTERM, [&] { server.Leave(); });
+  event_loop.OnSignal(SIGINT, [&] { event_loop.Stop(); });
+  std::cout << "listening " << server.Listen(FLAGS_listen) << std::endl;
+  event_loop.Run();
+  return 0;
+}
+
 int Run() {
+  if (FLAGS_mode == "reporting") {
+    return RunReporting();
+  }
   if (FLAGS_mode != "engine" && FLAGS_mode != "plain") {
-    std::cerr << "--mode must be engine or plain\n";
+    std::cerr << "--mode must be engine, plain or reporting\n";
     return 2;
   }
   if (FLAGS_step_time_us == 0 || FLAGS_store_bytes_per_s == 0) {
--- /dev/null
+++ b/src/standin/reporting_server.cc
@@ -0,0 +1,273 @@
+#include "standin/reporting_server.h"
+
+#include <charconv>
+#include <utility>
+
+#include "libwisteriaroute/gateway/http_codec.h"
+
+namespace wisteriaroute::standin {
+
+namespace {
+
+constexpr const gateway::header_names& kNames = gateway::kNativeHeaders;
+constexpr base::time_ms kDefaultWorkMs = 5;
+constexpr base::time_ms kDefaultGapMs = 10;
+constexpr std::int64_t kCallTimeoutMs = 1'000;
+constexpr int kMaxRedirects = 2;
+
+constexpr unsigned kOk = 200;
+constexpr unsigned kFirstRedirect = 300;
+constexpr unsigned kTemporaryRedirect = 307;
+constexpr unsigned kMisdirected = 421;
+constexpr unsigned kServerError = 500;
+constexpr unsigned kUnavailable = 503;
+
+std::uint64_t Number(std::string_view text, std::uint64_t fallback) {
+  std::uint64_t value = 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), value);
+  return error == std::errc() && end != text.data() ? value : fallback;
+}
+
+std::uint64_t Number(const net::http_server_request& request,
+                     std::string_view header,
+                     std::uint64_t fallback) {
+  return Number(request.Header(header), fallback);
+}
+
+/** Takes one of a counted fault. */
+bool Take(std::uint64_t& left) {
+  if (left == 0) {
+    return false;
+  }
+  --left;
+  return true;
+}
+
+std::string EventText(std::uint64_t number) {
+  const std::string text = std::to_string(number);
+  return "id: " + text + "\ndata: piece " + text + "\n\n";
+}
+
+}  // namespace
+
+reporting_server::reporting_server(net::loop& event_loop,
+                                   reporting_settings settings)
+    : loop_(event_loop),
+      settings_(std::move(settings)),
+      http_(event_loop,
+            {},
+            {.on_request =
+                 [this](net::exchange_id id,
+                        const net::http_server_request& request) {
+                   Handle(id, request);
+                 },
+             .on_abandoned =
+                 [this](net::exchange_id id) {
+                   abandoned_ += running_.erase(id);
+                 }}),
+      client_(event_loop),
+      report_(event_loop.ev(), [this] { Report(); }),
+      leave_(event_loop.ev(), [this] { loop_.Stop(); }),
+      started_ms_(static_cast<std::uint64_t>(base::WallMs())) {}
+
+std::string reporting_server::Listen(std::string_view address) {
+  address_ = http_.Listen(address);
+  report_.Start(0, settings_.report_period_us);
+  return address_;
+}
+
+void reporting_server::Leave() {
+  leaving_ = true;
+  Report();
+}
+
+void reporting_server::Handle(net::exchange_id id,
+                              const net::http_server_request& request) {
+  if (request.path == "/standin/runs") {
+    http_.Respond(id, kOk, {{"Content-Type", "application/json"}},
+                  Runs().dump());
+    return;
+  }
+  if (request.path == "/standin/faults") {
+    SetFaults(request.body);
+    http_.Respond(id, kOk, {}, "");
+    return;
+  }
+  const std::string_view expected = request.Header(kNames.expected_server);
+  if (!expected.empty() && expected != settings_.id) {
+    NotRun(id, kMisdirected);
+  } else if (running_.size() >= settings_.slots || Take(faults_.refuse)) {
+    NotRun(id, kUnavailable);
+  } else {
+    Begin(id, request);
+  }
+}
+
+void reporting_server::Begin(net::exchange_id id,
+                             const net::http_server_request& request) {
+  const std::uint64_t events = Number(request, "x-events", 0);
+  run& one = running_[id];
+  one.request_id = request.Header(kNames.request_id);
+  one.body = request.body;
+  one.streams = events > 0;
+  one.last_event = events;
+  one.next_event = Number(request, "last-event-id", 0) + 1;
+  one.gap_us =
+      static_cast<base::time_us>(Number(request, "x-gap-ms", kDefaultGapMs)) *
+      1'000;
+  one.sealed = !Take(faults_.unsealed);
+  one.lose_answer = !one.streams && Take(faults_.lose_answer);
+  one.fail = !one.streams && Take(faults_.fail);
+  one.cut = one.streams && Take(faults_.cut_streams);
+  one.mute = one.streams && !one.cut && Take(faults_.mute_streams);
+  ++runs_[one.request_id];
+  one.timer =
+      std::make_unique<net::timer>(loop_.ev(), [this, id] { Proceed(id); });
+  one.timer->Start(
+      static_cast<base::time_us>(Number(request, "x-work-ms", kDefaultWorkMs)) *
+      1'000);
+}
+
+void reporting_server::Proceed(net::exchange_id id) {
+  const auto found = running_.find(id);
+  if (found == running_.end()) {
+    return;
+  }
+  run& one = found->second;
+  if (one.streams) {
+    ProceedStream(id, one);
+    return;
+  }
+  if (one.lose_answer) {
+    http_.AbortStream(id);
+  } else if (one.fail) {
+    http_.Respond(id, kServerError, Headers(one), "failed");
+  } else {
+    http_.Respond(id, kOk, Headers(one), "echo " + one.body);
+  }
+  End(id);
+}
+
+void reporting_server::ProceedStream(net::exchange_id id, run& of) {
+  if (!std::exchange(of.started, true)) {
+    net::http_headers headers = Headers(of);
+    headers.emplace_back("Content-Type", "text/event-stream");
+    http_.StartStream(id, kOk, headers);
+  }
+  if (of.next_event > faults_.cut_after && of.cut) {
+    // In the middle of an event.
+    constexpr std::size_t kPartBytes = 4;
+    http_.Write(id, EventText(of.next_event).substr(0, kPartBytes));
+    http_.AbortStream(id);
+    End(id);
+    return;
+  }
+  if (of.next_event > faults_.cut_after && of.mute) {
+    return;
+  }
+  if (of.next_event > of.last_event) {
+    http_.EndStream(id);
+    End(id);
+    return;
+  }
+  http_.Write(id, EventText(of.next_event++));
+  of.timer->Start(of.gap_us);
+}
+
+void reporting_server::End(net::exchange_id id) {
+  // The timer of the run may be the caller.
+  const auto node =
+      std::make_shared<decltype(running_)::node_type>(running_.extract(id));
+  loop_.Defer([node] {});
+}
+
+void reporting_server::NotRun(net::exchange_id id, unsigned status) {
+  http_.Respond(id, status, {{std::string(kNames.not_run), "1"}}, "");
+}
+
+void reporting_server::SetFaults(const std::string& body) {
+  const nlohmann::json from = nlohmann::json::parse(body, nullptr, false);
+  if (!from.is_object()) {
+    return;
+  }
+  const auto read = [&](const char* name, std::uint64_t& to) {
+    to = from.value(name, to);
+  };
+  read("refuse", faults_.refuse);
+  read("lose_answer", faults_.lose_answer);
+  read("unsealed", faults_.unsealed);
+  read("fail", faults_.fail);
+  read("cut_streams", faults_.cut_streams);
+  read("cut_after", faults_.cut_after);
+  read("mute_streams", faults_.mute_streams);
+}
+
+nlohmann::json reporting_server::Runs() const {
+  return {
+      {"runs", runs_}, {"running", running_.size()}, {"abandoned", abandoned_}};
+}
+
+net::http_headers reporting_server::Headers(const run& of) const {
+  net::http_headers headers = {{std::string(kNames.request_id), of.request_id},
+                               {std::string(kNames.server_load),
+                                std::to_string(running_.size()) + ",0," +
+                                    std::to_string(settings_.slots)}};
+  if (of.sealed) {
+    headers.emplace_back(kNames.seal, settings_.id);
+  }
+  return headers;
+}
+
+void reporting_server::Report() {
+  if (gone_) {
+    return;
+  }
+  if (leaving_ && leave_acknowledged_) {
+    gone_ = true;
+  }
+  const std::string& control =
+      settings_.controls[next_control_ % settings_.controls.size()];
+  Call(gone_ ? "DELETE" : "PUT",
+       "http://" + control + "/v1/servers/" + settings_.id, kMaxRedirects);
+}
+
+void reporting_server::Call(const std::string& method,
+                            const std::string& url,
+                            int redirects_left) {
+  const nlohmann::json body = {{"service", settings_.service},
+                               {"address", address_},
+                               {"data_center", settings_.data_center},
+                               {"slots", settings_.slots},
+                               {"leaving", leaving_},
+                               {"started_ms", started_ms_},
+                               {"sequence", ++sequence_},
+                               {"version", "standin"}};
+  auto location = std::make_shared<std::string>();
+  client_.Start(
+      {.method = method,
+       .url = url,
+       .headers = {{"Content-Type", "application/json"}},
+       .body = body.dump(),
+       .timeout_ms = kCallTimeoutMs},
+      {.on_head =
+           [location](unsigned, const net::http_headers& headers) {
+             *location = net::FindHeader(headers, "location");
+           },
+       .on_done =
+           [this, method, location, redirects_left,
+            said = leaving_](const net::http_client_result& result) {
+             if (result.ok && result.status == kTemporaryRedirect &&
+                 redirects_left > 0) {
+               Call(method, *location, redirects_left - 1);
+             } else if (!result.ok || result.status >= kFirstRedirect) {
+               ++next_control_;
+             } else if (gone_) {
+               leave_.Start(settings_.leave_delay_us);
+             } else if (said) {
+               leave_acknowledged_ = true;
+             }
+           }});
+}
+
+}  // namespace wisteriaroute::standin
--- a/src/wrctl/command_line.cc
+++ b/src/wrctl/command_line.cc
@@ -235,7 +235,10 @@
     return line;
   }
   SetFlags(*line.selected, flags);
-  if (line.arguments.size() != CountWords(line.selected->arguments)) {
+  const bool any_number = line.selected->arguments.ends_with("...");
+  const std::size_t expected = CountWords(line.selected->arguments);
+  if (any_number ? line.arguments.size() < expected
+                 : line.arguments.size() != expected) {
     FailUsage("usage: wrctl " + std::string(line.selected->name) +
               (line.selected->arguments.empty() ? "" : " ") +
               std::string(line.selected->arguments));
--- a/src/wrctl/command_line.h
+++ b/src/wrctl/command_line.h
@@ -29,7 +29,7 @@
 /** A subcommand. Its name may have two words, for instance `members add`. */
 struct command {
   std::string_view name;
-  /** Names of its arguments, for instance `NAME ADDRESS`. */
+  /** Names of its arguments, for instance `NAME ADDRESS` or `FILES...`. */
   std::string_view arguments;
   std::string_view summary;
   std::string_view details;
--- a/src/wrctl/commands.h
+++ b/src/wrctl/commands.h
@@ -24,6 +24,10 @@
 int RunMembersAdd(const argument_list& arguments);
 int RunMembersRemove(const argument_list& arguments);
 int RunTimeline(const argument_list& arguments);
+int RunTrafficCheck(const argument_list& arguments);
+int RunTrafficPublish(const argument_list& arguments);
+int RunTrafficShow(const argument_list& arguments);
+int RunExplain(const argument_list& arguments);
 
 }  // namespace wisteriaroute::wrctl
 
--- a/src/wrctl/main.cc
+++ b/src/wrctl/main.cc
@@ -11,8 +11,8 @@
 namespace wisteriaroute::wrctl {
 namespace {
 
-const std::array<command, 16>& Commands() {
-  static const std::array<command, 16> commands = {{
+const std::array<command, 20>& Commands() {
+  static const std::array<command, 20> commands = {{
       {.name = "check",
        .arguments = "DIR",
        .summary = "Checks a directory of named objects, offline",
@@ -86,6 +86,30 @@
                   "is printed.",
        .flags = {"request", "group", "server", "revision", "limit"},
        .run = &RunTimeline},
+      {.name = "explain",
+       .arguments = "FILES...",
+       .summary = "Follows a request over the logs of several processes",
+       .details = "Prints the lines that name the request of --request, and "
+                  "those about the servers,\nconfigurations and leaders that "
+                  "its decisions rested on, in causal order, with a\nsummary "
+                  "of its end. Exit status 1 if no line names the request.",
+       .flags = {"request"},
+       .connects = false,
+       .run = &RunExplain},
+      {.name = "traffic check",
+       .arguments = "FILE",
+       .summary = "Checks a traffic set for gateways, offline",
+       .connects = false,
+       .run = &RunTrafficCheck},
+      {.name = "traffic publish",
+       .arguments = "FILE",
+       .summary = "Publishes a traffic set; the highest version wins",
+       .details = "A set whose version isn't above the newest one is accepted "
+                  "and changes nothing,\nso sending it again is safe.",
+       .run = &RunTrafficPublish},
+      {.name = "traffic show",
+       .summary = "Prints the newest traffic set",
+       .run = &RunTrafficShow},
       {.name = "key-digest",
        .summary = "Reads a bearer key from standard input, prints its digest",
        .details = "The digest goes into key_digests of a workspace.",
--- a/tests/control/rank_group_property_test.cc
+++ b/tests/control/rank_group_property_test.cc
@@ -22,12 +22,13 @@
 constexpr base::time_us kTickUs = 10'000;
 constexpr base::time_us kStepUs = 40'000;
 
-engine_shapes Shapes(std::string_view) {
-  return {{"model",
-           {.expert_sets = 1,
-            .experts = kExperts,
-            .expert_slots = kSlots,
-            .spare_slots = kSpare}}};
+std::optional<config::traffic_set> Decode(std::string_view, base::findings&) {
+  return config::traffic_set{
+      .services = {{.name = "model",
+                    .engine = config::engine_shape{.expert_sets = 1,
+                                                   .experts = kExperts,
+                                                   .expert_slots = kSlots,
+                                                   .spare_slots = kSpare}}}};
 }
 
 /** A rank that follows the platform's rules for orders. */
@@ -169,7 +170,7 @@
 
   void Elect() {
     replica_state& state = leaders.emplace_back();
-    state.options.read_shapes = &Shapes;
+    state.options.decode_traffic = &Decode;
     state.leading.emplace();
     state.leading->term = leaders.size();
     if (leaders.size() > 2) {
--- a/tests/platform/platform_codec_test.cc
+++ b/tests/platform/platform_codec_test.cc
@@ -2,10 +2,11 @@
 
 #include <string>
 
+#include "libwisteriaroute/control/replica.h"
 #include "platform/configuration.h"
 #include "platform/control_calls.h"
+#include "platform/names.h"
 #include "platform/ranks.h"
-#include "platform/requests.h"
 
 namespace wisteriaroute::platform {
 namespace {
@@ -148,7 +149,8 @@
                   {"x-kept", "2"}}};
 
   SUBCASE("a request is read") {
-    const gateway::caller_request read = DecodeRequest(request);
+    const gateway::caller_request read =
+        gateway::DecodeRequest(kHeaders, request);
     CHECK(read.id == "9c41");
     CHECK(read.host == "a.example");
     CHECK(read.key == base::Digest128("secret"));
@@ -160,7 +162,8 @@
 
   SUBCASE("the server gets neither the key nor what callers may not set") {
     const net::http_headers sent =
-        AttemptHeaders(request, {.deadline_ms = 70,
+        gateway::AttemptHeaders(kHeaders, request,
+                                {.deadline_ms = 70,
                                  .expected_server = "i-1",
                                  .workspace = "w",
                                  .last_event_id = 12});
@@ -175,19 +178,25 @@
   }
 
   SUBCASE("what a response says of its run") {
-    const auto head = DecodeHead(200, {{"wisteriaroute-response-seal", "s"},
-                                       {"wisteriaroute-server-load", "3,1,8"},
-                                       {"content-type", "text/event-stream"},
-                                       {"keep-alive", "timeout=5"}});
+    const auto head =
+        gateway::DecodeHead(kHeaders, 200,
+                            {{"wisteriaroute-response-seal", "s"},
+                             {"wisteriaroute-server-load", "3,1,8"},
+                             {"content-type", "text/event-stream"},
+                             {"keep-alive", "timeout=5"}});
     CHECK(head.sealed);
     CHECK(head.event_stream);
     CHECK_FALSE(head.not_run);
     CHECK(head.load->running == 3);
     CHECK(net::FindHeader(head.headers, "keep-alive").empty());
-    CHECK(DecodeHead(421, {}).not_run);
-    CHECK(DecodeHead(503, {{"wisteriaroute-not-executed", "1"}}).not_run);
-    CHECK_FALSE(DecodeHead(503, {}).not_run);
-    CHECK_FALSE(DecodeHead(200, {{"wisteriaroute-server-load", "x"}}).load);
+    CHECK(gateway::DecodeHead(kHeaders, 421, {}).not_run);
+    CHECK(gateway::DecodeHead(kHeaders, 503,
+                              {{"wisteriaroute-not-executed", "1"}})
+              .not_run);
+    CHECK_FALSE(gateway::DecodeHead(kHeaders, 503, {}).not_run);
+    CHECK_FALSE(
+        gateway::DecodeHead(kHeaders, 200, {{"wisteriaroute-server-load", "x"}})
+            .load);
   }
 }
 
@@ -213,8 +222,10 @@
                    .version = 9,
                    .step = 95}) ==
       R"({"epoch":2,"fencing_token":4,"operation":"arm","step":95,"version":9})");
-  CHECK(ReadShapes(kConfiguration).at("s").experts == 96);
-  CHECK(ReadShapes("not JSON").empty());
+  CHECK(control::ReadShapes(DecodeConfiguration, kConfiguration)
+            .at("s")
+            .experts == 96);
+  CHECK(control::ReadShapes(DecodeConfiguration, "not JSON").empty());
 }
 
 }  // namespace
