tests, standin: gateways as processes against servers that report themselves

Cause: the gateway, its settings' reload and explain had no process test. Found: it is the gateway that is right to answer 502 for a refusal that names no request; the stand-in now repeats the id.

--- a/src/standin/reporting_server.cc
+++ b/src/standin/reporting_server.cc
@@ -96,9 +96,9 @@
   }
   const std::string_view expected = request.Header(kNames.expected_server);
   if (!expected.empty() && expected != settings_.id) {
-    NotRun(id, kMisdirected);
+    NotRun(id, request, kMisdirected);
   } else if (running_.size() >= settings_.slots || Take(faults_.refuse)) {
-    NotRun(id, kUnavailable);
+    NotRun(id, request, kUnavailable);
   } else {
     Begin(id, request);
   }
@@ -182,8 +182,14 @@
   loop_.Defer([node] {});
 }
 
-void reporting_server::NotRun(net::exchange_id id, unsigned status) {
-  http_.Respond(id, status, {{std::string(kNames.not_run), "1"}}, "");
+void reporting_server::NotRun(net::exchange_id id,
+                              const net::http_server_request& request,
+                              unsigned status) {
+  http_.Respond(id, status,
+                {{std::string(kNames.request_id),
+                  std::string(request.Header(kNames.request_id))},
+                 {std::string(kNames.not_run), "1"}},
+                "");
 }
 
 void reporting_server::SetFaults(const std::string& body) {
--- a/src/standin/reporting_server.h
+++ b/src/standin/reporting_server.h
@@ -85,7 +85,9 @@
   void Proceed(net::exchange_id id);
   void ProceedStream(net::exchange_id id, run& of);
   void End(net::exchange_id id);
-  void NotRun(net::exchange_id id, unsigned status);
+  void NotRun(net::exchange_id id,
+              const net::http_server_request& request,
+              unsigned status);
   void SetFaults(const std::string& body);
   nlohmann::json Runs() const;
   net::http_headers Headers(const run& of) const;
--- /dev/null
+++ b/tests/process/gateway_process_test.cc
@@ -0,0 +1,315 @@
+#include <doctest/doctest.h>
+#include <signal.h>
+
+#include <string>
+#include <vector>
+
+#include "libwisteriaroute/base/toml_reader.h"
+#include "tests/process/gateway_process_harness.h"
+
+namespace wisteriaroute::testing {
+namespace {
+
+std::string Events(int first, int last) {
+  std::string text;
+  for (int i = first; i <= last; ++i) {
+    text += "id: " + std::to_string(i) + "\ndata: piece " + std::to_string(i) +
+            "\n\n";
+  }
+  return text;
+}
+
+void SetFaultsOfAll(gateway_system& system, const nlohmann::json& faults) {
+  for (const char* server : {"desk-a", "desk-b", "desk-c"}) {
+    system.SetFaults(server, faults);
+  }
+}
+
+bool Holds(const std::string& text, const std::string& part) {
+  return text.find(part) != text.npos;
+}
+
+TEST_CASE("callers of gateways without agents") {
+  gateway_system system;
+
+  SUBCASE("before anything is published they are asked to come back") {
+    REQUIRE(system.RunUntil(
+        [&] { return Holds(system.Log("gateway-0"), "gateway_started"); }));
+    const auto has_lease = [&] {
+      const std::string text = system.Get(system.Metrics("gateway-0"))->body;
+      return Holds(text, "wisteriaroute_lease_left_seconds ") &&
+             !Holds(text, "wisteriaroute_lease_left_seconds -");
+    };
+    for (int i = 0; i < 500 && !has_lease(); ++i) {
+      system.RunFor(20'000);
+    }
+    const auto early = system.Ask(0, "/lookup/1", "r-early");
+    CHECK(early->status == 503);
+    CHECK(early->ErrorCode() == "no_configuration");
+    CHECK(system.Get(system.Ready(0))->status == 503);
+  }
+
+  SUBCASE("they get whole answers to their own requests") {
+    system.Open();
+    CHECK(system.Get(system.Ready(0))->status == 200);
+    const auto answer = system.Ask(0, "/pay/7", "r-1", {}, "two duvets");
+    CHECK(answer->ok);
+    CHECK(answer->status == 200);
+    CHECK(answer->body == "echo two duvets");
+    CHECK(system.Runs("r-1") == 1);
+
+    const auto stream = system.Ask(1, "/draft/1", "r-2", {{"X-Events", "20"}});
+    CHECK(stream->ok);
+    CHECK(stream->body == Events(1, 20));
+
+    CHECK(system.Ask(0, "/nowhere", "r-3")->status == 404);
+    CHECK(system.Runs("r-3") == 0);
+  }
+
+  SUBCASE("a request that may run once runs once at most") {
+    system.Open();
+    SetFaultsOfAll(system, {{"lose_answer", 1}});
+    const auto lost = system.Ask(0, "/pay/1", "r-lost");
+    CHECK(lost->status == 502);
+    CHECK(system.Runs("r-lost") == 1);
+
+    SetFaultsOfAll(system, {{"lose_answer", 0}, {"refuse", 1}});
+    const auto moved = system.Ask(0, "/pay/2", "r-moved");
+    CHECK(system.Runs("r-moved") == (moved->status == 200 ? 1 : 0));
+    CHECK_MESSAGE((moved->status == 200 || moved->status == 503), moved->status,
+                  " ", moved->body);
+
+    SetFaultsOfAll(system, {{"refuse", 0}, {"unsealed", 1}});
+    // Servers that said that they are full are left alone for 50 ms.
+    system.RunFor(200'000);
+    CHECK(system.Ask(0, "/pay/3", "r-unsealed")->status == 502);
+    CHECK(system.Runs("r-unsealed") == 1);
+  }
+
+  SUBCASE("one that may be repeated goes to another server") {
+    system.Open();
+    system.SetFaults("desk-a", {{"fail", 1}});
+    system.SetFaults("desk-b", {{"lose_answer", 1}});
+    for (int i = 0; i < 10; ++i) {
+      const auto answer = system.Ask(0, "/lookup/1", "r-" + std::to_string(i));
+      CHECK(answer->status == 200);
+    }
+  }
+
+  SUBCASE("a stream that its server cuts or forgets goes on without a gap") {
+    system.Open();
+    SetFaultsOfAll(system, {{"cut_streams", 1}, {"cut_after", 3}});
+    const auto cut = system.Ask(0, "/draft/1", "r-cut", {{"X-Events", "12"}});
+    // Two servers may cut it, the third one can't finish within the attempts.
+    CHECK((cut->body == Events(1, 12) || !cut->ok));
+    SetFaultsOfAll(system, {{"cut_streams", 0}});
+
+    system.SetFaults("desk-a", {{"mute_streams", 1}});
+    system.SetFaults("desk-b", {{"mute_streams", 1}});
+    std::vector<std::shared_ptr<call>> streams;
+    for (int i = 0; i < 3; ++i) {
+      streams.push_back(system.Start(0, "/draft/1", "s-" + std::to_string(i),
+                                     {{"X-Events", "12"}}));
+    }
+    for (const auto& stream : streams) {
+      REQUIRE(system.RunUntil([&] { return stream->done; }));
+      CHECK(stream->ok);
+      CHECK(stream->body == Events(1, 12));
+    }
+  }
+
+  SUBCASE("the work of one that leaves is ended") {
+    system.Open();
+    const auto left = system.Start(0, "/draft/1", "r-left",
+                                   {{"X-Events", "500"}, {"X-Gap-Ms", "20"}});
+    REQUIRE(system.RunUntil([&] { return Holds(left->body, "piece 3"); }));
+    const base::time_us left_us = base::MonotonicUs();
+    system.Leave(*left);
+    const base::time_us limit_us = left_us + 500'000;
+    while (system.Abandoned() == 0 && base::MonotonicUs() < limit_us) {
+    }
+    CHECK(system.Abandoned() == 1);
+    CHECK(system.ServersAreIdle());
+  }
+}
+
+TEST_CASE("what changes while requests run") {
+  gateway_system system;
+  system.Open();
+
+  SUBCASE("a gateway that is asked to stop finishes them") {
+    std::vector<std::shared_ptr<call>> running;
+    for (int i = 0; i < 4; ++i) {
+      running.push_back(
+          system.Start(0, "/draft/1", "r-" + std::to_string(i),
+                       {{"X-Events", "100"}, {"X-Gap-Ms", "20"}}));
+    }
+    REQUIRE(system.RunUntil([&] { return Holds(running[3]->body, "piece"); }));
+    system.Signal("gateway-0", SIGTERM);
+    CHECK(system.RunUntil(
+        [&] { return Holds(system.Log("gateway-0"), "stopping"); }));
+    CHECK(system.Get(system.Ready(0))->status == 503);
+    // Until the balancer has seen that, new ones still come.
+    CHECK(system.Ask(0, "/lookup/1", "r-late")->status == 200);
+    for (const auto& one : running) {
+      REQUIRE(system.RunUntil([&] { return one->done; }));
+      CHECK(one->ok);
+      CHECK(one->body == Events(1, 100));
+    }
+    CHECK(system.RunUntil([&] { return !system.IsRunning("gateway-0"); }));
+  }
+
+  SUBCASE("a server that leaves gets no new ones and finishes its own") {
+    system.Signal("desk-a", SIGTERM);
+    REQUIRE(system.RunUntil([&] {
+      return Holds(system.Log("control-0") + system.Log("control-1") +
+                       system.Log("control-2"),
+                   "server_leaving");
+    }));
+    for (int i = 0; i < 20; ++i) {
+      CHECK(system.Ask(0, "/pay/1", "r-" + std::to_string(i))->status == 200);
+    }
+    const auto log = system.Log("gateway-0");
+    CHECK_FALSE(Holds(log, "server=desk-a load"));
+    CHECK(system.RunUntil([&] { return !system.IsRunning("desk-a"); }));
+  }
+
+  SUBCASE("a set that contradicts itself is refused and nothing changes") {
+    std::string broken = gateway_system::Traffic(2);
+    broken.replace(broken.find("service = \"desk\""), 16, "service = \"dusk\"");
+    CHECK(system.Publish(broken).status != 0);
+    CHECK(system.Ask(0, "/lookup/1", "r-1")->status == 200);
+    CHECK(Holds(system.Get(system.Metrics("gateway-0"))->body,
+                "wisteriaroute_traffic_version 1\n"));
+  }
+
+  SUBCASE("a newer set is in force everywhere, and an older one never again") {
+    CHECK(system.Publish(gateway_system::Traffic(5)).status == 0);
+    CHECK(system.Publish(gateway_system::Traffic(4)).status == 0);
+    for (const char* gateway : {"gateway-0", "gateway-1"}) {
+      bool in_force = false;
+      for (int i = 0; i < 100 && !in_force; ++i) {
+        in_force = Holds(system.Get(system.Metrics(gateway))->body,
+                         "wisteriaroute_traffic_version 5\n");
+        system.RunFor(20'000);
+      }
+      CHECK(in_force);
+    }
+  }
+
+  SUBCASE("all of control may be away for a while") {
+    for (const char* control : {"control-0", "control-1", "control-2"}) {
+      system.End(control, SIGKILL);
+    }
+    CHECK(system.Ask(0, "/lookup/1", "r-alone")->status == 200);
+    for (const char* control : {"control-0", "control-1", "control-2"}) {
+      system.StartProcess(control);
+    }
+    // What was accepted is still there.
+    CHECK(system.Publish(gateway_system::Traffic(1)).status == 0);
+  }
+}
+
+TEST_CASE("settings of running processes") {
+  gateway_system system;
+  system.Open();
+  const auto change = [&](const std::string& process, const std::string& from,
+                          const std::string& to) {
+    std::string text = base::ReadFile(system.SettingsFile(process));
+    const std::size_t at = text.find(from);
+    REQUIRE(at != text.npos);
+    system.WriteSettings(process, text.replace(at, from.size(), to));
+  };
+
+  SUBCASE("a signal puts changes into force, and cuts nothing") {
+    const auto running = system.Start(0, "/draft/1", "r-1",
+                                      {{"X-Events", "50"}, {"X-Gap-Ms", "20"}});
+    REQUIRE(system.RunUntil([&] { return Holds(running->body, "piece"); }));
+    change("gateway-0", "[process]\n", "[process]\nlog_level = \"ERROR\"\n");
+    system.Signal("gateway-0", SIGHUP);
+    CHECK(system.RunUntil([&] { return running->done; }));
+    CHECK(running->body == Events(1, 50));
+    // The level is above what tells of requests.
+    CHECK(system.Ask(0, "/lookup/1", "r-silent")->status == 200);
+    CHECK_FALSE(Holds(system.Log("gateway-0"), "r-silent"));
+    CHECK(system.IsRunning("gateway-0"));
+  }
+
+  SUBCASE("a file that changes without a signal is seen, too") {
+    for (const char* process : {"gateway-0", "control-0", "control-1"}) {
+      change(process, "[process]\n", "[process]\nlog_level = \"INFO\"\n");
+    }
+    for (const char* process : {"gateway-0", "control-0", "control-1"}) {
+      CHECK(system.RunUntil([&] {
+        return Holds(system.Log(process),
+                     "reload cause=\"file changed\" result=applied");
+      }));
+    }
+  }
+
+  SUBCASE("faults in it change nothing and are named") {
+    change("gateway-0", "[gateway]\n", "[gateway]\nretry_ration = 0.5\n");
+    system.Signal("gateway-0", SIGHUP);
+    CHECK(system.RunUntil([&] {
+      return Holds(system.Log("gateway-0"), "result=refused") &&
+             Holds(system.Log("gateway-0"), "retry_ration");
+    }));
+    CHECK(system.Ask(0, "/lookup/1", "r-1")->status == 200);
+  }
+
+  SUBCASE("what needs a restart is named") {
+    change("gateway-0", "listen_ready", "listen_http = \"127.0.0.1:1\"\n#");
+    system.Signal("gateway-0", SIGHUP);
+    CHECK(system.RunUntil([&] {
+      return Holds(system.Log("gateway-0"), "result=refused") ||
+             Holds(system.Log("gateway-0"), "needs_restart=");
+    }));
+  }
+}
+
+TEST_CASE("an engineer finds out what became of a request") {
+  gateway_system system;
+  system.Open();
+  const auto explain = [&](const std::string& id) {
+    return system.Wrctl(
+        "explain --request " + id + " " + system.LogFile("gateway-0") + " " +
+        system.LogFile("gateway-1") + " " + system.LogFile("control-0") + " " +
+        system.LogFile("control-1") + " " + system.LogFile("control-2"));
+  };
+
+  SUBCASE("one that was moved after a server's failure") {
+    SetFaultsOfAll(system, {{"lose_answer", 1}});
+    system.Ask(0, "/pay/1", "r-lost");
+    const command_result found = explain("r-lost");
+    CHECK(found.status == 0);
+    CHECK(Holds(found.output, "attempt_sent"));
+    CHECK(Holds(found.output, "attempt_failed"));
+    CHECK(Holds(found.output, "refused by gateway-0 status=502"));
+    CHECK(Holds(found.output, "traffic_published"));
+  }
+
+  SUBCASE("one that is in no log") {
+    const command_result found = explain("r-unknown");
+    CHECK(found.status == 1);
+    CHECK(Holds(found.output, "no line names the request"));
+  }
+
+  SUBCASE("counters tell the same over HTTP") {
+    system.Ask(0, "/lookup/1", "r-1");
+    const std::string gateway = system.Get(system.Metrics("gateway-0"))->body;
+    CHECK(
+        Holds(gateway, "wisteriaroute_requests_total{outcome=\"relayed\"} 1"));
+    CHECK(Holds(gateway, "wisteriaroute_request_seconds_count 1"));
+    CHECK(Holds(gateway, "wisteriaroute_log_lines_dropped 0"));
+    std::string controls;
+    for (const char* control : {"control-0", "control-1", "control-2"}) {
+      controls += system.Get(system.Metrics(control))->body;
+    }
+    CHECK(Holds(controls, "wisteriaroute_leading 1"));
+    CHECK(Holds(controls,
+                "wisteriaroute_events_total{kind=\"leader_elected\"} 1"));
+  }
+}
+
+}  // namespace
+}  // namespace wisteriaroute::testing
