--- a/src/entry/daemon.cc
+++ b/src/entry/daemon.cc
@@ -7,6 +7,7 @@
 #include "libwisteriaroute/base/log.h"
 #include "libwisteriaroute/config/parse.h"
 #include "libwisteriaroute/entry/api.h"
+#include "libwisteriaroute/member/process_reload.h"
 #include "libwisteriaroute/net/link_context.h"
 
 namespace wisteriaroute::entry {
@@ -64,6 +65,10 @@
       UpdateSession();
     });
   }
+  reload_.emplace(loop_, settings_.process.file,
+                  [this](std::string_view text, base::findings& out) {
+                    return Reload(text, out);
+                  });
   tick_.Start(kTickUs, kTickUs);
   base::LogInfo(
       "entry_started",
@@ -72,6 +77,20 @@
   base::LogInfo("entry_stopped", {{"name", settings_.process.name}});
 }
 
+net::restart_list daemon::Reload(std::string_view text, base::findings& out) {
+  const settings_file next = ParseSettings(text, settings_.process.file, out);
+  if (!out.empty()) {
+    return {};
+  }
+  net::restart_list restart =
+      member::ReloadProcess(settings_.process, next.process);
+  session_->SetControls(settings_.process.controls);
+  if (next.entry != settings_.entry) {
+    restart.emplace_back("entry");
+  }
+  return restart;
+}
+
 net::hub_callbacks daemon::HubCallbacks() {
   return {.on_up =
               [this](net::link_id link, net::dial_id dial,
--- a/src/entry/daemon.h
+++ b/src/entry/daemon.h
@@ -16,6 +16,7 @@
 #include "libwisteriaroute/net/http_server.h"
 #include "libwisteriaroute/net/link_hub.h"
 #include "libwisteriaroute/net/loop.h"
+#include "libwisteriaroute/net/settings_reload.h"
 
 namespace wisteriaroute::entry {
 
@@ -33,6 +34,8 @@
   net::http_server_callbacks HttpCallbacks();
   member::control_session_callbacks SessionCallbacks();
   wire::member_info Describe() const;
+  /** Puts changed settings into force. */
+  net::restart_list Reload(std::string_view text, base::findings& out);
 
   void Handle(const entry_event& event);
   void HandleUp(net::link_id link,
@@ -73,6 +76,7 @@
   net::link_hub hub_;
   net::http_server http_;
   std::optional<member::control_session> session_;
+  std::optional<net::settings_reload> reload_;
   std::map<std::string, net::dial_id> dials_;
   std::set<net::link_id> agent_links_;
   net::timer tick_;
--- a/src/libwisteriaroute/agent/daemon.cc
+++ b/src/libwisteriaroute/agent/daemon.cc
@@ -2,6 +2,7 @@
 
 #include "libwisteriaroute/agent/startup_pages.h"
 #include "libwisteriaroute/base/log.h"
+#include "libwisteriaroute/member/process_reload.h"
 #include "libwisteriaroute/net/link_context.h"
 
 namespace wisteriaroute::agent {
@@ -32,6 +33,7 @@
                                 clock_),
            HubCallbacks()),
       address_(hub_.Listen(settings_.process.listen)),
+      metrics_server_(event_loop, [this] { return metrics_.Render(); }),
       tick_(event_loop.ev(), [this] { Handle(tick{}); }),
       exit_(event_loop.ev(), [this] { event_loop_.Stop(); }),
       release_pages_(event_loop.ev(), [] { ReleaseStartupPages(); }) {
@@ -54,11 +56,33 @@
           .on_dropped = nullptr});
   base::LogInfo("started", {{"address", address_},
                             {"backend", settings_.backend.backend_url}});
+  metrics_server_.Listen(settings_.process.listen_metrics);
+  reload_.emplace(event_loop, settings_.process.file,
+                  [this](std::string_view text, base::findings& out) {
+                    return Reload(text, out);
+                  });
   Handle(tick{});
   tick_.Start(kTickUs, kTickUs);
   release_pages_.Start(kStartupUs);
 }
 
+net::restart_list daemon::Reload(std::string_view text, base::findings& out) {
+  agent_settings next;
+  try {
+    next = ParseSettings(text, settings_.process.file);
+  } catch (const base::findings_error& error) {
+    out = error.all();
+    return {};
+  }
+  net::restart_list restart =
+      member::ReloadProcess(settings_.process, next.process);
+  session_->SetControls(settings_.process.controls);
+  if (next.backend.backend_url != settings_.backend.backend_url) {
+    restart.emplace_back("backend_url");
+  }
+  return restart;
+}
+
 net::hub_callbacks daemon::HubCallbacks() {
   return {.on_up =
               [this](net::link_id link, net::dial_id dial,
--- a/src/libwisteriaroute/agent/daemon.h
+++ b/src/libwisteriaroute/agent/daemon.h
@@ -14,6 +14,8 @@
 #include "libwisteriaroute/member/control_session.h"
 #include "libwisteriaroute/net/link_hub.h"
 #include "libwisteriaroute/net/loop.h"
+#include "libwisteriaroute/net/metrics_server.h"
+#include "libwisteriaroute/net/settings_reload.h"
 
 namespace wisteriaroute::agent {
 
@@ -40,6 +42,8 @@
   void HandleAdmin(net::link_id link, std::string_view body);
   void HandleDown(net::link_id link);
   wire::member_info Info(const update_member& update) const;
+  /** Puts changed settings into force. */
+  net::restart_list Reload(std::string_view text, base::findings& out);
 
   /** Queues an event and carries out all effects, in order. */
   void Handle(agent_event event);
@@ -67,6 +71,8 @@
   std::string address_;
   std::map<net::link_id, peer_kind> peers_;
   std::unique_ptr<member::control_session> session_;
+  std::optional<net::settings_reload> reload_;
+  net::metrics_server metrics_server_;
   std::deque<agent_event> events_;
   bool handling_ = false;
   net::timer tick_;
--- a/src/libwisteriaroute/entry/settings.h
+++ b/src/libwisteriaroute/entry/settings.h
@@ -27,6 +27,8 @@
   /** Retries per 100 requests of the last 10 s, and at least. */
   std::int64_t retry_percent = 10;
   std::int64_t retry_floor = 3;
+
+  bool operator==(const entry_settings&) const = default;
 };
 
 struct settings_file {
--- a/src/libwisteriaroute/net/settings_reload.cc
+++ b/src/libwisteriaroute/net/settings_reload.cc
@@ -29,8 +29,12 @@
                                  apply_function apply)
     : file_(std::move(file)),
       apply_(std::move(apply)),
-      text_(base::ReadFile(file_)),
       poll_(event_loop.ev(), [this] { Look(trigger::kPoll); }) {
+  if (file_.empty()) {
+    // The settings were not read from a file.
+    return;
+  }
+  text_ = base::ReadFile(file_);
   event_loop.OnSignal(SIGHUP, [this] { Look(trigger::kSignal); });
   poll_.Start(kPollUs, kPollUs);
 }
--- a/src/libwisteriaroute/net/settings_reload.h
+++ b/src/libwisteriaroute/net/settings_reload.h
@@ -27,6 +27,7 @@
   using apply_function =
       std::function<restart_list(std::string_view text, base::findings& out)>;
 
+  /** Does nothing if `file` is empty. Throws if it can't be read. */
   settings_reload(loop& event_loop, std::string file, apply_function apply);
 
  private:
