gateway, policy: streams leave room for the next shift of demand

Cause: a stream is late if one pause is above its objective. A shift makes passes 2 to 3 times as long until the map has followed, and groups were as full as the pace just before allowed; all in progress became late. Change: policy/slowdown_reserve admits only what keeps its pace under the worst slowdown of the last 6 to 12 s, at least half of the slots. Its own test found that a window left over from before a pause was counted later.

--- a/src/libwisteriaroute/gateway/gateway.h
+++ b/src/libwisteriaroute/gateway/gateway.h
@@ -18,6 +18,7 @@
 #include "libwisteriaroute/gateway/retry_budget.h"
 #include "libwisteriaroute/gateway/servers.h"
 #include "libwisteriaroute/policy/pace_limit.h"
+#include "libwisteriaroute/policy/slowdown_reserve.h"
 
 namespace wisteriaroute::gateway {
 
@@ -93,6 +94,8 @@
   std::map<std::string, retry_budget, std::less<>> budgets;
   /** Of services that answer by streams. */
   std::map<std::string, policy::pace_limit, std::less<>> paces;
+  /** Of services whose servers run in passes. */
+  std::map<std::string, policy::slowdown_reserve, std::less<>> reserves;
   attempt_id next_attempt = 1;
   std::uint64_t random = 1;
 };
--- a/src/libwisteriaroute/gateway/http_codec.cc
+++ b/src/libwisteriaroute/gateway/http_codec.cc
@@ -73,8 +73,7 @@
       .path = request.path};
   const std::string_view authorization = request.Header(kAuthorization);
   if (authorization.starts_with(kBearer)) {
-    decoded.key =
-        base::Digest128(authorization.substr(kBearer.size()));
+    decoded.key = base::Digest128(authorization.substr(kBearer.size()));
   }
   decoded.deadline_ms =
       ParseNumber<std::int64_t>(request.Header(names.deadline_ms)).value_or(0);
@@ -86,7 +85,8 @@
   decoded.max_output_tokens =
       ParseNumber<std::int64_t>(NextField(usage)).value_or(0);
   decoded.expected_output_tokens =
-      ParseNumber<std::int64_t>(request.Header(names.expected_output)).value_or(0);
+      ParseNumber<std::int64_t>(request.Header(names.expected_output))
+          .value_or(0);
   return decoded;
 }
 
--- a/src/libwisteriaroute/gateway/placement.cc
+++ b/src/libwisteriaroute/gateway/placement.cc
@@ -66,8 +66,30 @@
        {"version", std::to_string(request.traffic->set().version)}});
 }
 
+/** Whether one more stream would use up the room for the next slowdown. */
+bool UsesReserve(step_context& step, const request_state& request) {
+  const config::traffic_service* service =
+      request.traffic->FindService(request.service);
+  if (!request.route->streams || request.route->gap_objective_ms <= 0 ||
+      service == nullptr || !service->engine) {
+    return false;
+  }
+  const auto load = step.state.servers.TotalLoad(request.service, step.now_us);
+  const double allowed = StreamsWithReserve(
+      step.state.reserves[request.service], PassTime(*service->engine),
+      static_cast<double>(request.route->gap_objective_ms),
+      static_cast<double>(service->engine->slots));
+  return load.requests + 1 > allowed * static_cast<double>(load.servers);
+}
+
 }  // namespace
 
+policy::pass_time PassTime(const config::engine_shape& engine) {
+  const auto steps = static_cast<double>(engine.steps_per_pass);
+  return {.fixed_ms = steps * engine.step_ms,
+          .ms_per_stream = steps * engine.step_ms_per_sequence};
+}
+
 void Place(step_context& step, request_state& request) {
   if (request.until_us - step.now_us <
       step.state.options.min_attempt_ms * 1'000) {
@@ -90,7 +112,10 @@
                        slots
                  : step.state.options.server_queue});
   }
-  const auto chosen = policy::ChooseServer(candidates, step.Random());
+  const bool first = request.attempts == 0;
+  const auto chosen = first && UsesReserve(step, request)
+                          ? std::nullopt
+                          : policy::ChooseServer(candidates, step.Random());
   if (chosen) {
     Send(step, request, *servers[*chosen]);
     return;
--- a/src/libwisteriaroute/gateway/servers.cc
+++ b/src/libwisteriaroute/gateway/servers.cc
@@ -76,6 +76,18 @@
   });
 }
 
+server_table::total_load server_table::TotalLoad(std::string_view service,
+                                                 base::time_us now_us) const {
+  total_load total;
+  for (const auto& [id, one] : servers_) {
+    if (one.info.backend.service == service) {
+      total.requests += EstimatedLoad(one, now_us);
+      total.servers += one.info.leaving ? 0 : 1;
+    }
+  }
+  return total;
+}
+
 server* server_table::Find(std::string_view id) {
   const auto found = servers_.find(id);
   return found == servers_.end() ? nullptr : &found->second;
--- a/src/libwisteriaroute/gateway/servers.h
+++ b/src/libwisteriaroute/gateway/servers.h
@@ -43,6 +43,13 @@
   /** Whether the service has any server that isn't leaving. */
   bool HasAny(std::string_view service) const;
 
+  /** What the servers of a service run together, as estimated. */
+  struct total_load {
+    double requests = 0;
+    std::size_t servers = 0;
+  };
+  total_load TotalLoad(std::string_view service, base::time_us now_us) const;
+
   /** The server, or null if it is gone. */
   server* Find(std::string_view id);
 
--- a/src/libwisteriaroute/gateway/step_context.h
+++ b/src/libwisteriaroute/gateway/step_context.h
@@ -30,6 +30,9 @@
 
 // Placing (placement.cc).
 
+/** Time of a pass of the engine's group, as it was declared. */
+policy::pass_time PassTime(const config::engine_shape& engine);
+
 /**
  * Sends the request to a server, or answers it if none can take it. The
  * request may be gone on return.
--- /dev/null
+++ b/src/libwisteriaroute/policy/slowdown_reserve.cc
@@ -0,0 +1,71 @@
+#include "libwisteriaroute/policy/slowdown_reserve.h"
+
+#include <algorithm>
+
+namespace wisteriaroute::policy {
+
+namespace {
+
+// Two or three passes, so that one late event isn't taken for a slow group.
+constexpr base::time_us kWindowUs = 120'000;
+constexpr std::uint32_t kMinEvents = 5;
+// A slowdown is remembered for one to two periods; shifts come every 3 to 5 s.
+constexpr base::time_us kPeriodUs = 6'000'000;
+// Passes vary, and events take their way to the caller.
+constexpr double kPartOfObjective = 0.93;
+// With less in use, callers would be refused while most places are free.
+constexpr double kLeastPartOfSlots = 0.5;
+
+}  // namespace
+
+void NoteSlowdown(slowdown_reserve& reserve,
+                  double gap_ms,
+                  double streams,
+                  const pass_time& pass,
+                  base::time_us now_us) {
+  if (now_us - reserve.period_start_us >= kPeriodUs) {
+    const bool follows = now_us - reserve.period_start_us < 2 * kPeriodUs;
+    reserve.worst_before = follows ? reserve.worst : 0;
+    reserve.worst = 0;
+    reserve.period_start_us = now_us;
+  }
+  // What was left over from before a pause says nothing of now.
+  const bool stale = now_us - reserve.window_start_us > 2 * kWindowUs;
+  if (reserve.events == 0 || stale) {
+    reserve.gap_sum_ms = 0;
+    reserve.streams_sum = 0;
+    reserve.events = 0;
+    reserve.window_start_us = now_us;
+  }
+  reserve.gap_sum_ms += gap_ms;
+  reserve.streams_sum += streams;
+  ++reserve.events;
+  if (now_us - reserve.window_start_us < kWindowUs ||
+      reserve.events < kMinEvents) {
+    return;
+  }
+  const double expected_ms = pass.Of(reserve.streams_sum / reserve.events);
+  if (expected_ms > 0) {
+    reserve.worst = std::max(reserve.worst,
+                             reserve.gap_sum_ms / reserve.events / expected_ms);
+  }
+  reserve.gap_sum_ms = 0;
+  reserve.streams_sum = 0;
+  reserve.events = 0;
+}
+
+double StreamsWithReserve(const slowdown_reserve& reserve,
+                          const pass_time& pass,
+                          double objective_ms,
+                          double slots) {
+  const double worst = std::max(reserve.worst, reserve.worst_before);
+  if (worst <= 0 || pass.ms_per_stream <= 0 || objective_ms <= 0) {
+    return slots;
+  }
+  const double streams =
+      (kPartOfObjective * objective_ms / worst - pass.fixed_ms) /
+      pass.ms_per_stream;
+  return std::clamp(streams, kLeastPartOfSlots * slots, slots);
+}
+
+}  // namespace wisteriaroute::policy
