control, policy: maps follow settled demand, and idle groups copy ahead

Before the first shift all free slots were empty. Change: policy/demand_tracker takes the latest counts of each rank and none within 150 ms of a shift; sidecars send counts as they come. PlanHedge fills free slots with second replicas while a group is idle.

--- a/src/libwisteriaroute/control/rank_group.h
+++ b/src/libwisteriaroute/control/rank_group.h
@@ -10,6 +10,7 @@
 
 #include "libwisteriaroute/base/clock.h"
 #include "libwisteriaroute/net/link_hub.h"
+#include "libwisteriaroute/policy/demand_tracker.h"
 #include "libwisteriaroute/wire/control_messages.h"
 
 namespace wisteriaroute::control {
@@ -62,6 +63,8 @@
   /** Steps between the last known one and the hold. */
   std::uint64_t margin_steps = 0;
   base::time_us since_us = 0;
+  /** It is given up if it isn't prepared by then. */
+  base::time_us prepare_until_us = 0;
 };
 
 /** A group that the platform forms, as its sidecars report it. */
@@ -72,9 +75,9 @@
   std::optional<rank_change> change;
   /** The highest version that was used or seen in this formation. */
   std::uint64_t last_version = 0;
-  /** Tokens by set and expert in the window in progress. */
-  std::vector<std::uint64_t> tokens;
-  base::time_us window_start_us = 0;
+  policy::demand_tracker demand;
+  /** No look at the map before this time. */
+  base::time_us next_plan_us = 0;
 };
 
 }  // namespace wisteriaroute::control
--- a/src/libwisteriaroute/control/rank_group_drive.cc
+++ b/src/libwisteriaroute/control/rank_group_drive.cc
@@ -1,7 +1,6 @@
 #include "libwisteriaroute/control/rank_group_drive.h"
 
 #include <algorithm>
-#include <numeric>
 #include <utility>
 
 #include "libwisteriaroute/control/sessions.h"
@@ -24,12 +23,13 @@
 // use the same one.
 constexpr std::uint64_t kVersionsPerTerm = 1'000'000;
 // Copying takes about 0.4 s for each expert of a rank; a change that isn't
-// prepared by now has lost its purpose.
-constexpr base::time_us kPrepareLimitUs = 4'000'000;
-// Demand is seen over this long, which is a few steps of the group, and at
-// least over this many tokens, so that shares aren't noise.
-constexpr base::time_us kWindowUs = 200'000;
-constexpr std::uint64_t kMinTokens = 20'000;
+// prepared well after that has lost its purpose.
+constexpr base::time_us kPrepareLimitUs = 3'000'000;
+constexpr base::time_us kCopyLimitUs = 1'000'000;
+// A group without counts for this long runs no requests.
+constexpr base::time_us kIdleUs = 1'000'000;
+// Shortest time between two looks at the map; a look costs about a millisecond.
+constexpr base::time_us kPlanPeriodUs = 200'000;
 // A change in preparation is replaced if demand has left it this far behind.
 constexpr double kStaleSkew = 0.8;
 // Copies in one change: with more, copying takes longer than demand stays.
@@ -240,7 +240,7 @@
       Note("map_change_outdated", "version " + std::to_string(change.version) +
                                       ": demand has shifted again");
       Plan();
-    } else if (now.now_us - change.since_us > kPrepareLimitUs) {
+    } else if (now.now_us > change.prepare_until_us) {
       Note("map_change_given_up", "not prepared in time");
       group.change.reset();
     }
@@ -261,32 +261,34 @@
 
   /** Whether demand has shifted again, away from what is being prepared. */
   bool IsStale() {
-    const engine_shapes& shapes = Shapes(state);
-    const auto shape = shapes.find(group.service);
-    if (!HasWindow() || shape == shapes.end() ||
-        group.change->placement.empty()) {
+    const config::engine_shape* shape = Shape();
+    if (shape == nullptr || group.change->placement.empty()) {
       return false;
     }
-    const double skew =
-        policy::MeanSkew(group.change->placement, group.tokens,
-                         static_cast<std::uint32_t>(shape->second.experts));
-    if (skew < group.change->planned_skew + kStaleSkew) {
-      StartWindow();
+    const bool shifted = group.demand.shift_us != 0;
+    const auto demand = Demand(*shape);
+    if (!demand || (now.now_us < group.next_plan_us && !shifted)) {
       return false;
     }
-    return true;
+    group.next_plan_us = now.now_us + kPlanPeriodUs;
+    const double skew =
+        policy::MeanSkew(group.change->placement, *demand,
+                         static_cast<std::uint32_t>(shape->experts));
+    return skew >= group.change->planned_skew + kStaleSkew;
   }
 
-  /** Whether the window in progress tells what demand is now. */
-  bool HasWindow() const {
-    return now.now_us - group.window_start_us >= kWindowUs &&
-           std::accumulate(group.tokens.begin(), group.tokens.end(), 0ULL) >=
-               kMinTokens;
+  /** Shape of the group's engines, or null if it isn't known. */
+  const config::engine_shape* Shape() const {
+    const engine_shapes& shapes = Shapes(state);
+    const auto found = shapes.find(group.service);
+    return found == shapes.end() ? nullptr : &found->second;
   }
 
-  void StartWindow() {
-    std::ranges::fill(group.tokens, 0);
-    group.window_start_us = now.now_us;
+  std::optional<std::vector<std::uint64_t>> Demand(
+      const config::engine_shape& shape) const {
+    return policy::SettledDemand(
+        group.demand, static_cast<std::uint32_t>(group.ranks.size()),
+        static_cast<std::uint32_t>(shape.experts), now.now_us);
   }
 
   void BeginHold() {
@@ -372,7 +374,6 @@
                std::to_string((now.now_us - group.change->since_us) / 1'000) +
                " ms");
       group.change.reset();
-      StartWindow();
     }
   }
 
@@ -394,34 +395,75 @@
   }
 
   void Plan() {
-    if (!HasWindow()) {
+    const config::engine_shape* shape = Shape();
+    if (shape == nullptr) {
       return;
     }
-    const engine_shapes& shapes = Shapes(state);
-    const auto shape = shapes.find(group.service);
-    const wire::expert_placement current = Current();
-    if (shape == shapes.end() || current.empty()) {
+    if (IsIdle()) {
+      PlanForIdle(*shape);
+      return;
+    }
+    const bool shifted = group.demand.shift_us != 0;
+    const auto demand = Demand(*shape);
+    // What follows a shift is planned for as soon as it is known.
+    if (now.now_us < group.next_plan_us && !shifted) {
       return;
     }
+    const wire::expert_placement current =
+        demand ? Current() : wire::expert_placement();
+    if (current.empty()) {
+      return;
+    }
+    group.next_plan_us = now.now_us + kPlanPeriodUs;
     const auto change = policy::PlanSpread(
-        current, group.tokens,
-        {.experts = static_cast<std::uint32_t>(shape->second.experts),
-         .slots_per_rank =
-             static_cast<std::uint32_t>(shape->second.expert_slots),
+        current, *demand,
+        {.experts = static_cast<std::uint32_t>(shape->experts),
+         .slots_per_rank = static_cast<std::uint32_t>(shape->expert_slots),
          .max_copies_per_rank =
              std::min(kMaxCopiesPerRank,
-                      static_cast<std::uint32_t>(shape->second.spare_slots))});
-    StartWindow();
+                      static_cast<std::uint32_t>(shape->spare_slots))});
+    if (change) {
+      Begin(*change);
+    }
+  }
+
+  /** Whether no requests have run for a while. */
+  bool IsIdle() const {
+    return std::ranges::all_of(group.demand.reports, [&](const auto& item) {
+      return now.now_us - item.second.at_us > kIdleUs;
+    });
+  }
+
+  /** Copies ahead while that delays nobody. */
+  void PlanForIdle(const config::engine_shape& shape) {
+    if (now.now_us < group.next_plan_us) {
+      return;
+    }
+    group.next_plan_us = now.now_us + kPlanPeriodUs;
+    const wire::expert_placement current = Current();
+    if (current.empty()) {
+      return;
+    }
+    const auto change = policy::PlanHedge(
+        current,
+        {.experts = static_cast<std::uint32_t>(shape.experts),
+         .slots_per_rank = static_cast<std::uint32_t>(shape.expert_slots),
+         .max_copies_per_rank = static_cast<std::uint32_t>(shape.spare_slots)});
     if (change) {
       Begin(*change);
     }
   }
 
   void Begin(const policy::spread_change& planned) {
-    group.change = rank_change{.version = NextVersion(),
-                               .placement = planned.placement,
-                               .planned_skew = planned.skew_after,
-                               .since_us = now.now_us};
+    const auto copies_per_rank = static_cast<base::time_us>(
+        (planned.copies + group.ranks.size() - 1) / group.ranks.size());
+    group.change =
+        rank_change{.version = NextVersion(),
+                    .placement = planned.placement,
+                    .planned_skew = planned.skew_after,
+                    .since_us = now.now_us,
+                    .prepare_until_us = now.now_us + kPrepareLimitUs +
+                                        copies_per_rank * kCopyLimitUs};
     Enter(change_phase::kPreparing);
     Note("map_change_begun",
          "version " + std::to_string(group.change->version) + " copies " +
@@ -432,15 +474,6 @@
   }
 };
 
-void AddTokens(rank_group& group, const wire::rank_status& status) {
-  if (group.tokens.size() < status.expert_tokens.size()) {
-    group.tokens.resize(status.expert_tokens.size());
-  }
-  for (std::size_t i = 0; i < status.expert_tokens.size(); ++i) {
-    group.tokens[i] += status.expert_tokens[i];
-  }
-}
-
 }  // namespace
 
 void HandleRankStatus(replica_state& state,
@@ -455,9 +488,7 @@
   group.service = status.service;
   if (status.formation > group.formation) {
     // Nothing of the formation before is left on any rank.
-    group = {.service = status.service,
-             .formation = status.formation,
-             .window_start_us = now.now_us};
+    group = {.service = status.service, .formation = status.formation};
   } else if (status.formation < group.formation) {
     return;
   }
@@ -472,7 +503,8 @@
   group.last_version =
       std::max({group.last_version, status.map_version, status.prepared_version,
                 status.armed_version});
-  AddTokens(group, status);
+  policy::NoteCounts(group.demand, status.rank, status.expert_tokens,
+                     now.now_us);
   one.status.expert_tokens.clear();
   one.status.experts.clear();
   if (group.change) {
--- /dev/null
+++ b/src/libwisteriaroute/policy/demand_tracker.cc
@@ -0,0 +1,111 @@
+#include "libwisteriaroute/policy/demand_tracker.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <utility>
+
+namespace wisteriaroute::policy {
+
+namespace {
+
+// Sidecars report counts every 100 ms; one that is later was held up.
+constexpr base::time_us kFreshUs = 350'000;
+// By then all ranks have sent counts that begin after the shift: the period of
+// the reports, and half of it for those that were late to show the shift.
+constexpr base::time_us kSettleUs = 150'000;
+// Longer than the ranks take to report one after the other.
+constexpr base::time_us kComparedUs = 200'000;
+// With fewer, shares are noise.
+constexpr std::uint64_t kMinTokens = 10'000;
+// Part of the demand of a set that has gone to other experts. Counts of 100 ms
+// differ by up to a tenth without any shift.
+constexpr double kShiftedPart = 0.2;
+
+std::vector<double> Shares(std::span<const std::uint64_t> tokens,
+                           std::uint32_t experts) {
+  std::vector<double> shares;
+  shares.reserve(tokens.size());
+  for (std::size_t first = 0; first < tokens.size(); first += experts) {
+    const auto set = tokens.subspan(first, experts);
+    const auto sum = static_cast<double>(
+        std::accumulate(set.begin(), set.end(), std::uint64_t{0}));
+    for (const std::uint64_t count : set) {
+      shares.push_back(sum > 0 ? static_cast<double>(count) / sum : 0);
+    }
+  }
+  return shares;
+}
+
+/** Mean part of a set's demand that differs. */
+double MovedPart(std::span<const double> from,
+                 std::span<const double> to,
+                 std::uint32_t experts) {
+  double sum = 0;
+  for (std::size_t i = 0; i < from.size(); ++i) {
+    sum += std::abs(from[i] - to[i]);
+  }
+  const double sets =
+      static_cast<double>(from.size()) / static_cast<double>(experts);
+  return sum / 2 / sets;
+}
+
+}  // namespace
+
+void NoteCounts(demand_tracker& tracker,
+                std::uint32_t rank,
+                std::span<const std::uint32_t> tokens,
+                base::time_us now_us) {
+  const bool counted = std::ranges::any_of(
+      tokens, [](std::uint32_t count) { return count > 0; });
+  if (counted) {
+    tracker.reports[rank] = {{tokens.begin(), tokens.end()}, now_us};
+  }
+}
+
+std::optional<std::vector<std::uint64_t>> SettledDemand(demand_tracker& tracker,
+                                                        std::uint32_t ranks,
+                                                        std::uint32_t experts,
+                                                        base::time_us now_us) {
+  if (experts == 0 || tracker.reports.size() != ranks) {
+    return std::nullopt;
+  }
+  std::vector<std::uint64_t> sum;
+  for (const auto& [rank, one] : tracker.reports) {
+    if (now_us - one.at_us > kFreshUs) {
+      return std::nullopt;
+    }
+    sum.resize(std::max(sum.size(), one.tokens.size()));
+    for (std::size_t i = 0; i < one.tokens.size(); ++i) {
+      sum[i] += one.tokens[i];
+    }
+  }
+  const std::uint64_t total =
+      std::accumulate(sum.begin(), sum.end(), std::uint64_t{0});
+  if (total < kMinTokens || sum.size() % experts != 0) {
+    return std::nullopt;
+  }
+  std::vector<double> shares = Shares(sum, experts);
+  const bool moved = tracker.settled.size() == shares.size() &&
+                     MovedPart(tracker.settled, shares, experts) > kShiftedPart;
+  if (moved && tracker.shift_us == 0) {
+    tracker.shift_us = now_us;
+  }
+  if (tracker.shift_us != 0 && now_us - tracker.shift_us < kSettleUs) {
+    return std::nullopt;
+  }
+  // While ranks report a shift one after the other, each step is small; what
+  // they are compared with must be from before all of them.
+  if (tracker.shift_us != 0 || tracker.settled.empty()) {
+    tracker.settled = shares;
+    tracker.next_settled = std::move(shares);
+    tracker.next_settled_us = now_us;
+  } else if (now_us - tracker.next_settled_us >= kComparedUs) {
+    tracker.settled = std::exchange(tracker.next_settled, std::move(shares));
+    tracker.next_settled_us = now_us;
+  }
+  tracker.shift_us = 0;
+  return sum;
+}
+
+}  // namespace wisteriaroute::policy
--- /dev/null
+++ b/src/libwisteriaroute/policy/demand_tracker.h
@@ -0,0 +1,55 @@
+#ifndef LIBWISTERIAROUTE_POLICY_DEMAND_TRACKER_H_
+#define LIBWISTERIAROUTE_POLICY_DEMAND_TRACKER_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <vector>
+
+#include "libwisteriaroute/base/clock.h"
+
+namespace wisteriaroute::policy {
+
+/**
+ * Which experts a group wants now, from the counts that its ranks report one
+ * after the other. Demand shifts at once, every few seconds; a map that was
+ * planned from counts of before and after a shift fits neither. So only the
+ * latest report of each rank counts, and after a shift was seen none does until
+ * all ranks have reported again.
+ */
+struct demand_tracker {
+  struct report {
+    std::vector<std::uint32_t> tokens;
+    base::time_us at_us = 0;
+  };
+
+  /** The latest reports by rank. */
+  std::map<std::uint32_t, report> reports;
+  /** Shares by set and expert that demand is compared with. */
+  std::vector<double> settled;
+  /** Later ones, which take their place. */
+  std::vector<double> next_settled;
+  base::time_us next_settled_us = 0;
+  /** When a shift was seen that isn't over; 0: none. */
+  base::time_us shift_us = 0;
+};
+
+/** Notes what a rank counted since its last report, by set and expert. */
+void NoteCounts(demand_tracker& tracker,
+                std::uint32_t rank,
+                std::span<const std::uint32_t> tokens,
+                base::time_us now_us);
+
+/**
+ * Tokens by set and expert, if all `ranks` have reported lately and demand
+ * isn't shifting. `experts` is their number in a set.
+ */
+std::optional<std::vector<std::uint64_t>> SettledDemand(demand_tracker& tracker,
+                                                        std::uint32_t ranks,
+                                                        std::uint32_t experts,
+                                                        base::time_us now_us);
+
+}  // namespace wisteriaroute::policy
+
+#endif  // LIBWISTERIAROUTE_POLICY_DEMAND_TRACKER_H_
--- a/src/libwisteriaroute/policy/expert_spread.cc
+++ b/src/libwisteriaroute/policy/expert_spread.cc
@@ -17,6 +17,9 @@
 // more than the rest of the skew.
 constexpr double kGoodSkew = 1.2;
 
+// Prime to the usual numbers of experts, so that all are reached.
+constexpr std::uint32_t kHedgeStride = 37;
+
 /** Shares of the experts of one set; the last one stands for free slots. */
 std::vector<double> Shares(std::span<const std::uint64_t> tokens) {
   const double total =
@@ -178,6 +181,47 @@
   return change;
 }
 
+std::optional<spread_change> PlanHedge(const wire::expert_placement& current,
+                                       const spread_limits& limits) {
+  if (!Fits(current, limits)) {
+    return std::nullopt;
+  }
+  spread_change change{.placement = current};
+  for (auto& ranks : change.placement) {
+    std::vector<std::uint32_t> replicas(limits.experts);
+    for (const wire::expert_list& held : ranks) {
+      for (const std::uint16_t expert : held) {
+        ++replicas[expert];
+      }
+    }
+    // Rank after rank gets one, so that each has some of what is replicated.
+    for (std::uint32_t round = 0; round < limits.max_copies_per_rank; ++round) {
+      for (std::size_t rank = 0; rank < ranks.size(); ++rank) {
+        wire::expert_list& held = ranks[rank];
+        if (held.size() >= limits.slots_per_rank) {
+          continue;
+        }
+        std::optional<std::uint16_t> rarest;
+        for (std::uint32_t i = 0; i < limits.experts; ++i) {
+          // Begins elsewhere for each rank: neighbours hold each other's.
+          const auto expert = static_cast<std::uint16_t>(
+              (i * kHedgeStride + rank + round) % limits.experts);
+          if (std::ranges::find(held, expert) == held.end() &&
+              (!rarest || replicas[expert] < replicas[*rarest])) {
+            rarest = expert;
+          }
+        }
+        if (rarest) {
+          held.push_back(*rarest);
+          ++replicas[*rarest];
+          ++change.copies;
+        }
+      }
+    }
+  }
+  return change.copies == 0 ? std::nullopt : std::optional(std::move(change));
+}
+
 double MeanSkew(const wire::expert_placement& placement,
                 std::span<const std::uint64_t> tokens,
                 std::uint32_t experts) {
--- a/src/libwisteriaroute/policy/expert_spread.h
+++ b/src/libwisteriaroute/policy/expert_spread.h
@@ -38,6 +38,15 @@
                                         std::span<const std::uint64_t> tokens,
                                         const spread_limits& limits);
 
+/**
+ * Answers that nobody knows which experts are wanted next: fills the free slots
+ * with second replicas of as many experts as may be, so that a shift of demand
+ * finds some of them on two ranks. For a group that is idle, where copying
+ * delays nobody. Returns nothing if no slot is free.
+ */
+std::optional<spread_change> PlanHedge(const wire::expert_placement& current,
+                                       const spread_limits& limits);
+
 /** Mean skew over the sets of a placement; 1 is perfect balance. */
 double MeanSkew(const wire::expert_placement& placement,
                 std::span<const std::uint64_t> tokens,
--- a/src/libwisteriaroute/sidecar/sidecar.cc
+++ b/src/libwisteriaroute/sidecar/sidecar.cc
@@ -54,7 +54,8 @@
       // Counts of another run, or the first ones: what came before is unknown.
       state.counts_sent = state.counts.totals;
     }
-    SendIfChanged();
+    // At once: what control plans by should be as young as may be.
+    Send();
   }
 
   void operator()(const lists_polled& event) {
--- /dev/null
+++ b/tests/policy/demand_tracker_test.cc
@@ -0,0 +1,183 @@
+#include "libwisteriaroute/policy/demand_tracker.h"
+
+#include <doctest/doctest.h>
+
+#include <cmath>
+#include <numeric>
+#include <random>
+#include <vector>
+
+#include "tests/policy/naive_demand_window.h"
+
+namespace wisteriaroute::policy {
+namespace {
+
+constexpr std::uint32_t kRanks = 12;
+constexpr std::uint32_t kExperts = 96;
+constexpr base::time_us kReportUs = 100'000;
+constexpr base::time_us kTickUs = 10'000;
+constexpr double kTokensPerUs = 2;
+
+/** Shares of the experts, most wanted first at `first`, as n^-1.3. */
+std::vector<double> Demand(std::uint32_t first) {
+  std::vector<double> shares(kExperts);
+  double sum = 0;
+  for (std::uint32_t place = 0; place < kExperts; ++place) {
+    shares[(first + place * 7) % kExperts] = std::pow(place + 1, -1.3);
+    sum += std::pow(place + 1, -1.3);
+  }
+  for (double& share : shares) {
+    share /= sum;
+  }
+  return shares;
+}
+
+/**
+ * A group whose demand shifts at given times, and its ranks' counts as they
+ * reach control: each rank reports every 100 ms, one after the other.
+ */
+class shifting_group {
+ public:
+  explicit shifting_group(std::vector<base::time_us> shifts)
+      : shifts_(std::move(shifts)), reported_us_(kRanks) {
+    for (std::uint32_t rank = 0; rank < kRanks; ++rank) {
+      reported_us_[rank] = rank * kReportUs / kRanks;
+    }
+  }
+
+  /** Reports that arrive at `now_us`: rank and counts. */
+  std::vector<std::pair<std::uint32_t, std::vector<std::uint32_t>>> Reports(
+      base::time_us now_us) {
+    std::vector<std::pair<std::uint32_t, std::vector<std::uint32_t>>> all;
+    for (std::uint32_t rank = 0; rank < kRanks; ++rank) {
+      if (now_us - reported_us_[rank] < kReportUs) {
+        continue;
+      }
+      std::vector<std::uint32_t> counts(kExperts);
+      for (base::time_us at = reported_us_[rank]; at < now_us; at += kTickUs) {
+        const std::vector<double> shares = At(at);
+        for (std::uint32_t e = 0; e < kExperts; ++e) {
+          counts[e] += static_cast<std::uint32_t>(
+              shares[e] * kTokensPerUs * kTickUs / kRanks *
+              std::uniform_real_distribution<>(0.8, 1.2)(random_));
+        }
+      }
+      reported_us_[rank] = now_us;
+      all.emplace_back(rank, std::move(counts));
+    }
+    return all;
+  }
+
+  std::vector<double> At(base::time_us at) const {
+    std::uint32_t first = 0;
+    for (std::size_t i = 0; i < shifts_.size(); ++i) {
+      first =
+          at >= shifts_[i] ? static_cast<std::uint32_t>(31 * (i + 1)) : first;
+    }
+    return Demand(first);
+  }
+
+ private:
+  std::vector<base::time_us> shifts_;
+  std::vector<base::time_us> reported_us_;
+  std::mt19937 random_{20261204};
+};
+
+/** Part of `tokens` that isn't where `shares` say. */
+double Mixed(const std::vector<std::uint64_t>& tokens,
+             const std::vector<double>& shares) {
+  const auto sum = static_cast<double>(
+      std::accumulate(tokens.begin(), tokens.end(), std::uint64_t{0}));
+  double off = 0;
+  for (std::size_t i = 0; i < tokens.size(); ++i) {
+    off += std::abs(static_cast<double>(tokens[i]) / sum - shares[i]);
+  }
+  return off / 2;
+}
+
+/** When the first demand after a shift was offered, and how true it was. */
+struct outcome {
+  base::time_us delay_us = 0;
+  double mixed = 0;
+};
+
+template <typename Tracker>
+outcome FirstAfter(base::time_us shift_us, Tracker&& tracker) {
+  shifting_group group({shift_us});
+  const std::vector<double> before = group.At(0);
+  for (base::time_us now = 0; now < shift_us + 2'000'000; now += kTickUs) {
+    for (const auto& [rank, counts] : group.Reports(now)) {
+      tracker.Note(rank, counts, now);
+    }
+    const auto demand = tracker.Settled(now);
+    // What is still close to before causes no change.
+    if (demand && now > shift_us && Mixed(*demand, before) > 0.25) {
+      return {now - shift_us, Mixed(*demand, group.At(now))};
+    }
+  }
+  return {2'000'000, 1};
+}
+
+struct tracked {
+  demand_tracker state;
+
+  void Note(std::uint32_t rank,
+            const std::vector<std::uint32_t>& counts,
+            base::time_us now) {
+    NoteCounts(state, rank, counts, now);
+  }
+  auto Settled(base::time_us now) {
+    return SettledDemand(state, kRanks, kExperts, now);
+  }
+};
+
+TEST_CASE("a shift of demand") {
+  constexpr int kShifts = 40;
+  base::time_us slowest = 0;
+  double most_mixed = 0;
+  double naive_most_mixed = 0;
+  double sum_us = 0;
+  double naive_sum_us = 0;
+  for (int i = 0; i < kShifts; ++i) {
+    const base::time_us at = 1'000'000 + i * 13'000;
+    const outcome seen = FirstAfter(at, tracked());
+    const outcome naive = FirstAfter(at, naive_demand_window());
+    slowest = std::max(slowest, seen.delay_us);
+    most_mixed = std::max(most_mixed, seen.mixed);
+    naive_most_mixed = std::max(naive_most_mixed, naive.mixed);
+    sum_us += static_cast<double>(seen.delay_us);
+    naive_sum_us += static_cast<double>(naive.delay_us);
+  }
+  MESSAGE("mean delay ", sum_us / kShifts / 1'000, " ms, naive ",
+          naive_sum_us / kShifts / 1'000, " ms; most mixed ", most_mixed,
+          ", naive ", naive_most_mixed);
+
+  SUBCASE("is told of when no counts of before are in it") {
+    CHECK(most_mixed < 0.1);
+    CHECK(naive_most_mixed > 0.2);
+  }
+
+  SUBCASE("and within three reports") {
+    CHECK(slowest <= 3 * kReportUs);
+  }
+}
+
+TEST_CASE("what isn't a settled demand") {
+  demand_tracker tracker;
+  const std::vector<std::uint32_t> counts(kExperts, 100);
+  for (std::uint32_t rank = 0; rank + 1 < kRanks; ++rank) {
+    NoteCounts(tracker, rank, counts, 1'000'000);
+  }
+  // One rank hasn't reported.
+  CHECK_FALSE(SettledDemand(tracker, kRanks, kExperts, 1'000'000));
+  NoteCounts(tracker, kRanks - 1, counts, 1'000'000);
+  CHECK(SettledDemand(tracker, kRanks, kExperts, 1'000'000));
+  // A report without counts tells nothing of demand.
+  NoteCounts(tracker, 0, std::vector<std::uint32_t>(kExperts), 1'100'000);
+  CHECK(SettledDemand(tracker, kRanks, kExperts, 1'100'000));
+  // Reports are late.
+  CHECK_FALSE(SettledDemand(tracker, kRanks, kExperts, 2'000'000));
+}
+
+}  // namespace
+}  // namespace wisteriaroute::policy
--- a/tests/policy/expert_spread_test.cc
+++ b/tests/policy/expert_spread_test.cc
@@ -144,5 +144,48 @@
   CHECK(followed < 0.5 * fixed);
 }
 
+TEST_CASE("an idle group copies ahead of demand") {
+  const wire::expert_placement first = FirstPlacement();
+  const spread_limits limits{
+      .experts = kExperts, .slots_per_rank = kSlots, .max_copies_per_rank = 4};
+  const auto hedge = PlanHedge(first, limits);
+  REQUIRE(hedge);
+
+  SUBCASE("into all free slots, and no expert twice on a rank") {
+    for (std::size_t set = 0; set < kSets; ++set) {
+      std::vector<int> replicas(kExperts);
+      for (std::uint32_t rank = 0; rank < kRanks; ++rank) {
+        wire::expert_list held = hedge->placement[set][rank];
+        CHECK(held.size() == kSlots);
+        std::ranges::sort(held);
+        CHECK(std::ranges::adjacent_find(held) == held.end());
+        for (const std::uint16_t expert : held) {
+          ++replicas[expert];
+        }
+      }
+      // As many different experts as there are free slots have a second one.
+      CHECK(std::ranges::count(replicas, 2) == kRanks * (kSlots - 8));
+      CHECK(std::ranges::max(replicas) == 2);
+    }
+    CHECK(hedge->copies == kSets * kRanks * (kSlots - 8));
+    CHECK_FALSE(PlanHedge(hedge->placement, limits));
+  }
+
+  SUBCASE("so that shifts find a lower skew, on the mean") {
+    double plain = 0;
+    double hedged = 0;
+    constexpr int kDemands = 200;
+    for (int i = 0; i < kDemands; ++i) {
+      const auto tokens =
+          shifting_demand(static_cast<std::uint32_t>(i)).Tokens();
+      plain += MeanSkew(first, tokens, kExperts);
+      hedged += MeanSkew(hedge->placement, tokens, kExperts);
+    }
+    MESSAGE("mean skew without ", plain / kDemands, ", with ",
+            hedged / kDemands);
+    CHECK(hedged < 0.92 * plain);
+  }
+}
+
 }  // namespace
 }  // namespace wisteriaroute::policy
