gateway: a service whose servers are all busy isn't called without servers

Cause: servers that said that they are full are left out for 50 ms; if all were, callers heard no_server and to come back after a second. Change: no_server only if none is known that isn't leaving.

--- a/src/libwisteriaroute/gateway/placement.cc
+++ b/src/libwisteriaroute/gateway/placement.cc
@@ -125,7 +125,7 @@
   constexpr unsigned kUnavailable = 503;
   if (request.may_have_run || request.phase == request_phase::kStreaming) {
     GiveUp(step, request, "no_other_server");
-  } else if (servers.empty()) {
+  } else if (!step.state.servers.HasAny(request.service)) {
     Refuse(step, request, kUnavailable, "no_server", kNoServerRetryMs + spread);
   } else {
     Refuse(step, request, kUnavailable, "servers_full", kFullRetryMs + spread);
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -113,6 +113,24 @@
   }
 };
 
+TEST_CASE("a refusal says whether there are servers at all") {
+  world w;
+
+  SUBCASE("they are full for a moment") {
+    for (const char* server : {"a", "b", "c"}) {
+      w.state.servers.Find(server)->suspended_until_us = w.now_us + 50'000;
+    }
+    w.Ask(1, "/lookup/4");
+    CHECK(w.All<refuse>().back().code == "servers_full");
+  }
+
+  SUBCASE("all of them have left") {
+    w.Do(members_updated{{.removed = {"a", "b", "c"}}});
+    w.Ask(1, "/lookup/4");
+    CHECK(w.All<refuse>().back().code == "no_server");
+  }
+}
+
 TEST_CASE("a request goes to a server of its route") {
   world w;
 
