gateway: a silent stream is left only for another server

Streams to be resumed were also refused by the pace that bounds new ones. Change: silence leads to another server or to nothing; the pace applies to first attempts only. rank_found tells no silence before the first word.

--- a/src/libwisteriaroute/gateway/attempts.cc
+++ b/src/libwisteriaroute/gateway/attempts.cc
@@ -190,6 +190,24 @@
   GiveUp(step, request, "server_refused");
 }
 
+/** Tells the server table and the log of an attempt that failed. */
+void NoteFailure(step_context& step,
+                 const request_state& request,
+                 attempt_verdict verdict,
+                 std::string_view cause) {
+  Judge(step, step.state.servers.Find(request.server), verdict, request, cause);
+  step.Count(
+      "wisteriaroute_attempt_ends_total", "end",
+      verdict == attempt_verdict::kUnreachable ? "unreachable" : "failed");
+  step.Note("attempt_failed",
+            {{"request", request.request.id},
+             {"server", request.server},
+             {"cause", std::string(cause)},
+             {"after_ms",
+              std::to_string((step.now_us - request.attempt_at_us) / 1'000)},
+             {"events", std::to_string(request.events)}});
+}
+
 }  // namespace
 
 request_state* FindByAttempt(step_context& step, attempt_id attempt) {
@@ -264,21 +282,21 @@
   Detach(step, request);
 }
 
+void LeaveSilentServer(step_context& step, request_state& request) {
+  // Without another attempt, the silent one is all that the caller has.
+  if (!HasOtherServer(step, request) || !MayRepeat(step, request)) {
+    return;
+  }
+  CancelAttempt(step, request);
+  NoteFailure(step, request, attempt_verdict::kFailed, "silent stream");
+  Place(step, request);
+}
+
 void FailAttempt(step_context& step,
                  request_state& request,
                  attempt_verdict verdict,
                  std::string_view cause) {
-  Judge(step, step.state.servers.Find(request.server), verdict, request, cause);
-  step.Count(
-      "wisteriaroute_attempt_ends_total", "end",
-      verdict == attempt_verdict::kUnreachable ? "unreachable" : "failed");
-  step.Note("attempt_failed",
-            {{"request", request.request.id},
-             {"server", request.server},
-             {"cause", std::string(cause)},
-             {"after_ms",
-              std::to_string((step.now_us - request.attempt_at_us) / 1'000)},
-             {"events", std::to_string(request.events)}});
+  NoteFailure(step, request, verdict, cause);
   // Nothing reached the server, so this doesn't count as a repeat.
   const bool free = verdict == attempt_verdict::kUnreachable &&
                     request.attempts < request.route->max_attempts &&
--- a/src/libwisteriaroute/gateway/gateway.cc
+++ b/src/libwisteriaroute/gateway/gateway.cc
@@ -104,9 +104,7 @@
     GiveUp(step, request, "timeout");
   }
   for (const exchange_id exchange : silent) {
-    request_state& request = step.state.requests.find(exchange)->second;
-    CancelAttempt(step, request);
-    FailAttempt(step, request, attempt_verdict::kFailed, "silent stream");
+    LeaveSilentServer(step, step.state.requests.find(exchange)->second);
   }
 }
 
--- a/src/libwisteriaroute/gateway/placement.cc
+++ b/src/libwisteriaroute/gateway/placement.cc
@@ -82,8 +82,35 @@
   return load.requests + 1 > allowed * static_cast<double>(load.servers);
 }
 
+/** The index of the server that gets the request; nothing if all are full. */
+std::optional<std::size_t> Choose(step_context& step,
+                                  const request_state& request,
+                                  const std::vector<server*>& servers) {
+  // The pace bounds what is admitted; what was admitted is finished.
+  const bool paced = request.route->streams && request.attempts == 0;
+  std::vector<policy::server_candidate> candidates;
+  candidates.reserve(servers.size());
+  for (const server* one : servers) {
+    const double slots = one->info.backend.slots > 0
+                             ? static_cast<double>(one->info.backend.slots)
+                             : kDefaultSlots;
+    candidates.push_back(
+        {.load = EstimatedLoad(*one, step.now_us),
+         .slots = slots,
+         .queue =
+             paced ? StreamsAllowed(step.state.paces[request.service], slots) -
+                         slots
+                   : step.state.options.server_queue});
+  }
+  return policy::ChooseServer(candidates, step.Random());
+}
+
 }  // namespace
 
+bool HasOtherServer(step_context& step, const request_state& request) {
+  return Choose(step, request, Candidates(step, request)).has_value();
+}
+
 policy::pass_time PassTime(const config::engine_shape& engine) {
   const auto steps = static_cast<double>(engine.steps_per_pass);
   return {.fixed_ms = steps * engine.step_ms,
@@ -97,25 +124,10 @@
     return;
   }
   const std::vector<server*> servers = Candidates(step, request);
-  std::vector<policy::server_candidate> candidates;
-  candidates.reserve(servers.size());
-  for (const server* one : servers) {
-    const double slots = one->info.backend.slots > 0
-                             ? static_cast<double>(one->info.backend.slots)
-                             : kDefaultSlots;
-    candidates.push_back(
-        {.load = EstimatedLoad(*one, step.now_us),
-         .slots = slots,
-         .queue =
-             request.route->streams
-                 ? StreamsAllowed(step.state.paces[request.service], slots) -
-                       slots
-                 : step.state.options.server_queue});
-  }
   const bool first = request.attempts == 0;
   const auto chosen = first && UsesReserve(step, request)
                           ? std::nullopt
-                          : policy::ChooseServer(candidates, step.Random());
+                          : Choose(step, request, servers);
   if (chosen) {
     Send(step, request, *servers[*chosen]);
     return;
--- a/src/libwisteriaroute/gateway/step_context.h
+++ b/src/libwisteriaroute/gateway/step_context.h
@@ -33,6 +33,9 @@
 /** Time of a pass of the engine's group, as it was declared. */
 policy::pass_time PassTime(const config::engine_shape& engine);
 
+/** Whether a server that wasn't tried yet may take the request. */
+bool HasOtherServer(step_context& step, const request_state& request);
+
 /**
  * Sends the request to a server, or answers it if none can take it. The
  * request may be gone on return.
@@ -71,6 +74,9 @@
                  attempt_verdict verdict,
                  std::string_view cause);
 
+/** Goes on at another server, if the stream may; else waits on. */
+void LeaveSilentServer(step_context& step, request_state& request);
+
 /** The request of an attempt in progress, or null. */
 request_state* FindByAttempt(step_context& step, attempt_id attempt);
 
--- a/src/libwisteriaroute/sidecar/sidecar.cc
+++ b/src/libwisteriaroute/sidecar/sidecar.cc
@@ -125,10 +125,11 @@
  private:
   void NoteReachable(const status_polled& event) {
     if (event.ok != state.reachable) {
-      out.push_back(note_rank{.reachable = event.ok,
-                              .silent_ms = (now - state.heard_us) / 1'000,
-                              .formation = event.status.formation,
-                              .map_version = event.status.map_version});
+      out.push_back(note_rank{
+          .reachable = event.ok,
+          .silent_ms = state.heard_us == 0 ? 0 : (now - state.heard_us) / 1'000,
+          .formation = event.status.formation,
+          .map_version = event.status.map_version});
     }
     state.reachable = event.ok;
     if (event.ok) {
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -292,6 +292,31 @@
     CHECK(w.All<start_attempt>().size() == 2);
   }
 
+  SUBCASE("a silent one is waited for if no other may have the stream") {
+    SUBCASE("because no repeat is left") {
+      w.state.options.retries = {.ratio = 0, .floor = 0};
+    }
+    SUBCASE("because no other server is there") {
+      for (const char* id : {"a", "b", "c"}) {
+        if (w.state.requests.at(1).server != id) {
+          w.Do(members_updated{{.removed = {id}}});
+        }
+      }
+    }
+    w.now_us += 1'900'000;
+    w.Do(gateway_tick{});
+    CHECK(w.All<cancel_attempt>().empty());
+    CHECK(w.All<abort_stream>().empty());
+    w.Data("ta: b\n\n");
+    CHECK(w.Written().ends_with("id: 1\ndata: b\n\n"));
+  }
+
+  SUBCASE("and isn't kept from another one by the pace of new ones") {
+    w.state.paces["orders"].streams = 0.5;
+    w.End(false);
+    CHECK(w.All<start_attempt>().size() == 2);
+  }
+
   SUBCASE("its caller's leaving ends the server's work") {
     w.Do(caller_left{1});
     CHECK(w.All<cancel_attempt>().size() == 1);
