base, daemons: processes end at once when their work is done

At exit, log4cplus waits for its threads, which doesn't end on the platform. Change: EndProcess leaves static destructors out.

--- a/src/agent/main.cc
+++ b/src/agent/main.cc
@@ -5,6 +5,7 @@
 #include <iostream>
 
 #include "libwisteriaroute/agent/daemon.h"
+#include "libwisteriaroute/base/end_process.h"
 #include "libwisteriaroute/base/log.h"
 
 DEFINE_string(settings, "", "TOML settings file");
@@ -40,7 +41,7 @@
   event_loop.OnSignal(SIGINT, [&] { daemon.Stop(); });
   std::cout << "listening " << daemon.address() << std::endl;
   event_loop.Run();
-  return 0;
+  base::EndProcess(0);
 }
 
 }  // namespace
--- a/src/control/main.cc
+++ b/src/control/main.cc
@@ -7,6 +7,7 @@
 
 #include "control/bootstrap.h"
 #include "control/daemon.h"
+#include "libwisteriaroute/base/end_process.h"
 #include "libwisteriaroute/base/log.h"
 #include "libwisteriaroute/base/toml_reader.h"
 #include "libwisteriaroute/control/settings.h"
@@ -53,7 +54,7 @@
   event_loop.OnSignal(SIGINT, [&] { daemon.Shutdown(); });
   daemon.Start();
   event_loop.Run();
-  return daemon.failure().empty() ? 0 : 1;
+  base::EndProcess(daemon.failure().empty() ? 0 : 1);
 }
 
 int Run() {
--- a/src/libwisteriaroute/base/program.cc
+++ b/src/libwisteriaroute/base/program.cc
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <exception>
 
+#include "libwisteriaroute/base/end_process.h"
 #include "libwisteriaroute/base/toml_reader.h"
 
 DEFINE_string(settings, "", "settings file (TOML)");
@@ -36,7 +37,7 @@
     return kExitOk;
   }
   what.run();
-  return kExitOk;
+  EndProcess(kExitOk);
 }
 
 }  // namespace
