control: a group isn't taken for idle before it was quiet for a second

Cause: read as a newcomer: a new leader, or a group that formed again under load, had no counts yet and would have begun to copy ahead. Change: idle means a second without counts since the group formed or was first heard of.

--- a/src/libwisteriaroute/control/rank_group.h
+++ b/src/libwisteriaroute/control/rank_group.h
@@ -76,6 +76,8 @@
   /** The highest version that was used or seen in this formation. */
   std::uint64_t last_version = 0;
   policy::demand_tracker demand;
+  /** When the group formed, was first heard of or last counted anything. */
+  base::time_us active_us = 0;
   /** No look at the map before this time. */
   base::time_us next_plan_us = 0;
 };
--- a/src/libwisteriaroute/control/rank_group_drive.cc
+++ b/src/libwisteriaroute/control/rank_group_drive.cc
@@ -428,11 +428,7 @@
   }
 
   /** Whether no requests have run for a while. */
-  bool IsIdle() const {
-    return std::ranges::all_of(group.demand.reports, [&](const auto& item) {
-      return now.now_us - item.second.at_us > kIdleUs;
-    });
-  }
+  bool IsIdle() const { return now.now_us - group.active_us > kIdleUs; }
 
   /** Copies ahead while that delays nobody. */
   void PlanForIdle(const config::engine_shape& shape) {
@@ -488,7 +484,9 @@
   group.service = status.service;
   if (status.formation > group.formation) {
     // Nothing of the formation before is left on any rank.
-    group = {.service = status.service, .formation = status.formation};
+    group = {.service = status.service,
+             .formation = status.formation,
+             .active_us = now.now_us};
   } else if (status.formation < group.formation) {
     return;
   }
@@ -503,8 +501,10 @@
   group.last_version =
       std::max({group.last_version, status.map_version, status.prepared_version,
                 status.armed_version});
-  policy::NoteCounts(group.demand, status.rank, status.expert_tokens,
-                     now.now_us);
+  if (policy::NoteCounts(group.demand, status.rank, status.expert_tokens,
+                         now.now_us)) {
+    group.active_us = now.now_us;
+  }
   one.status.expert_tokens.clear();
   one.status.experts.clear();
   if (group.change) {
--- a/src/libwisteriaroute/policy/demand_tracker.cc
+++ b/src/libwisteriaroute/policy/demand_tracker.cc
@@ -52,7 +52,7 @@
 
 }  // namespace
 
-void NoteCounts(demand_tracker& tracker,
+bool NoteCounts(demand_tracker& tracker,
                 std::uint32_t rank,
                 std::span<const std::uint32_t> tokens,
                 base::time_us now_us) {
@@ -61,6 +61,7 @@
   if (counted) {
     tracker.reports[rank] = {{tokens.begin(), tokens.end()}, now_us};
   }
+  return counted;
 }
 
 std::optional<std::vector<std::uint64_t>> SettledDemand(demand_tracker& tracker,
--- a/src/libwisteriaroute/policy/demand_tracker.h
+++ b/src/libwisteriaroute/policy/demand_tracker.h
@@ -35,8 +35,11 @@
   base::time_us shift_us = 0;
 };
 
-/** Notes what a rank counted since its last report, by set and expert. */
-void NoteCounts(demand_tracker& tracker,
+/**
+ * Notes what a rank counted since its last report, by set and expert. Returns
+ * whether it counted anything.
+ */
+bool NoteCounts(demand_tracker& tracker,
                 std::uint32_t rank,
                 std::span<const std::uint32_t> tokens,
                 base::time_us now_us);
