--- a/src/control/main.cc
+++ b/src/control/main.cc
@@ -44,7 +44,8 @@
     "    {name = \"control-2\", address = \"10.0.0.2:7100\"},\n"
     "    {name = \"control-3\", address = \"10.0.0.3:7100\"},\n"
     "  ]\n\n"
-    "SIGTERM hands the leadership over and ends the process.";
+    "SIGHUP, or a change of the file: sizes, log_level and controls are in\n"
+    "force at once. SIGTERM hands the leadership over and ends the process.";
 
 int RunDaemon(control::control_settings settings) {
   base::InitializeLog(settings.process.name, settings.process.log_level);
--- a/src/entry/main.cc
+++ b/src/entry/main.cc
@@ -16,11 +16,12 @@
   --help             print this text
 
 [process]  name, region, data_center, listen, controls, cluster_key_file;
-           optional: advertise, log_level
+           optional: advertise, learn_controls, log_level
 [entry]    listen_http; optional: max_header_bytes, max_body_bytes,
            max_connections, max_queue, default_deadline_ms, settle_ms,
            drain_limit_ms, reattach_ms, retry_percent, retry_floor
 
+SIGHUP, or a change of the file: log_level and controls are in force at once.
 SIGTERM: /readyz fails at once, new requests are still taken for settle_ms,
 then refused; the process exits when its requests are answered, or after
 drain_limit_ms.
--- a/src/gateway/main.cc
+++ b/src/gateway/main.cc
@@ -16,11 +16,14 @@
   --help             print this text
 
 [process]  name, region, data_center, listen, controls, cluster_key_file;
-           optional: advertise, control_port, trusted_network, log_level
+           optional: advertise, control_port, learn_controls, trusted_network,
+           listen_metrics, log_level, protocol
 [gateway]  listen_http, listen_ready; optional: max_connections,
            serve_without_quorum, settle_ms, drain_limit_ms, retry_ratio,
            retry_floor, retry_window_ms, server_queue, silent_stream_ms
 
+SIGHUP, or a change of the file: what can change at once does; the log names
+the rest.
 SIGTERM: the readiness check fails at once, new connections are still accepted
 for settle_ms; the process exits when its requests are answered, or after
 drain_limit_ms.
--- a/src/sidecar/main.cc
+++ b/src/sidecar/main.cc
@@ -16,9 +16,12 @@
   --help             print this text
 
 [process]  name, region, data_center, listen, controls, cluster_key_file;
-           optional: advertise, control_port, trusted_network, log_level
+           optional: advertise, control_port, learn_controls, trusted_network,
+           listen_metrics, log_level
 [sidecar]  server, service
 
+SIGHUP, or a change of the file: log_level and controls are in force at once.
+
 Exit status: 0 stopped as asked, 1 the process failed, 2 wrong settings.
 )";
 
