--- a/tests/process/control_process_harness.cc
+++ b/tests/process/control_process_harness.cc
@@ -10,7 +10,7 @@
 #include <fstream>
 #include <stdexcept>
 
-#include "libwisteriaroute/net/address.h"
+#include "tests/process/free_addresses.h"
 #include "tests/run_until.h"
 
 namespace wisteriaroute::testing {
@@ -26,20 +26,6 @@
          "/wisteriaroute-control";
 }
 
-/** Addresses that were free a moment ago. */
-std::vector<std::string> FreeAddresses(std::size_t count) {
-  std::vector<std::string> addresses;
-  std::vector<int> sockets;
-  for (std::size_t i = 0; i < count; ++i) {
-    sockets.push_back(net::OpenListener("127.0.0.1:0"));
-    addresses.push_back(net::LocalAddress(sockets.back()));
-  }
-  for (const int socket : sockets) {
-    close(socket);
-  }
-  return addresses;
-}
-
 }  // namespace
 
 /** A hub and a session, as a daemon has them. */
--- a/tests/process/gateway_process_harness.cc
+++ b/tests/process/gateway_process_harness.cc
@@ -5,6 +5,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -12,7 +13,7 @@
 
 #include "libwisteriaroute/base/digest.h"
 #include "libwisteriaroute/base/toml_reader.h"
-#include "libwisteriaroute/net/address.h"
+#include "tests/process/free_addresses.h"
 #include "tests/run_until.h"
 
 namespace wisteriaroute::testing {
@@ -26,20 +27,6 @@
 constexpr std::size_t kMaxAddresses = 24;
 const std::vector<std::string> server_names = {"desk-a", "desk-b", "desk-c"};
 
-/** Different addresses that were free a moment ago. */
-std::vector<std::string> FreeAddresses(std::size_t count) {
-  std::vector<std::string> addresses;
-  std::vector<int> sockets;
-  for (std::size_t i = 0; i < count; ++i) {
-    sockets.push_back(net::OpenListener("127.0.0.1:0"));
-    addresses.push_back(net::LocalAddress(sockets.back()));
-  }
-  for (const int socket : sockets) {
-    close(socket);
-  }
-  return addresses;
-}
-
 std::string PortOf(const std::string& address) {
   return address.substr(address.rfind(':'));
 }
@@ -312,37 +299,36 @@
   RunUntil([&] { return done; });
 }
 
-bool gateway_system::ServersAreIdle() {
+std::vector<nlohmann::json> gateway_system::ServerStates() {
+  std::vector<nlohmann::json> states;
   for (const std::string& name : server_names) {
-    const auto state = nlohmann::json::parse(
+    auto state = nlohmann::json::parse(
         Get(Server(name) + "/standin/runs")->body, nullptr, false);
-    if (state.is_object() && state["running"] != 0) {
-      return false;
+    if (state.is_object()) {
+      states.push_back(std::move(state));
     }
   }
-  return true;
+  return states;
+}
+
+bool gateway_system::ServersAreIdle() {
+  return std::ranges::all_of(ServerStates(), [](const nlohmann::json& state) {
+    return state["running"] == 0;
+  });
 }
 
 std::uint64_t gateway_system::Runs(const std::string& request_id) {
   std::uint64_t runs = 0;
-  for (const std::string& name : server_names) {
-    const auto state = nlohmann::json::parse(
-        Get(Server(name) + "/standin/runs")->body, nullptr, false);
-    if (state.is_object()) {
-      runs += state["runs"].value(request_id, std::uint64_t{0});
-    }
+  for (const nlohmann::json& state : ServerStates()) {
+    runs += state["runs"].value(request_id, std::uint64_t{0});
   }
   return runs;
 }
 
 std::uint64_t gateway_system::Abandoned() {
   std::uint64_t count = 0;
-  for (const std::string& name : server_names) {
-    const auto state = nlohmann::json::parse(
-        Get(Server(name) + "/standin/runs")->body, nullptr, false);
-    if (state.is_object()) {
-      count += state["abandoned"].get<std::uint64_t>();
-    }
+  for (const nlohmann::json& state : ServerStates()) {
+    count += state["abandoned"].get<std::uint64_t>();
   }
   return count;
 }
--- a/tests/process/gateway_process_harness.h
+++ b/tests/process/gateway_process_harness.h
@@ -85,6 +85,8 @@
   };
 
   std::string TakeAddress();
+  /** What each server that answers tells of its runs. */
+  std::vector<nlohmann::json> ServerStates();
   void AddControl(std::size_t index);
   void AddGateway(std::size_t index);
   void AddServer(const std::string& name);
--- a/tests/process/gateway_process_test.cc
+++ b/tests/process/gateway_process_test.cc
@@ -52,10 +52,10 @@
   SUBCASE("they get whole answers to their own requests") {
     system.Open();
     CHECK(system.Get(system.Ready(0))->status == 200);
-    const auto answer = system.Ask(0, "/pay/7", "r-1", {}, "two duvets");
+    const auto answer = system.Ask(0, "/pay/7", "r-1", {}, "two blankets");
     CHECK(answer->ok);
     CHECK(answer->status == 200);
-    CHECK(answer->body == "echo two duvets");
+    CHECK(answer->body == "echo two blankets");
     CHECK(system.Runs("r-1") == 1);
 
     const auto stream = system.Ask(1, "/draft/1", "r-2", {{"X-Events", "20"}});
