--- a/src/control/daemon.cc
+++ b/src/control/daemon.cc
@@ -210,6 +210,7 @@
   settings_.kept_entries = next.kept_entries;
   settings_.max_pending_proposals = next.max_pending_proposals;
   settings_.join_automatically = next.join_automatically;
+  settings_.tolerated_losses = next.tolerated_losses;
   settings_.replicas = std::move(next.replicas);
   state_.options.max_pending_proposals =
       static_cast<std::size_t>(settings_.max_pending_proposals);
--- a/src/control/daemon_effects.cc
+++ b/src/control/daemon_effects.cc
@@ -138,8 +138,12 @@
       linked.push_back({peer.name, peer.address});
     }
   }
+  const std::size_t target_voters =
+      settings_.tolerated_losses > 0
+          ? static_cast<std::size_t>(2 * settings_.tolerated_losses + 1)
+          : settings_.process.controls.size();
   auto change = NextReplicaChange(replicas, linked, settings_.process.name,
-                                  settings_.process.controls.size());
+                                  target_voters);
   if (!change) {
     return;
   }
--- a/src/libwisteriaroute/control/settings.cc
+++ b/src/libwisteriaroute/control/settings.cc
@@ -11,6 +11,8 @@
 
 namespace {
 
+constexpr std::int64_t kMaxToleratedLosses = 3;
+
 void CheckAddress(base::toml_reader& reader,
                   std::string_view key,
                   const std::string& address) {
@@ -54,6 +56,8 @@
       reader.Integer("kept_entries", settings.kept_entries, 8, 1'000'000);
   settings.bootstrap = reader.Boolean("bootstrap", false);
   settings.join_automatically = reader.Boolean("join_automatically", false);
+  settings.tolerated_losses =
+      reader.Integer("tolerated_losses", 0, 0, kMaxToleratedLosses);
   settings.listen_http = reader.String("listen_http", "");
   CheckAddress(reader, "listen_http", settings.listen_http);
   settings.replicas = ParseReplicas(reader, file, out);
--- a/src/libwisteriaroute/control/settings.h
+++ b/src/libwisteriaroute/control/settings.h
@@ -35,6 +35,11 @@
    * are replaced. For platforms that replace hosts by themselves.
    */
   bool join_automatically = false;
+  /**
+   * Replicas that may be lost at once. Silent ones are dropped only while
+   * twice as many and one more live. 0: as many as `controls` has.
+   */
+  std::int64_t tolerated_losses = 0;
   /** `IP:port` of the operators' and servers' HTTP calls; empty: none. */
   std::string listen_http;
   /** Log entries between two snapshots. */
