--- a/proto/command.capnp
+++ b/proto/command.capnp
@@ -65,6 +65,15 @@
   retry @5 :Bool;
 }
 
+# Makes a member the coordinator of a group; the entry's index is its term.
+struct GrantCommand {
+  group @0 :Text;
+  name @1 :Text;
+  address @2 :Text;
+  # The grant that it replaces; otherwise nothing changes. 0: none.
+  replaces @3 :UInt64;
+}
+
 struct Command {
   # The proposing leader's clock, Unix ms.
   wallMs @0 :Int64;
@@ -87,6 +96,7 @@
     armMap @14 :ArmMapCommand;
     decideMap @15 :DecideMapCommand;
     publishDocument @16 :Control.Document;
+    grant @17 :GrantCommand;
   }
 }
 
@@ -139,6 +149,13 @@
   commit @13 :Bool;
 }
 
+struct GrantRecord {
+  group @0 :Text;
+  name @1 :Text;
+  address @2 :Text;
+  term @3 :UInt64;
+}
+
 struct ControlState {
   timeMs @0 :Int64;
   revision @1 :UInt64;
@@ -152,4 +169,5 @@
   quarantine @9 :List(Control.QuarantineEntry);
   suspectReports @10 :List(Common.Digest128);
   groups @11 :List(GroupRecord);
+  grants @12 :List(GrantRecord);
 }
--- a/proto/control.capnp
+++ b/proto/control.capnp
@@ -215,12 +215,14 @@
   armedStep @10 :UInt64;
   # 0: none.
   heldStep @11 :UInt64;
-  # Tokens per set and expert since the last status, flattened; may be empty.
-  expertTokens @12 :List(UInt32);
-  # Experts of this rank by set, of map version expertsVersion; may be empty.
+  # Tokens per set and expert in the last window, as varints; may be empty.
+  expertTokens @12 :Data;
+  # Experts of this rank by set, of map version mapVersion; may be empty.
   experts @13 :List(List(UInt16));
-  # The highest term of a leader that the sidecar has heard.
+  # The highest term of a coordinator that the sidecar has heard.
   term @14 :UInt64;
+  # Address of the rank's server.
+  server @15 :Text;
 }
 
 struct RankOrder {
@@ -229,8 +231,39 @@
   formation @2 :UInt64;
   version @3 :UInt64;
   step @4 :UInt64;
-  # By set and rank; only to prepare.
-  placement @5 :List(List(List(UInt16)));
+  # By set and rank, as varints; only to prepare.
+  placement @5 :Data;
+}
+
+# A rank is there, and what its sidecar knows of the group's coordinator.
+struct RankPresence {
+  service @0 :Text;
+  group @1 :Text;
+  rank @2 :UInt32;
+  ranks @3 :UInt32;
+  # The highest term of a coordinator that the sidecar has heard.
+  term @4 :UInt64;
+  # Whether it reached that coordinator lately.
+  served @5 :Bool;
+}
+
+# Experts and slots of a rank in a set, and what copying takes.
+struct SpreadShape {
+  sets @0 :UInt32;
+  experts @1 :UInt32;
+  slots @2 :UInt32;
+  spareSlots @3 :UInt32;
+  copyUs @4 :UInt64;
+}
+
+# Who coordinates a group. The term grows with each grant.
+struct CoordinatorGrant {
+  group @0 :Text;
+  term @1 :UInt64;
+  name @2 :Text;
+  address @3 :Text;
+  # Null while no configuration tells it.
+  shape @4 :SpreadShape;
 }
 
 struct PublishRequest {
@@ -333,5 +366,7 @@
     adminReply @18 :AdminReply;
     rankStatus @19 :RankStatus;
     rankOrder @20 :RankOrder;
+    rankPresence @21 :RankPresence;
+    coordinatorGrant @22 :CoordinatorGrant;
   }
 }
--- a/proto/link.capnp
+++ b/proto/link.capnp
@@ -11,6 +11,8 @@
   incarnation @2 :UInt64;
   dataCenter @3 :Text;
   address @4 :Text;
+  # Of the link's dialling side: time between its pings on an idle link.
+  heartbeatMs @5 :UInt32;
 }
 
 struct Message {
--- a/src/libwisteriaroute/config/traffic_parse.cc
+++ b/src/libwisteriaroute/config/traffic_parse.cc
@@ -97,7 +97,8 @@
         .expert_sets = reader.Integer("expert_sets", 0, 0, kMaxCount),
         .experts = reader.Integer("experts", 0, 0, kMaxCount),
         .expert_slots = reader.Integer("expert_slots", 0, 0, kMaxCount),
-        .spare_slots = reader.Integer("spare_slots", 0, 0, kMaxCount)};
+        .spare_slots = reader.Integer("spare_slots", 0, 0, kMaxCount),
+        .expert_copy_ms = reader.Number("expert_copy_ms", 0, 0, kMaxNumber)};
     reader.ReportUnknownKeys();
     return shape;
   }
--- a/src/libwisteriaroute/config/traffic_set.h
+++ b/src/libwisteriaroute/config/traffic_set.h
@@ -63,7 +63,12 @@
   std::int64_t expert_sets = 0;
   std::int64_t experts = 0;
   std::int64_t expert_slots = 0;
+  /** Experts of a set that a rank may receive in one change. */
   std::int64_t spare_slots = 0;
+  /** Time to copy one expert to a rank. */
+  double expert_copy_ms = 0;
+
+  bool operator==(const engine_shape&) const = default;
 };
 
 /** Backend servers of one kind, which report themselves. */
--- a/src/libwisteriaroute/control/command.cc
+++ b/src/libwisteriaroute/control/command.cc
@@ -89,6 +89,13 @@
     to.setCommit(from.commit);
     to.setRetry(from.retry);
   }
+  void operator()(const grant_command& from) {
+    auto to = root.initGrant();
+    to.setGroup(from.group);
+    to.setName(from.name);
+    to.setAddress(from.address);
+    to.setReplaces(from.replaces);
+  }
 };
 
 publish_command ReadBody(proto::PublishCommand::Reader from) {
@@ -126,6 +133,13 @@
           .retry = from.getRetry()};
 }
 
+grant_command ReadBody(proto::GrantCommand::Reader from) {
+  return {.group = from.getGroup(),
+          .name = from.getName(),
+          .address = from.getAddress(),
+          .replaces = from.getReplaces()};
+}
+
 command_body ReadGroupBody(proto::Command::Reader root) {
   if (root.isFormGroup()) {
     const auto from = root.getFormGroup();
@@ -173,6 +187,8 @@
       return wire::suspect_cleared{wire::Read(root.getSuspectCleared())};
     case proto::Command::RELEASE:
       return wire::release_quarantine{wire::Read(root.getRelease())};
+    case proto::Command::GRANT:
+      return ReadBody(root.getGrant());
     case proto::Command::FORM_GROUP:
     case proto::Command::STAGE_MAP:
     case proto::Command::ARM_MAP:
--- a/src/libwisteriaroute/control/command.h
+++ b/src/libwisteriaroute/control/command.h
@@ -27,6 +27,18 @@
   bool operator==(const claim_command&) const = default;
 };
 
+/** Makes a member the coordinator of a group; the entry's index is its term. */
+struct grant_command {
+  std::string group;
+  std::string name;
+  /** Link address. */
+  std::string address;
+  /** Term of the grant that it replaces, or nothing changes; 0: none. */
+  std::uint64_t replaces = 0;
+
+  bool operator==(const grant_command&) const = default;
+};
+
 using command_body = std::variant<clock_tick,
                                   publish_command,
                                   claim_command,
@@ -40,7 +52,8 @@
                                   stage_map_command,
                                   arm_map_command,
                                   decide_map_command,
-                                  wire::publish_document>;
+                                  wire::publish_document,
+                                  grant_command>;
 
 /** One entry of the replicated log. */
 struct command {
--- a/src/libwisteriaroute/control/control_state.cc
+++ b/src/libwisteriaroute/control/control_state.cc
@@ -43,6 +43,14 @@
   command_result operator()(const wire::release_quarantine& release) {
     return Release(state.quarantine, release.fingerprint);
   }
+  command_result operator()(const grant_command& grant) {
+    granted_coordinator& held = state.coordinators[grant.group];
+    if (held.term != grant.replaces) {
+      return change_result{};
+    }
+    held = {.name = grant.name, .address = grant.address, .term = index};
+    return change_result{true};
+  }
   template <typename GroupCommand>
   command_result operator()(const GroupCommand& group_command) {
     return change_result{ApplyGroup(state.groups, group_command, index)};
--- a/src/libwisteriaroute/control/control_state.h
+++ b/src/libwisteriaroute/control/control_state.h
@@ -2,6 +2,7 @@
 #define LIBWISTERIAROUTE_CONTROL_CONTROL_STATE_H_
 
 #include <cstdint>
+#include <map>
 #include <set>
 #include <string>
 #include <string_view>
@@ -15,6 +16,15 @@
 
 namespace wisteriaroute::control {
 
+/** The coordinator of a group that the platform forms. */
+struct granted_coordinator {
+  std::string name;
+  std::string address;
+  std::uint64_t term = 0;
+
+  bool operator==(const granted_coordinator&) const = default;
+};
+
 /** Everything that the replicated log has built up. */
 struct control_state {
   /** The log's time, Unix ms: the highest of all commands. */
@@ -24,6 +34,8 @@
   std::set<std::string, std::less<>> drained;
   quarantine_table quarantine;
   group_table groups;
+  /** By group. */
+  std::map<std::string, granted_coordinator, std::less<>> coordinators;
 
   bool operator==(const control_state&) const = default;
 };
--- a/src/libwisteriaroute/control/replica.cc
+++ b/src/libwisteriaroute/control/replica.cc
@@ -3,10 +3,10 @@
 #include <utility>
 
 #include "libwisteriaroute/control/admin.h"
+#include "libwisteriaroute/control/coordinators.h"
 #include "libwisteriaroute/control/group_drive.h"
 #include "libwisteriaroute/control/group_policy.h"
 #include "libwisteriaroute/control/proposals.h"
-#include "libwisteriaroute/control/rank_group_drive.h"
 #include "libwisteriaroute/control/sessions.h"
 #include "libwisteriaroute/control/updates.h"
 
@@ -38,7 +38,7 @@
       return;
     }
     state.leading->config.reset();
-    state.leading->shapes.reset();
+    SendChangedShapes(state, out);
     out.push_back(note_event{
         {.kind = "document_accepted",
          .revision = outcome.revision,
@@ -67,6 +67,14 @@
     NoteGroup(decide.group, decide.commit ? "map_committed" : "map_aborted",
               decide.step);
   }
+  void operator()(const grant_command& grant) const {
+    if (std::get<change_result>(result).changed) {
+      out.push_back(note_event{{.kind = "coordinator_granted",
+                                .group = grant.group,
+                                .detail = grant.name}});
+      SendGrant(state, grant.group, out);
+    }
+  }
   template <typename Other>
   void operator()(const Other&) const {
     if (const auto* changes = std::get_if<quarantine_changes>(&result)) {
@@ -133,9 +141,9 @@
       HandleGroupReport(state, link, report);
     }
   }
-  void operator()(const wire::rank_status& status) const {
-    if (state.leading) {
-      HandleRankStatus(state, link, status, now, out);
+  void operator()(const wire::rank_presence& presence) const {
+    if (Leads()) {
+      HandlePresence(state, link, presence, now, out);
     }
   }
   // Messages that only members receive.
@@ -240,6 +248,7 @@
   void operator()(const link_closed& event) const {
     if (state.leading) {
       DetachSession(state, event.link);
+      DetachRanks(*state.leading, event.link, now);
     }
   }
 
@@ -266,7 +275,7 @@
     BeginConfirm(state, now, out);
     ConsiderMaps(state, now);
     DriveGroups(state, now, out);
-    DriveRankGroups(state, now, out);
+    GrantCoordinators(state, now, out);
     if (now.now_us >= state.leading->next_clock_tick_us) {
       state.leading->next_clock_tick_us =
           now.now_us + state.options.clock_tick_us;
--- a/src/libwisteriaroute/control/replica.h
+++ b/src/libwisteriaroute/control/replica.h
@@ -17,7 +17,6 @@
 #include "libwisteriaroute/config/named_set.h"
 #include "libwisteriaroute/config/traffic_set.h"
 #include "libwisteriaroute/control/control_state.h"
-#include "libwisteriaroute/control/rank_group.h"
 #include "libwisteriaroute/net/link_hub.h"
 #include "libwisteriaroute/policy/expert_load.h"
 #include "libwisteriaroute/wire/control_messages.h"
@@ -32,7 +31,9 @@
  * still be of use.
  */
 inline constexpr base::time_us kServerSilenceUs = 30'000'000;
-/** The same on the leader's clock: 10% more, for different clock rates. */
+/** A sidecar without a heartbeat for this long has lost its session. */
+inline constexpr base::time_us kSidecarSilenceUs = 8'000'000;
+/** The lease on the leader's clock: 10% more, for different clock rates. */
 inline constexpr base::time_us kLeaseBoundUs = 2'750'000;
 
 /**
@@ -59,8 +60,11 @@
   std::uint64_t incarnation = 0;
   /** Proposals that may wait for the log; more are answered kUnavailable. */
   std::size_t max_pending_proposals = 20'000;
-  /** Shortest time between two quorum rounds for heartbeats. */
-  base::time_us confirm_interval_us = 10'000;
+  /**
+   * Shortest time between two quorum rounds for heartbeats and reads: one round
+   * answers all that waited for it.
+   */
+  base::time_us confirm_interval_us = 40'000;
   base::time_us order_retry_us = 200'000;
   base::time_us clock_tick_us = 10'000'000;
   /** Time between two looks at the expert map of a group. */
@@ -169,6 +173,27 @@
   base::time_ms silent_ms = 0;
 };
 
+/** A rank of a group that the platform forms, as its sidecar tells it. */
+struct present_rank {
+  /** Name and link address of the sidecar. */
+  std::string member;
+  std::string address;
+  /** 0 while it has no link. */
+  net::link_id link = 0;
+  base::time_us link_changed_us = 0;
+  base::time_us heard_us = 0;
+  wire::rank_presence said;
+};
+
+struct present_group {
+  std::string service;
+  /** Ranks that the group has. */
+  std::uint32_t size = 0;
+  std::map<std::uint32_t, present_rank> ranks;
+  /** No further grant before this time. */
+  base::time_us next_grant_us = 0;
+};
+
 /** What a leader keeps of its term; lost with the leadership. */
 struct leader_view {
   std::uint64_t term = 0;
@@ -190,7 +215,7 @@
   bool settled = false;
   std::map<std::string, group_drive, std::less<>> groups;
   /** Groups that the platform forms, by name. */
-  std::map<std::string, rank_group, std::less<>> rank_groups;
+  std::map<std::string, present_group, std::less<>> platform_groups;
   /** The newest configuration, parsed. */
   std::optional<config::named_set> config;
   std::optional<engine_shapes> shapes;
--- a/src/libwisteriaroute/control/sessions.cc
+++ b/src/libwisteriaroute/control/sessions.cc
@@ -44,6 +44,9 @@
   if (session.info.role == wire::member_role::kServer) {
     return session.heard_us + kServerSilenceUs <= now_us;
   }
+  if (session.info.role == wire::member_role::kSidecar) {
+    return session.heard_us + kSidecarSilenceUs <= now_us;
+  }
   return session.lease_until_us <= now_us &&
          session.heard_us + kLeaseBoundUs <= now_us;
 }
--- a/src/libwisteriaroute/control/snapshot.cc
+++ b/src/libwisteriaroute/control/snapshot.cc
@@ -217,6 +217,14 @@
   for (const auto& [name, group] : from.groups.groups) {
     WriteGroup(name, group, groups[position++]);
   }
+  auto grants = to.initGrants(wire::Count(from.coordinators));
+  position = 0;
+  for (const auto& [group, held] : from.coordinators) {
+    grants[position].setGroup(group);
+    grants[position].setName(held.name);
+    grants[position].setAddress(held.address);
+    grants[position++].setTerm(held.term);
+  }
 }
 
 control_state ReadState(proto::ControlState::Reader from) {
@@ -232,6 +240,11 @@
   for (const auto group : from.getGroups()) {
     state.groups.groups[group.getName()] = ReadGroup(group);
   }
+  for (const auto grant : from.getGrants()) {
+    state.coordinators[grant.getGroup()] = {.name = grant.getName(),
+                                            .address = grant.getAddress(),
+                                            .term = grant.getTerm()};
+  }
   return state;
 }
 
--- a/src/libwisteriaroute/control/rank_group_drive.cc
+++ b/src/libwisteriaroute/coordinator/coordinator.cc
@@ -1,12 +1,12 @@
-#include "libwisteriaroute/control/rank_group_drive.h"
+#include "libwisteriaroute/coordinator/coordinator.h"
 
 #include <algorithm>
+#include <span>
 #include <utility>
 
-#include "libwisteriaroute/control/sessions.h"
 #include "libwisteriaroute/policy/expert_spread.h"
 
-namespace wisteriaroute::control {
+namespace wisteriaroute::coordinator {
 
 namespace {
 
@@ -16,40 +16,27 @@
 // usually comes through.
 constexpr base::time_us kOrderRetryUs = 150'000;
 constexpr base::time_us kPrepareRetryUs = 400'000;
-// The hold has to reach its rank before the step begins.
-constexpr std::uint64_t kMinMarginSteps = 2;
 constexpr std::uint64_t kMaxMarginSteps = 64;
-// Versions of a leader begin at its term times this, so that no two leaders
-// use the same one.
+// A margin that leaves this many steps once all ranks are armed is too large.
+constexpr std::uint64_t kSpareSteps = 3;
+// Versions of a coordinator begin at its term times this, so that no two
+// coordinators use the same one.
 constexpr std::uint64_t kVersionsPerTerm = 1'000'000;
-// Copying takes about 0.4 s for each expert of a rank; a change that isn't
-// prepared well after that has lost its purpose.
+// A change that isn't prepared well after its copies had time has lost its
+// purpose.
 constexpr base::time_us kPrepareLimitUs = 3'000'000;
-constexpr base::time_us kCopyLimitUs = 1'000'000;
+constexpr std::uint64_t kCopyTimeFactor = 3;
 // A group without counts for this long runs no requests.
 constexpr base::time_us kIdleUs = 1'000'000;
 // Shortest time between two looks at the map; a look costs about a millisecond.
 constexpr base::time_us kPlanPeriodUs = 200'000;
 // A change in preparation is replaced if demand has left it this far behind.
 constexpr double kStaleSkew = 0.8;
-// Copies in one change: with more, copying takes longer than demand stays.
-constexpr std::uint32_t kMaxCopiesPerRank = 1;
-
-const engine_shapes& Shapes(replica_state& state) {
-  leader_view& leader = *state.leading;
-  if (!leader.shapes) {
-    leader.shapes = ReadShapes(state.options.decode_traffic,
-                               DocumentBody(state.durable.config));
-  }
-  return *leader.shapes;
-}
-
 struct driver {
-  replica_state& state;
-  const std::string& name;
-  rank_group& group;
-  const step_time& now;
-  replica_effects& out;
+  coordinator_state& state;
+  base::time_us now_us;
+  coordinator_effects& out;
+  rank_group& group = state.group;
 
   void Run() {
     if (!IsWhole() || !IsFenced()) {
@@ -75,33 +62,40 @@
     return std::ranges::all_of(group.ranks, [&](const auto& item) {
       const rank_view& one = item.second;
       return one.status.open && one.status.formation == group.formation &&
-             now.now_us - one.heard_us <= kStaleUs;
+             now_us - one.heard_us <= kStaleUs;
     });
   }
 
   /** No order of an older term gets to a rank any more. */
   bool IsFenced() {
-    const std::uint64_t term = state.leading->term;
     bool fenced = true;
+    std::vector<net::link_id> links;
     for (auto& [rank, one] : group.ranks) {
-      if (one.status.term > term) {
+      if (one.status.term > state.term) {
         return false;
       }
-      if (one.status.term < term) {
+      if (one.status.term < state.term) {
         fenced = false;
-        if (now.now_us >= one.next_fence_us) {
-          one.next_fence_us = now.now_us + kOrderRetryUs;
-          out.push_back(send_to_links{
-              {one.link},
-              wire::rank_order{.kind = wire::rank_order_kind::kFence,
-                               .term = term,
-                               .formation = group.formation}});
+        if (now_us >= one.next_fence_us) {
+          one.next_fence_us = now_us + kOrderRetryUs;
+          links.push_back(one.link);
         }
       }
     }
+    Order(std::move(links), {.kind = wire::rank_order_kind::kFence});
     return fenced;
   }
 
+  /** Sends an order of this term and formation, if there is anyone to. */
+  void Order(std::vector<net::link_id> links, wire::rank_order order) {
+    if (links.empty()) {
+      return;
+    }
+    order.term = state.term;
+    order.formation = group.formation;
+    out.push_back(send_order{std::move(links), std::move(order)});
+  }
+
   template <typename Test>
   bool All(Test&& test) const {
     return std::ranges::all_of(group.ranks, [&](const auto& item) {
@@ -118,8 +112,8 @@
   }
 
   void Note(const char* kind, std::string detail) const {
-    out.push_back(
-        note_event{{.kind = kind, .group = name, .detail = std::move(detail)}});
+    out.push_back(note_change{
+        .kind = kind, .group = state.name, .detail = std::move(detail)});
   }
 
   void Enter(change_phase phase) {
@@ -129,21 +123,24 @@
     }
   }
 
-  void Send(rank_view& to, wire::rank_order_kind kind, base::time_us retry_us) {
-    if (now.now_us < to.next_order_us) {
-      return;
+  /** Sends the change's order to those among `ranks` that are due. */
+  void Send(std::span<rank_view* const> ranks,
+            wire::rank_order_kind kind,
+            base::time_us retry_us) {
+    std::vector<net::link_id> links;
+    for (rank_view* const one : ranks) {
+      if (now_us >= one->next_order_us) {
+        one->next_order_us = now_us + retry_us;
+        links.push_back(one->link);
+      }
     }
-    to.next_order_us = now.now_us + retry_us;
     const rank_change& change = *group.change;
-    wire::rank_order order{.kind = kind,
-                           .term = state.leading->term,
-                           .formation = group.formation,
-                           .version = change.version,
-                           .step = change.step};
-    if (kind == wire::rank_order_kind::kPrepare) {
+    wire::rank_order order{
+        .kind = kind, .version = change.version, .step = change.step};
+    if (kind == wire::rank_order_kind::kPrepare && !links.empty()) {
       order.placement = change.placement;
     }
-    out.push_back(send_to_links{{to.link}, std::move(order)});
+    Order(std::move(links), std::move(order));
   }
 
   rank_view* Holder() {
@@ -155,7 +152,7 @@
     return nullptr;
   }
 
-  /** Goes on with what another leader left behind. */
+  /** Goes on with what another coordinator left behind. */
   void Adopt() {
     const rank_view* holder = Holder();
     const auto armed = std::ranges::find_if(group.ranks, [](const auto& item) {
@@ -169,7 +166,7 @@
       group.change = rank_change{.phase = change_phase::kReleasing,
                                  .version = status.armed_version,
                                  .step = status.armed_step,
-                                 .since_us = now.now_us};
+                                 .since_us = now_us};
       if (All([&](const auto& one) { return IsArmed(one); })) {
         Note("map_change_adopted",
              "version " + std::to_string(group.change->version));
@@ -185,16 +182,16 @@
     group.change = rank_change{.version = NextVersion(),
                                .placement = current,
                                .forward_only = true,
-                               .since_us = now.now_us};
+                               .since_us = now_us};
     Enter(change_phase::kPreparing);
     Note("map_change_replaced",
          "version " + std::to_string(group.change->version));
   }
 
-  /** Above all versions of the ranks, and never used by another leader. */
+  /** Above all versions of the ranks, and never used by another one. */
   std::uint64_t NextVersion() {
-    group.last_version = std::max(group.last_version + 1,
-                                  state.leading->term * kVersionsPerTerm);
+    group.last_version =
+        std::max(group.last_version + 1, state.term * kVersionsPerTerm);
     return group.last_version;
   }
 
@@ -218,18 +215,18 @@
   void Prepare() {
     const rank_change& change = *group.change;
     bool all = true;
+    std::vector<rank_view*> unprepared;
     for (auto& [rank, one] : group.ranks) {
       if (one.status.armed_version != 0 &&
           one.status.armed_version != change.version) {
         all = false;
         Disarm(one);
       } else if (one.status.prepared_version != change.version) {
-        all = false;
-        Send(one, wire::rank_order_kind::kPrepare, kPrepareRetryUs);
+        unprepared.push_back(&one);
       }
     }
-    if (all) {
-      group.change->margin_steps = kMinMarginSteps;
+    Send(unprepared, wire::rank_order_kind::kPrepare, kPrepareRetryUs);
+    if (all && unprepared.empty()) {
       BeginHold();
       return;
     }
@@ -240,66 +237,52 @@
       Note("map_change_outdated", "version " + std::to_string(change.version) +
                                       ": demand has shifted again");
       Plan();
-    } else if (now.now_us > change.prepare_until_us) {
+    } else if (now_us > change.prepare_until_us) {
       Note("map_change_given_up", "not prepared in time");
       group.change.reset();
     }
   }
 
   void Disarm(rank_view& one) {
-    if (now.now_us < one.next_order_us) {
+    if (now_us < one.next_order_us) {
       return;
     }
-    one.next_order_us = now.now_us + kOrderRetryUs;
-    out.push_back(
-        send_to_links{{one.link},
-                      wire::rank_order{.kind = wire::rank_order_kind::kDisarm,
-                                       .term = state.leading->term,
-                                       .formation = group.formation,
-                                       .version = one.status.armed_version}});
+    one.next_order_us = now_us + kOrderRetryUs;
+    Order({one.link}, {.kind = wire::rank_order_kind::kDisarm,
+                       .version = one.status.armed_version});
   }
 
   /** Whether demand has shifted again, away from what is being prepared. */
   bool IsStale() {
-    const config::engine_shape* shape = Shape();
-    if (shape == nullptr || group.change->placement.empty()) {
+    if (!state.shape || group.change->placement.empty()) {
       return false;
     }
     const bool shifted = group.demand.shift_us != 0;
-    const auto demand = Demand(*shape);
-    if (!demand || (now.now_us < group.next_plan_us && !shifted)) {
+    const auto demand = Demand();
+    if (!demand || (now_us < group.next_plan_us && !shifted)) {
       return false;
     }
-    group.next_plan_us = now.now_us + kPlanPeriodUs;
-    const double skew =
-        policy::MeanSkew(group.change->placement, *demand,
-                         static_cast<std::uint32_t>(shape->experts));
+    group.next_plan_us = now_us + kPlanPeriodUs;
+    const double skew = policy::MeanSkew(group.change->placement, *demand,
+                                         state.shape->experts);
     return skew >= group.change->planned_skew + kStaleSkew;
   }
 
-  /** Shape of the group's engines, or null if it isn't known. */
-  const config::engine_shape* Shape() const {
-    const engine_shapes& shapes = Shapes(state);
-    const auto found = shapes.find(group.service);
-    return found == shapes.end() ? nullptr : &found->second;
-  }
-
-  std::optional<std::vector<std::uint64_t>> Demand(
-      const config::engine_shape& shape) const {
-    return policy::SettledDemand(
-        group.demand, static_cast<std::uint32_t>(group.ranks.size()),
-        static_cast<std::uint32_t>(shape.experts), now.now_us);
+  std::optional<std::vector<std::uint64_t>> Demand() {
+    return policy::SettledDemand(group.demand,
+                                 static_cast<std::uint32_t>(group.ranks.size()),
+                                 state.shape->experts, now_us);
   }
 
   void BeginHold() {
-    group.change->step = HighestStep() + group.change->margin_steps;
+    group.change->step = HighestStep() + group.margin_steps;
     Enter(change_phase::kHolding);
     Hold();
   }
 
   void Hold() {
-    // A hold that an earlier leader ordered may be carried out late. It blocks
-    // the group as well as one's own, and all ranks are prepared by now.
+    // A hold that an earlier coordinator ordered may be carried out late. It
+    // blocks the group as well as one's own, and all ranks are prepared by now.
     const rank_view* held = Holder();
     if (held != nullptr) {
       group.change->step = held->status.held_step;
@@ -307,15 +290,24 @@
       Arm();
     } else if (HighestStep() >= group.change->step) {
       // The hold came too late; it can't be carried out any more.
-      group.change->margin_steps =
-          std::min(group.change->margin_steps * 2, kMaxMarginSteps);
+      group.margin_steps = std::min(group.margin_steps * 2, kMaxMarginSteps);
       BeginHold();
     } else {
-      Send(group.ranks.begin()->second, wire::rank_order_kind::kHold,
-           kOrderRetryUs);
+      rank_view* const keeper = Keeper();
+      Send(std::span(&keeper, 1), wire::rank_order_kind::kHold, kOrderRetryUs);
     }
   }
 
+  /** The rank that keeps the hold: our own, which no link is needed for. */
+  rank_view* Keeper() {
+    for (auto& [rank, one] : group.ranks) {
+      if (one.link == kOwnRank) {
+        return &one;
+      }
+    }
+    return &group.ranks.begin()->second;
+  }
+
   bool IsArmed(const wire::rank_status& status) const {
     return (status.armed_version == group.change->version &&
             status.armed_step == group.change->step) ||
@@ -330,48 +322,60 @@
     for (auto& [rank, one] : group.ranks) {
       const std::uint64_t held = one.status.held_step;
       if (held == 0 || held >= group.change->step ||
-          now.now_us < one.next_stray_us) {
+          now_us < one.next_stray_us) {
         continue;
       }
-      one.next_stray_us = now.now_us + kOrderRetryUs;
+      one.next_stray_us = now_us + kOrderRetryUs;
       Note("stray_hold", "step " + std::to_string(held));
-      out.push_back(send_to_links{
-          {one.link},
-          wire::rank_order{.kind = wire::rank_order_kind::kRelease,
-                           .term = state.leading->term,
-                           .formation = group.formation,
-                           .step = held}});
+      Order({one.link},
+            {.kind = wire::rank_order_kind::kRelease, .step = held});
     }
   }
 
   void Arm() {
     ReleaseStray();
-    bool all = true;
+    std::vector<rank_view*> unarmed;
     for (auto& [rank, one] : group.ranks) {
       if (!IsArmed(one.status)) {
-        all = false;
-        Send(one, wire::rank_order_kind::kArm, kOrderRetryUs);
+        unarmed.push_back(&one);
       }
     }
-    if (all) {
+    Send(unarmed, wire::rank_order_kind::kArm, kOrderRetryUs);
+    if (unarmed.empty()) {
+      AdaptMargin();
       Enter(change_phase::kReleasing);
       Release();
     }
   }
 
+  /**
+   * The ranks are armed while the group still runs towards the hold; with too
+   * small a margin it stands there until all are.
+   */
+  void AdaptMargin() {
+    const std::uint64_t next = HighestStep() + 1;
+    if (next >= group.change->step) {
+      group.margin_steps = std::min(group.margin_steps + 1, kMaxMarginSteps);
+    } else if (group.change->step - next >= kSpareSteps) {
+      group.margin_steps = std::max(group.margin_steps - 1, kMinMarginSteps);
+    }
+  }
+
   void Release() {
     ReleaseStray();
+    std::vector<rank_view*> holding;
     for (auto& [rank, one] : group.ranks) {
       if (one.status.held_step == group.change->step) {
-        Send(one, wire::rank_order_kind::kRelease, kOrderRetryUs);
+        holding.push_back(&one);
       }
     }
+    Send(holding, wire::rank_order_kind::kRelease, kOrderRetryUs);
     if (All([&](const auto& status) {
           return status.map_version == group.change->version;
         })) {
       Note("map_change_ended",
            "version " + std::to_string(group.change->version) + " after " +
-               std::to_string((now.now_us - group.change->since_us) / 1'000) +
+               std::to_string((now_us - group.change->since_us) / 1'000) +
                " ms");
       group.change.reset();
     }
@@ -395,18 +399,17 @@
   }
 
   void Plan() {
-    const config::engine_shape* shape = Shape();
-    if (shape == nullptr) {
+    if (!state.shape) {
       return;
     }
     if (IsIdle()) {
-      PlanForIdle(*shape);
+      PlanForIdle();
       return;
     }
     const bool shifted = group.demand.shift_us != 0;
-    const auto demand = Demand(*shape);
+    const auto demand = Demand();
     // What follows a shift is planned for as soon as it is known.
-    if (now.now_us < group.next_plan_us && !shifted) {
+    if (now_us < group.next_plan_us && !shifted) {
       return;
     }
     const wire::expert_placement current =
@@ -414,52 +417,50 @@
     if (current.empty()) {
       return;
     }
-    group.next_plan_us = now.now_us + kPlanPeriodUs;
-    const auto change = policy::PlanSpread(
-        current, *demand,
-        {.experts = static_cast<std::uint32_t>(shape->experts),
-         .slots_per_rank = static_cast<std::uint32_t>(shape->expert_slots),
-         .max_copies_per_rank =
-             std::min(kMaxCopiesPerRank,
-                      static_cast<std::uint32_t>(shape->spare_slots))});
-    if (change) {
+    group.next_plan_us = now_us + kPlanPeriodUs;
+    if (const auto change = policy::PlanSpread(
+            current, *demand, Limits(policy::CopiesPerRank(*state.shape)))) {
       Begin(*change);
     }
   }
 
+  policy::spread_limits Limits(std::uint32_t copies) const {
+    return {.experts = state.shape->experts,
+            .slots_per_rank = state.shape->slots,
+            .max_copies_per_rank = copies,
+            .max_copies_per_set = state.shape->spare_slots};
+  }
+
   /** Whether no requests have run for a while. */
-  bool IsIdle() const { return now.now_us - group.active_us > kIdleUs; }
+  bool IsIdle() const { return now_us - group.active_us > kIdleUs; }
 
   /** Copies ahead while that delays nobody. */
-  void PlanForIdle(const config::engine_shape& shape) {
-    if (now.now_us < group.next_plan_us) {
+  void PlanForIdle() {
+    if (now_us < group.next_plan_us) {
       return;
     }
-    group.next_plan_us = now.now_us + kPlanPeriodUs;
+    group.next_plan_us = now_us + kPlanPeriodUs;
     const wire::expert_placement current = Current();
     if (current.empty()) {
       return;
     }
-    const auto change = policy::PlanHedge(
-        current,
-        {.experts = static_cast<std::uint32_t>(shape.experts),
-         .slots_per_rank = static_cast<std::uint32_t>(shape.expert_slots),
-         .max_copies_per_rank = static_cast<std::uint32_t>(shape.spare_slots)});
-    if (change) {
+    if (const auto change =
+            policy::PlanHedge(current, Limits(state.shape->spare_slots))) {
       Begin(*change);
     }
   }
 
   void Begin(const policy::spread_change& planned) {
-    const auto copies_per_rank = static_cast<base::time_us>(
-        (planned.copies + group.ranks.size() - 1) / group.ranks.size());
-    group.change =
-        rank_change{.version = NextVersion(),
-                    .placement = planned.placement,
-                    .planned_skew = planned.skew_after,
-                    .since_us = now.now_us,
-                    .prepare_until_us = now.now_us + kPrepareLimitUs +
-                                        copies_per_rank * kCopyLimitUs};
+    const std::uint64_t copies_per_rank =
+        (planned.copies + group.ranks.size() - 1) / group.ranks.size();
+    const auto copy_limit_us = static_cast<base::time_us>(
+        kCopyTimeFactor * copies_per_rank * state.shape->copy_us);
+    group.change = rank_change{
+        .version = NextVersion(),
+        .placement = planned.placement,
+        .planned_skew = planned.skew_after,
+        .since_us = now_us,
+        .prepare_until_us = now_us + kPrepareLimitUs + copy_limit_us};
     Enter(change_phase::kPreparing);
     Note("map_change_begun",
          "version " + std::to_string(group.change->version) + " copies " +
@@ -470,29 +471,24 @@
   }
 };
 
-}  // namespace
-
-void HandleRankStatus(replica_state& state,
-                      net::link_id link,
-                      const wire::rank_status& status,
-                      const step_time& now,
-                      replica_effects& out) {
-  if (status.group.empty() || status.rank >= status.ranks) {
-    return;
+/** Takes in what a rank says of itself; false if it's of another group. */
+bool Note(coordinator_state& state,
+          const rank_reported& event,
+          base::time_us now_us) {
+  const wire::rank_status& status = event.status;
+  if (status.group != state.name || status.rank >= status.ranks) {
+    return false;
   }
-  rank_group& group = state.leading->rank_groups[status.group];
-  group.service = status.service;
+  rank_group& group = state.group;
   if (status.formation > group.formation) {
     // Nothing of the formation before is left on any rank.
-    group = {.service = status.service,
-             .formation = status.formation,
-             .active_us = now.now_us};
+    group = {.formation = status.formation, .active_us = now_us};
   } else if (status.formation < group.formation) {
-    return;
+    return false;
   }
   rank_view& one = group.ranks[status.rank];
-  one.link = link;
-  one.heard_us = now.now_us;
+  one.link = event.link;
+  one.heard_us = now_us;
   one.status = status;
   if (!status.experts.empty()) {
     one.experts = status.experts;
@@ -502,39 +498,64 @@
       std::max({group.last_version, status.map_version, status.prepared_version,
                 status.armed_version});
   if (policy::NoteCounts(group.demand, status.rank, status.expert_tokens,
-                         now.now_us)) {
-    group.active_us = now.now_us;
+                         now_us)) {
+    group.active_us = now_us;
   }
   one.status.expert_tokens.clear();
   one.status.experts.clear();
-  if (group.change) {
-    driver{state, status.group, group, now, out}.Run();
-  }
+  return true;
 }
 
-void DriveRankGroups(replica_state& state,
-                     const step_time& now,
-                     replica_effects& out) {
-  for (auto& [name, group] : state.leading->rank_groups) {
-    driver{state, name, group, now, out}.Run();
+struct event_handler {
+  coordinator_state& state;
+  base::time_us now_us;
+  coordinator_effects& out;
+
+  void operator()(const part_granted& event) const {
+    if (event.grant.term < state.term) {
+      return;
+    }
+    if (event.grant.term > state.term) {
+      state = {.term = event.grant.term, .name = event.grant.group};
+      out.push_back(note_change{.kind = "coordinating",
+                                .group = state.name,
+                                .detail = std::to_string(state.term)});
+    }
+    if (event.grant.shape) {
+      state.shape = event.grant.shape;
+    }
   }
-}
 
-engine_shapes ReadShapes(const traffic_decoder& decode,
-                         std::string_view document) {
-  engine_shapes shapes;
-  base::findings ignored;
-  const auto set =
-      decode ? decode(document, ignored) : std::optional<config::traffic_set>();
-  if (!set) {
-    return shapes;
+  void operator()(const part_lost&) const {
+    if (state.term != 0) {
+      out.push_back(note_change{.kind = "coordination_lost",
+                                .group = state.name,
+                                .detail = std::to_string(state.term)});
+      state = {};
+    }
   }
-  for (const config::traffic_service& one : set->services) {
-    if (one.engine && one.engine->expert_sets > 0) {
-      shapes[one.name] = *one.engine;
+
+  void operator()(const rank_reported& event) const {
+    if (state.term != 0 && Note(state, event, now_us) && state.group.change) {
+      driver{state, now_us, out}.Run();
     }
   }
-  return shapes;
+
+  void operator()(const coordinator_tick&) const {
+    if (state.term != 0) {
+      driver{state, now_us, out}.Run();
+    }
+  }
+};
+
+}  // namespace
+
+coordinator_effects Step(coordinator_state& state,
+                         const coordinator_event& event,
+                         base::time_us now_us) {
+  coordinator_effects out;
+  std::visit(event_handler{state, now_us, out}, event);
+  return out;
 }
 
-}  // namespace wisteriaroute::control
+}  // namespace wisteriaroute::coordinator
--- a/src/libwisteriaroute/member/control_session.cc
+++ b/src/libwisteriaroute/member/control_session.cc
@@ -78,7 +78,8 @@
 }
 
 void control_session::Dial(const std::string& address) {
-  const net::dial_id dial = hub_.Dial(address);
+  const net::dial_id dial =
+      hub_.Dial(address, HeartbeatPeriodUs(state_.info.role) / 1'000);
   addresses_[address] = dial;
   dials_[dial] = 0;
 }
--- a/src/libwisteriaroute/member/session.cc
+++ b/src/libwisteriaroute/member/session.cc
@@ -1,6 +1,8 @@
 #include "libwisteriaroute/member/session.h"
 
 #include <algorithm>
+#include <functional>
+#include <string_view>
 #include <utility>
 
 namespace wisteriaroute::member {
@@ -10,18 +12,41 @@
 // How long a replica may take to acknowledge the first heartbeat before
 // another one is tried. An election takes up to 1 s.
 constexpr base::time_us kProbePeriodUs = 300'000;
+// Each further try waits twice as long, up to this; members that all lost the
+// same leader would keep the next one busy with opening sessions.
+constexpr base::time_us kMaxProbePeriodUs = 600'000;
+constexpr base::time_us kMaxSidecarProbePeriodUs = 2'400'000;
+constexpr base::time_us kLeaseHeartbeatUs = 500'000;
+constexpr base::time_us kSessionHeartbeatUs = 2'000'000;
 // Sending times beyond this are older than any lease.
 constexpr std::size_t kMaxUnacknowledged = 32;
 
 using effects = std::vector<session_effect>;
 
+/** Up to half as long again, by the member's name. */
+base::time_us Spread(base::time_us period, std::string_view name) {
+  constexpr std::size_t kParts = 64;
+  const auto part =
+      static_cast<base::time_us>(std::hash<std::string_view>{}(name) % kParts);
+  return period + period / 2 * part / static_cast<base::time_us>(kParts);
+}
+
+base::time_us ProbePeriodUs(session_state& state) {
+  constexpr unsigned kMaxDoublings = 3;
+  const base::time_us most = state.info.role == wire::member_role::kSidecar
+                                 ? kMaxSidecarProbePeriodUs
+                                 : kMaxProbePeriodUs;
+  const unsigned doublings = std::min(state.probes++, kMaxDoublings);
+  return Spread(std::min(kProbePeriodUs << doublings, most), state.info.name);
+}
+
 void SendHeartbeat(session_state& state, base::time_us now, effects& out) {
   const std::uint64_t sequence = state.next_sequence++;
   state.sent_us[sequence] = now;
   if (state.sent_us.size() > kMaxUnacknowledged) {
     state.sent_us.erase(state.sent_us.begin());
   }
-  state.next_heartbeat_us = now + kHeartbeatPeriodUs;
+  state.next_heartbeat_us = now + HeartbeatPeriodUs(state.info.role);
   out.push_back(send_control{
       state.session_link,
       wire::session_heartbeat{sequence, state.revision, state.ready}});
@@ -41,7 +66,7 @@
   // An acknowledgement from another replica must not count for a heartbeat
   // that this one received.
   state.sent_us.clear();
-  state.next_probe_us = now + kProbePeriodUs;
+  state.next_probe_us = now + ProbePeriodUs(state);
   if (link != 0) {
     SendHello(state, out);
     SendHeartbeat(state, now, out);
@@ -68,7 +93,7 @@
     // All were tried; wait for the next probe instead of asking in a loop.
     state.session_link = 0;
     state.confirmed = false;
-    state.next_probe_us = now + kProbePeriodUs;
+    state.next_probe_us = now + ProbePeriodUs(state);
     return;
   }
   OpenOn(state, next, now, out);
@@ -103,6 +128,7 @@
   const base::time_us until = sent->second + ack.lease_ms * 1'000;
   state.sent_us.erase(state.sent_us.begin(), std::next(sent));
   state.refused_by.clear();
+  state.probes = 0;
   if (!state.confirmed) {
     state.confirmed = true;
     out.push_back(session_opened{});
@@ -202,6 +228,11 @@
 
 }  // namespace
 
+base::time_us HeartbeatPeriodUs(wire::member_role role) {
+  return role == wire::member_role::kSidecar ? kSessionHeartbeatUs
+                                             : kLeaseHeartbeatUs;
+}
+
 std::vector<session_effect> Step(session_state& state,
                                  const session_event& event,
                                  base::time_us now_us) {
--- a/src/libwisteriaroute/member/session.h
+++ b/src/libwisteriaroute/member/session.h
@@ -14,7 +14,11 @@
 
 namespace wisteriaroute::member {
 
-inline constexpr base::time_us kHeartbeatPeriodUs = 500'000;
+/**
+ * Time between a member's heartbeats. Entries and agents need their lease
+ * renewed; sidecars only keep their session.
+ */
+base::time_us HeartbeatPeriodUs(wire::member_role role);
 
 /** A member's session with the control leader. */
 struct session_state {
@@ -37,6 +41,8 @@
   std::map<std::uint64_t, base::time_us> sent_us;
   base::time_us next_heartbeat_us = 0;
   base::time_us next_probe_us = 0;
+  /** Replicas that were tried since the last acknowledgement. */
+  unsigned probes = 0;
   /** End of the lease; new work is accepted only before it. */
   base::time_us lease_until_us = 0;
   wire::fencing_number fencing;
--- a/src/libwisteriaroute/net/link.cc
+++ b/src/libwisteriaroute/net/link.cc
@@ -2,6 +2,7 @@
 
 #include <kj/debug.h>
 
+#include <algorithm>
 #include <stdexcept>
 #include <utility>
 
@@ -11,15 +12,17 @@
 
 namespace {
 
-constexpr base::time_us kPingPeriodUs = 500'000;
-// A link that heard its peer within this time needs no ping. A ping shows both
-// ends that the link works, so the accepting side waits longer: on an idle link
-// only the dialling side sends pings, and none where other messages flow.
-constexpr base::time_us kDiallingPingAfterUs = 400'000;
-constexpr base::time_us kAcceptingPingAfterUs = 900'000;
-// Three missed pings. Together with the reconnect this keeps the replacement
-// of a silent connection under 3 s.
-constexpr base::time_us kSilentAfterUs = 1'500'000;
+// A link that heard its peer within these parts of a heartbeat needs no ping. A
+// ping shows both ends that the link works, so the accepting side waits longer:
+// on an idle link only the dialling side sends pings, and none where other
+// messages flow.
+constexpr double kDiallingPingAfter = 0.8;
+constexpr double kAcceptingPingAfter = 1.8;
+// Heartbeats without a word after which a link is silent.
+constexpr base::time_us kSilentHeartbeats = 3;
+// Bounds of what a peer may ask for.
+constexpr base::time_ms kMinHeartbeatMs = 100;
+constexpr base::time_ms kMaxHeartbeatMs = 10'000;
 constexpr std::size_t kNonceBytes = 32;
 // A call in flight beyond this waits, so that a slow receiver fills our queue
 // and not the kernel's and the RPC system's buffers.
@@ -41,6 +44,7 @@
   to.setIncarnation(from.incarnation);
   to.setDataCenter(from.data_center);
   to.setAddress(from.address);
+  to.setHeartbeatMs(static_cast<std::uint32_t>(from.heartbeat_ms));
 }
 
 peer_identity ReadIdentity(proto::Identity::Reader from) {
@@ -48,7 +52,9 @@
           .role = from.getRole(),
           .incarnation = from.getIncarnation(),
           .data_center = from.getDataCenter(),
-          .address = from.getAddress()};
+          .address = from.getAddress(),
+          .heartbeat_ms = std::clamp(base::time_ms{from.getHeartbeatMs()},
+                                     kMinHeartbeatMs, kMaxHeartbeatMs)};
 }
 
 capnp::Data::Reader AsData(std::string_view bytes) {
@@ -74,7 +80,8 @@
                Prefixed(server_nonce) + Prefixed(identity.name) +
                Prefixed(identity.role) +
                Prefixed(std::to_string(identity.incarnation)) +
-               Prefixed(identity.data_center) + Prefixed(identity.address));
+               Prefixed(identity.data_center) + Prefixed(identity.address) +
+               Prefixed(std::to_string(identity.heartbeat_ms)));
 }
 
 constexpr std::string_view kClientDirection = "client";
@@ -166,6 +173,7 @@
                                        : capnp::rpc::twoparty::Side::SERVER,
                FrameLimits()),
       liveness_timer_(context.event_loop->ev(), [this] { CheckLiveness(); }),
+      heartbeat_us_(context.self.heartbeat_ms * 1'000),
       last_heard_us_(base::MonotonicUs()),
       tasks_(task_errors_) {
   using rpc_system = capnp::RpcSystem<capnp::rpc::twoparty::VatId>;
@@ -178,7 +186,7 @@
   }
   tasks_.add(network_.onDisconnect().then(
       [this] { Close("the peer closed the connection"); }));
-  liveness_timer_.Start(kPingPeriodUs, kPingPeriodUs);
+  liveness_timer_.Start(heartbeat_us_, heartbeat_us_);
 }
 
 link::~link() {
@@ -227,6 +235,10 @@
   state_ = state::kUp;
   channel_ = kj::mv(channel);
   last_heard_us_ = base::MonotonicUs();
+  if (side_ == side::kAccepted) {
+    heartbeat_us_ = peer.heartbeat_ms * 1'000;
+    liveness_timer_.Start(heartbeat_us_, heartbeat_us_);
+  }
   if (callbacks_.on_up) {
     callbacks_.on_up(peer);
   }
@@ -305,15 +317,16 @@
 
 void link::CheckLiveness() {
   const base::time_us now = base::MonotonicUs();
-  if (now - last_heard_us_ >= kSilentAfterUs) {
+  if (now - last_heard_us_ >= kSilentHeartbeats * heartbeat_us_) {
     Close(state_ == state::kUp ? "no heartbeat from the peer"
                                : "the handshake took too long");
     return;
   }
-  const base::time_us ping_after =
-      side_ == side::kDialled ? kDiallingPingAfterUs : kAcceptingPingAfterUs;
+  const double ping_after =
+      side_ == side::kDialled ? kDiallingPingAfter : kAcceptingPingAfter;
   if (state_ == state::kUp && !ping_pending_ &&
-      now - last_heard_us_ >= ping_after) {
+      static_cast<double>(now - last_heard_us_) >=
+          ping_after * static_cast<double>(heartbeat_us_)) {
     SendPing();
   }
 }
--- a/src/libwisteriaroute/net/link.h
+++ b/src/libwisteriaroute/net/link.h
@@ -17,6 +17,12 @@
 
 namespace wisteriaroute::net {
 
+/**
+ * The usual heartbeat of a link: with three of them and the reconnect, a
+ * connection that has gone silent is replaced within 3 s.
+ */
+inline constexpr base::time_ms kLinkHeartbeatMs = 500;
+
 /** What a process says of itself in the handshake. */
 struct peer_identity {
   std::string name;
@@ -27,6 +33,11 @@
   std::string data_center;
   /** Address on which the process accepts links; may be empty. */
   std::string address;
+  /**
+   * Of the dialling side: time between its pings on an idle link. Both ends
+   * take a link for silent after three of them.
+   */
+  base::time_ms heartbeat_ms = kLinkHeartbeatMs;
 };
 
 /** What all links of a process share. */
@@ -104,6 +115,8 @@
   std::unique_ptr<capnp::RpcSystem<capnp::rpc::twoparty::VatId>> rpc_;
   kj::Maybe<proto::Channel::Client> channel_;
   timer liveness_timer_;
+  /** The dialling side's. */
+  base::time_us heartbeat_us_;
   base::time_us last_heard_us_;
   bool ping_pending_ = false;
   bool flush_scheduled_ = false;
--- a/src/libwisteriaroute/net/link_hub.cc
+++ b/src/libwisteriaroute/net/link_hub.cc
@@ -72,10 +72,11 @@
   }
 }
 
-dial_id link_hub::Dial(std::string_view address) {
+dial_id link_hub::Dial(std::string_view address, base::time_ms heartbeat_ms) {
   ParseAddress(address);
   const dial_id dial = next_dial_++;
-  dialled_[dial].address = std::string(address);
+  dialled_[dial] = {.address = std::string(address),
+                    .heartbeat_ms = heartbeat_ms};
   Connect(dial);
   return dial;
 }
@@ -143,10 +144,12 @@
   callbacks.on_down = [this, id, dial, was_up](std::string_view reason) {
     HandleDown(id, dial, *was_up, reason);
   };
+  link_context context = context_;
   if (dial != 0) {
     dialled_[dial].current = id;
+    context.self.heartbeat_ms = dialled_[dial].heartbeat_ms;
   }
-  links_[id] = std::make_unique<link>(context_, fd, side, std::move(callbacks));
+  links_[id] = std::make_unique<link>(context, fd, side, std::move(callbacks));
 }
 
 void link_hub::HandleDown(link_id id,
--- a/src/libwisteriaroute/net/link_hub.h
+++ b/src/libwisteriaroute/net/link_hub.h
@@ -43,7 +43,8 @@
   std::string Listen(std::string_view address);
 
   /** Keeps a link to `address` until Undial. Throws std::invalid_argument. */
-  dial_id Dial(std::string_view address);
+  dial_id Dial(std::string_view address,
+               base::time_ms heartbeat_ms = kLinkHeartbeatMs);
   void Undial(dial_id dial);
 
   /** Queues a message; does nothing if the link is gone. */
@@ -57,6 +58,7 @@
  private:
   struct dialled {
     std::string address;
+    base::time_ms heartbeat_ms = kLinkHeartbeatMs;
     link_id current = 0;
     base::time_us backoff_us = 0;
     std::unique_ptr<timer> retry;
--- a/src/libwisteriaroute/policy/demand_tracker.cc
+++ b/src/libwisteriaroute/policy/demand_tracker.cc
@@ -9,11 +9,22 @@
 
 namespace {
 
-// Sidecars report counts every 100 ms; one that is later was held up.
+// Shortest period: counts of less time are too few.
+constexpr base::time_us kMinPeriodUs = 100'000;
+// A rank that tells a sample tells this much of its time; a pass may take as
+// long.
+constexpr base::time_us kSampleUs = 200'000;
+// Of one group, to its coordinator. Most numbers take a byte; the slowest hosts
+// have 6 Mbit/s for all that they do.
+constexpr std::uint64_t kNumbersPerSecond = 250'000;
+// Older reports don't count: their ranks were held up.
 constexpr base::time_us kFreshUs = 350'000;
-// By then all ranks have sent counts that begin after the shift: the period of
-// the reports, and half of it for those that were late to show the shift.
-constexpr base::time_us kSettleUs = 150'000;
+// Ranks that report within a period may be missing, for instance idle ones.
+constexpr double kNeededPart = 0.75;
+// Counts that arrive this long after a shift was seen were made after it.
+constexpr base::time_us kAfterShiftUs = 50'000;
+// Longest time for which reports are awaited after that.
+constexpr base::time_us kSettleUs = 200'000;
 // Longer than the ranks take to report one after the other.
 constexpr base::time_us kComparedUs = 200'000;
 // With fewer, shares are noise.
@@ -52,6 +63,13 @@
 
 }  // namespace
 
+count_timing CountTiming(std::uint32_t ranks, std::size_t numbers) {
+  const auto period_us = static_cast<base::time_us>(
+      std::uint64_t{ranks} * numbers * 1'000'000 / kNumbersPerSecond);
+  const base::time_us period = std::max(kMinPeriodUs, period_us);
+  return {.period_us = period, .window_us = std::min(period, kSampleUs)};
+}
+
 bool NoteCounts(demand_tracker& tracker,
                 std::uint32_t rank,
                 std::span<const std::uint32_t> tokens,
@@ -68,19 +86,38 @@
                                                         std::uint32_t ranks,
                                                         std::uint32_t experts,
                                                         base::time_us now_us) {
-  if (experts == 0 || tracker.reports.size() != ranks) {
+  if (experts == 0 || tracker.reports.empty()) {
     return std::nullopt;
   }
+  const count_timing timing =
+      CountTiming(ranks, tracker.reports.begin()->second.tokens.size());
+  base::time_us since_us = now_us - kFreshUs;
+  base::time_us span_us = kFreshUs;
+  if (tracker.shift_us != 0) {
+    since_us = std::max(since_us, tracker.shift_us + kAfterShiftUs);
+    span_us = std::min(timing.period_us, kSettleUs);
+    if (now_us < since_us + span_us) {
+      return std::nullopt;
+    }
+  }
   std::vector<std::uint64_t> sum;
+  std::uint32_t fresh = 0;
   for (const auto& [rank, one] : tracker.reports) {
-    if (now_us - one.at_us > kFreshUs) {
-      return std::nullopt;
+    if (one.at_us < since_us) {
+      continue;
     }
+    ++fresh;
     sum.resize(std::max(sum.size(), one.tokens.size()));
     for (std::size_t i = 0; i < one.tokens.size(); ++i) {
       sum[i] += one.tokens[i];
     }
   }
+  const double expected =
+      ranks * std::min(1.0, static_cast<double>(span_us) /
+                                static_cast<double>(timing.period_us));
+  if (fresh < expected * kNeededPart) {
+    return std::nullopt;
+  }
   const std::uint64_t total =
       std::accumulate(sum.begin(), sum.end(), std::uint64_t{0});
   if (total < kMinTokens || sum.size() % experts != 0) {
@@ -92,7 +129,7 @@
   if (moved && tracker.shift_us == 0) {
     tracker.shift_us = now_us;
   }
-  if (tracker.shift_us != 0 && now_us - tracker.shift_us < kSettleUs) {
+  if (moved && tracker.shift_us == now_us) {
     return std::nullopt;
   }
   // While ranks report a shift one after the other, each step is small; what
--- a/src/libwisteriaroute/policy/demand_tracker.h
+++ b/src/libwisteriaroute/policy/demand_tracker.h
@@ -11,12 +11,27 @@
 
 namespace wisteriaroute::policy {
 
+/** How ranks tell their counts. */
+struct count_timing {
+  /** Time between two reports of a rank. */
+  base::time_us period_us = 0;
+  /** A report has the counts of this long before it. */
+  base::time_us window_us = 0;
+};
+
+/**
+ * Bounds what the ranks of a group send to one host: few ranks tell all that
+ * they count, and many a sample of it, since all of them serve the same mix of
+ * requests. `numbers` are those of a report, one for each set and expert.
+ */
+count_timing CountTiming(std::uint32_t ranks, std::size_t numbers);
+
 /**
  * Which experts a group wants now, from the counts that its ranks report one
  * after the other. Demand shifts at once, every few seconds; a map that was
  * planned from counts of before and after a shift fits neither. So only the
- * latest report of each rank counts, and after a shift was seen none does until
- * all ranks have reported again.
+ * latest report of each rank counts, and after a shift was seen only those that
+ * were counted after it.
  */
 struct demand_tracker {
   struct report {
@@ -45,8 +60,8 @@
                 base::time_us now_us);
 
 /**
- * Tokens by set and expert, if all `ranks` have reported lately and demand
- * isn't shifting. `experts` is their number in a set.
+ * Tokens by set and expert, if enough of the `ranks` have reported lately and
+ * demand isn't shifting. `experts` is their number in a set.
  */
 std::optional<std::vector<std::uint64_t>> SettledDemand(demand_tracker& tracker,
                                                         std::uint32_t ranks,
--- a/src/libwisteriaroute/policy/expert_layer.cc
+++ b/src/libwisteriaroute/policy/expert_layer.cc
@@ -20,10 +20,12 @@
                            std::uint32_t slots_per_rank,
                            std::span<const double> share,
                            std::span<const double> speed,
-                           std::span<std::uint32_t> copies_left)
+                           std::span<std::uint32_t> copies_left,
+                           std::uint32_t layer_copies)
     : slots_(slots.begin(), slots.end()),
       first_slots_(slots.begin(), slots.end()),
       copies_left_(copies_left),
+      layer_copies_left_(copies_left.size(), layer_copies),
       slots_per_rank_(slots_per_rank),
       ranks_(static_cast<std::uint32_t>(slots.size()) / slots_per_rank),
       share_(share),
@@ -80,13 +82,15 @@
 }
 
 bool expert_layer::MayReceive(std::uint32_t rank, std::uint16_t expert) const {
-  return copies_left_.empty() || copies_left_[rank] > 0 ||
+  return copies_left_.empty() ||
+         (copies_left_[rank] > 0 && layer_copies_left_[rank] > 0) ||
          HeldAtFirst(rank, expert);
 }
 
 void expert_layer::CountReceived(std::uint32_t rank, std::uint16_t expert) {
   if (!copies_left_.empty() && !HeldAtFirst(rank, expert)) {
     --copies_left_[rank];
+    --layer_copies_left_[rank];
   }
 }
 
--- a/src/libwisteriaroute/policy/expert_layer.h
+++ b/src/libwisteriaroute/policy/expert_layer.h
@@ -2,6 +2,7 @@
 #define LIBWISTERIAROUTE_POLICY_EXPERT_LAYER_H_
 
 #include <cstdint>
+#include <limits>
 #include <span>
 #include <vector>
 
@@ -16,13 +17,16 @@
   /**
    * `slots` holds rank after rank; `speed` is 1 for a healthy rank. A rank may
    * receive `copies_left[rank]` experts that it doesn't hold now; what is
-   * received is taken off. Without the list there is no bound.
+   * received is taken off. Without the list there is no bound. In this layer
+   * it may receive `layer_copies` of them at most.
    */
-  expert_layer(std::span<const std::uint16_t> slots,
-               std::uint32_t slots_per_rank,
-               std::span<const double> share,
-               std::span<const double> speed,
-               std::span<std::uint32_t> copies_left = {});
+  expert_layer(
+      std::span<const std::uint16_t> slots,
+      std::uint32_t slots_per_rank,
+      std::span<const double> share,
+      std::span<const double> speed,
+      std::span<std::uint32_t> copies_left = {},
+      std::uint32_t layer_copies = std::numeric_limits<std::uint32_t>::max());
 
   /** An exchange or replacement of slot contents and what it does. */
   struct move {
@@ -66,6 +70,8 @@
   std::vector<std::uint16_t> slots_;
   std::vector<std::uint16_t> first_slots_;
   std::span<std::uint32_t> copies_left_;
+  /** By rank, what it may still receive in this layer. */
+  std::vector<std::uint32_t> layer_copies_left_;
   std::uint32_t slots_per_rank_;
   std::uint32_t ranks_;
   std::span<const double> share_;
--- a/src/libwisteriaroute/policy/expert_spread.cc
+++ b/src/libwisteriaroute/policy/expert_spread.cc
@@ -98,7 +98,7 @@
           Shares(tokens.subspan(set * limits.experts, limits.experts)));
       layers_.emplace_back(Slots(current[set], limits.slots_per_rank, free_),
                            limits.slots_per_rank, shares_.back(), speed_,
-                           copies_left_);
+                           copies_left_, limits.max_copies_per_set);
     }
   }
 
@@ -181,6 +181,14 @@
   return change;
 }
 
+std::uint32_t CopiesPerRank(const wire::spread_shape& shape) {
+  const std::uint64_t most = std::uint64_t{shape.sets} * shape.spare_slots;
+  const std::uint64_t timely =
+      shape.copy_us == 0 ? most : kCopyBudgetUs / shape.copy_us;
+  return static_cast<std::uint32_t>(
+      std::min(most, std::max<std::uint64_t>(timely, 1)));
+}
+
 std::optional<spread_change> PlanHedge(const wire::expert_placement& current,
                                        const spread_limits& limits) {
   if (!Fits(current, limits)) {
--- a/src/libwisteriaroute/policy/expert_spread.h
+++ b/src/libwisteriaroute/policy/expert_spread.h
@@ -2,6 +2,7 @@
 #define LIBWISTERIAROUTE_POLICY_EXPERT_SPREAD_H_
 
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <span>
 
@@ -16,6 +17,8 @@
   std::uint32_t slots_per_rank = 0;
   /** Experts that a rank may receive in one change, over all sets. */
   std::uint32_t max_copies_per_rank = 0;
+  /** The same in one set. */
+  std::uint32_t max_copies_per_set = std::numeric_limits<std::uint32_t>::max();
   /** Least reduction of the summed skew that is worth a change. */
   double min_gain = 0.35;
 };
@@ -47,6 +50,14 @@
 std::optional<spread_change> PlanHedge(const wire::expert_placement& current,
                                        const spread_limits& limits);
 
+/**
+ * Answers that demand stays for a few seconds only: as many experts a rank as
+ * are copied within `kCopyBudgetUs`, at least one.
+ */
+std::uint32_t CopiesPerRank(const wire::spread_shape& shape);
+
+inline constexpr std::uint64_t kCopyBudgetUs = 400'000;
+
 /** Mean skew over the sets of a placement; 1 is perfect balance. */
 double MeanSkew(const wire::expert_placement& placement,
                 std::span<const std::uint64_t> tokens,
--- a/src/libwisteriaroute/sidecar/sidecar.cc
+++ b/src/libwisteriaroute/sidecar/sidecar.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "libwisteriaroute/policy/demand_tracker.h"
+
 namespace wisteriaroute::sidecar {
 
 namespace {
@@ -9,10 +11,12 @@
 // The rank answers at once and free of charge, since it runs beside us.
 constexpr base::time_us kStatusPeriodUs = 200'000;
 constexpr base::time_us kBusyStatusPeriodUs = 50'000;
-constexpr base::time_us kCountsPeriodUs = 100'000;
-// Control counts a rank as lost after a second of silence.
-constexpr base::time_us kSendPeriodUs = 100'000;
+// The coordinator counts a rank as lost after a second of silence.
+constexpr base::time_us kSendPeriodUs = 250'000;
 constexpr base::time_us kBusyUs = 3'000'000;
+constexpr base::time_us kPresencePeriodUs = 5'000'000;
+// Links that were lost by accident are back within this time.
+constexpr base::time_us kUnlinkedUs = 1'000'000;
 
 constexpr unsigned kFirstRefusal = 400;
 
@@ -30,9 +34,17 @@
       return;
     }
     const bool reformed = event.status.formation != state.status.formation;
+    if (reformed) {
+      state.window_start.reset();
+      state.window_tokens.clear();
+    }
+    if (!event.status.group.empty()) {
+      ForgetOtherGroup(event.status.group);
+    }
     const bool other_map = event.status.map_version != state.status.map_version;
     state.status = event.status;
     state.status.service = state.service;
+    state.status.server = state.server;
     state.status.term = state.poll_term;
     if (reformed || other_map || !state.lists) {
       state.lists.reset();
@@ -49,12 +61,26 @@
     if (!event.ok) {
       return;
     }
-    state.counts = event.counts;
-    if (state.counts_sent.size() != state.counts.totals.size() || Restarted()) {
-      // Counts of another run, or the first ones: what came before is unknown.
-      state.counts_sent = state.counts.totals;
+    if (state.count_numbers != event.counts.totals.size()) {
+      state.count_numbers = event.counts.totals.size();
+      TakeTurn();
+      return;
+    }
+    const policy::count_timing timing = Timing();
+    if (!state.window_start) {
+      state.window_start = event.counts;
+      state.next_counts_us = now + timing.window_us;
+      return;
+    }
+    state.window_tokens = Difference(*state.window_start, event.counts);
+    if (timing.window_us == timing.period_us) {
+      state.window_start = event.counts;
+      state.next_counts_us = now + timing.period_us;
+    } else {
+      state.window_start.reset();
+      state.next_counts_us = now + timing.period_us - timing.window_us;
     }
-    // At once: what control plans by should be as young as may be.
+    // At once: what is planned from them should be as young as may be.
     Send();
   }
 
@@ -71,6 +97,11 @@
 
   void operator()(const order_received& event) {
     const wire::rank_order& order = event.order;
+    // A sidecar that has just started doesn't know which terms are old.
+    if (!state.grant) {
+      out.push_back(note_order{order, "no grant known"});
+      return;
+    }
     if (order.term < state.highest_term) {
       out.push_back(note_order{order, "older term"});
       return;
@@ -96,9 +127,44 @@
     PollStatus();
   }
 
-  void operator()(const control_opened&) {
-    state.lists_sent = false;
-    Send();
+  void operator()(const control_opened&) { SendPresence(); }
+
+  void operator()(const grant_received& event) {
+    const wire::coordinator_grant& grant = event.grant;
+    if (grant.group != state.status.group || grant.term < state.highest_term) {
+      return;
+    }
+    const bool other = !state.grant || state.grant->name != grant.name ||
+                       state.grant->address != grant.address;
+    const bool held = Coordinates();
+    state.highest_term = grant.term;
+    state.grant = grant;
+    if (Coordinates()) {
+      out.push_back(follow_coordinator{});
+      out.push_back(take_part{grant});
+      state.linked = true;
+      StartAnew();
+    } else if (other) {
+      if (held) {
+        out.push_back(give_up_part{});
+      }
+      state.linked = false;
+      state.link_changed_us = now;
+      out.push_back(follow_coordinator{grant.address});
+    }
+    PollStatus();
+    SendPresence();
+  }
+
+  void operator()(const coordinator_link_changed& event) {
+    if (Coordinates() || state.linked == event.up) {
+      return;
+    }
+    state.linked = event.up;
+    state.link_changed_us = now;
+    if (event.up) {
+      StartAnew();
+    }
   }
 
   void operator()(const sidecar_tick&) {
@@ -108,11 +174,9 @@
           now + (busy ? kBusyStatusPeriodUs : kStatusPeriodUs);
       PollStatus();
     }
-    if (now >= state.next_counts_us) {
-      state.next_counts_us = now + kCountsPeriodUs;
-      if (!std::exchange(state.polling_counts, true)) {
-        out.push_back(poll_counts{});
-      }
+    if (state.linked && now >= state.next_counts_us &&
+        !std::exchange(state.polling_counts, true)) {
+      out.push_back(poll_counts{});
     }
     if (!state.lists && state.status.ranks > 0) {
       PollLists();
@@ -120,6 +184,9 @@
     if (now >= state.next_send_us) {
       Send();
     }
+    if (now >= state.next_presence_us || Presence() != state.presence_sent) {
+      SendPresence();
+    }
   }
 
  private:
@@ -137,13 +204,81 @@
     }
   }
 
-  bool Restarted() const {
-    for (std::size_t i = 0; i < state.counts_sent.size(); ++i) {
-      if (state.counts.totals[i] < state.counts_sent[i]) {
-        return true;
+  /** A grant for another group than the rank's says nothing here. */
+  void ForgetOtherGroup(const std::string& group) {
+    if (!state.grant || state.grant->group == group) {
+      return;
+    }
+    if (Coordinates()) {
+      out.push_back(give_up_part{});
+    }
+    out.push_back(follow_coordinator{});
+    state.grant.reset();
+    state.highest_term = 0;
+    state.linked = false;
+    state.link_changed_us = now;
+  }
+
+  bool Coordinates() const {
+    return state.grant && state.grant->name == state.name;
+  }
+
+  /** The coordinator knows nothing of this rank. */
+  void StartAnew() {
+    state.lists_sent = false;
+    state.window_start.reset();
+    state.window_tokens.clear();
+    TakeTurn();
+    Send();
+  }
+
+  policy::count_timing Timing() const {
+    return policy::CountTiming(state.status.ranks, state.count_numbers);
+  }
+
+  /** Ranks tell their counts one after the other. */
+  void TakeTurn() {
+    if (state.status.ranks != 0) {
+      state.next_counts_us =
+          now + Timing().period_us * state.status.rank / state.status.ranks;
+    }
+  }
+
+  /** What was counted; nothing if the rank has started anew between. */
+  static std::vector<std::uint32_t> Difference(const expert_counts& from,
+                                               const expert_counts& to) {
+    std::vector<std::uint32_t> tokens;
+    if (from.formation != to.formation ||
+        from.totals.size() != to.totals.size()) {
+      return tokens;
+    }
+    tokens.reserve(to.totals.size());
+    for (std::size_t i = 0; i < to.totals.size(); ++i) {
+      if (to.totals[i] < from.totals[i]) {
+        return {};
       }
+      tokens.push_back(
+          static_cast<std::uint32_t>(to.totals[i] - from.totals[i]));
+    }
+    return tokens;
+  }
+
+  wire::rank_presence Presence() const {
+    return {
+        .service = state.service,
+        .group = state.status.group,
+        .rank = state.status.rank,
+        .ranks = state.status.ranks,
+        .term = state.highest_term,
+        .served = state.linked || now - state.link_changed_us <= kUnlinkedUs};
+  }
+
+  void SendPresence() {
+    state.next_presence_us = now + kPresencePeriodUs;
+    state.presence_sent = Presence();
+    if (state.status.ranks != 0) {
+      out.push_back(send_presence{state.presence_sent});
     }
-    return false;
   }
 
   void PollStatus() {
@@ -166,26 +301,19 @@
         a.map_version != b.map_version ||
         a.prepared_version != b.prepared_version ||
         a.armed_version != b.armed_version || a.armed_step != b.armed_step ||
-        a.held_step != b.held_step ||
-        (now < state.busy_until_us && a.step != b.step)) {
+        a.held_step != b.held_step || (Coordinates() && a.step != b.step)) {
       Send();
     }
   }
 
   void Send() {
-    if (state.status.ranks == 0) {
+    if (state.status.ranks == 0 || !state.linked) {
       return;
     }
     state.next_send_us = now + kSendPeriodUs;
     state.sent = state.status;
     wire::rank_status message = state.status;
-    if (state.counts.formation == state.status.formation) {
-      for (std::size_t i = 0; i < state.counts.totals.size(); ++i) {
-        message.expert_tokens.push_back(static_cast<std::uint32_t>(
-            state.counts.totals[i] - state.counts_sent[i]));
-      }
-      state.counts_sent = state.counts.totals;
-    }
+    message.expert_tokens = std::exchange(state.window_tokens, {});
     if (state.lists && !std::exchange(state.lists_sent, true)) {
       message.experts = state.lists->experts;
     }
--- a/src/libwisteriaroute/sidecar/sidecar.h
+++ b/src/libwisteriaroute/sidecar/sidecar.h
@@ -27,16 +27,30 @@
 
 /** State of the sidecar of one rank. Changed only by Step. */
 struct sidecar_state {
-  /** The service whose server runs here. */
+  /** Name of this process among control's members. */
+  std::string name;
+  /** The service whose server runs here, and the server's `IP:port`. */
   std::string service;
+  std::string server;
   wire::rank_status status;
   /** What was sent last. */
   wire::rank_status sent;
-  expert_counts counts;
-  std::vector<std::uint64_t> counts_sent;
+  /** Counts at the beginning of the window in progress; nothing between. */
+  std::optional<expert_counts> window_start;
+  /** Numbers that the rank counts; 0: not known. */
+  std::size_t count_numbers = 0;
+  /** Counts of the last window that weren't sent. */
+  std::vector<std::uint32_t> window_tokens;
   std::optional<expert_lists> lists;
   bool lists_sent = false;
-  /** Orders of lower terms are refused. */
+  /** Who coordinates the group, as control told it. */
+  std::optional<wire::coordinator_grant> grant;
+  /** Whether the link to the coordinator is up; it is beside us or not. */
+  bool linked = false;
+  base::time_us link_changed_us = 0;
+  wire::rank_presence presence_sent;
+  base::time_us next_presence_us = 0;
+  /** Orders of lower terms are refused; all are until a grant was heard. */
   std::uint64_t highest_term = 0;
   /** `highest_term` when the poll of the status in progress began. */
   std::uint64_t poll_term = 0;
@@ -79,6 +93,13 @@
 };
 /** A session with a (new) leader was opened; it knows nothing. */
 struct control_opened {};
+struct grant_received {
+  wire::coordinator_grant grant;
+};
+/** The link to the coordinator that is followed came up or went down. */
+struct coordinator_link_changed {
+  bool up = false;
+};
 /** Due every kSidecarTickUs. */
 struct sidecar_tick {};
 
@@ -90,6 +111,8 @@
                                    order_received,
                                    order_answered,
                                    control_opened,
+                                   grant_received,
+                                   coordinator_link_changed,
                                    sidecar_tick>;
 
 // Effects.
@@ -100,9 +123,23 @@
 struct pass_order {
   wire::rank_order order;
 };
+/** To the coordinator. */
 struct send_status {
   wire::rank_status status;
 };
+/** To control. */
+struct send_presence {
+  wire::rank_presence presence;
+};
+/** Keeps a link to this coordinator, and to no other one. */
+struct follow_coordinator {
+  std::string address;
+};
+/** This process coordinates the group from now on. */
+struct take_part {
+  wire::coordinator_grant grant;
+};
+struct give_up_part {};
 /** A decision for the log. */
 struct note_order {
   wire::rank_order order;
@@ -123,6 +160,10 @@
                                     poll_lists,
                                     pass_order,
                                     send_status,
+                                    send_presence,
+                                    follow_coordinator,
+                                    take_part,
+                                    give_up_part,
                                     note_order,
                                     note_rank>;
 
--- a/src/libwisteriaroute/wire/control_messages.cc
+++ b/src/libwisteriaroute/wire/control_messages.cc
@@ -3,8 +3,11 @@
 #include <capnp/message.h>
 #include <capnp/serialize.h>
 
+#include <limits>
+
 #include "libwisteriaroute/wire/admin_fields.h"
 #include "libwisteriaroute/wire/control_fields.h"
+#include "libwisteriaroute/wire/varint.h"
 
 namespace wisteriaroute::wire {
 
@@ -175,6 +178,47 @@
   return lists;
 }
 
+std::string PackPlacement(const expert_placement& from) {
+  std::string bytes;
+  for (const auto& ranks : from) {
+    AppendVarint(bytes, Count(ranks));
+    for (const expert_list& held : ranks) {
+      AppendVarint(bytes, Count(held));
+      for (const std::uint16_t expert : held) {
+        AppendVarint(bytes, expert);
+      }
+    }
+  }
+  return bytes;
+}
+
+/** Reads a count of items that take a byte each at least. */
+std::uint32_t TakeCount(std::string_view& bytes) {
+  const std::uint32_t count = TakeVarint(bytes);
+  if (count > bytes.size()) {
+    throw malformed_message("a list is longer than its message");
+  }
+  return count;
+}
+
+expert_placement UnpackPlacement(std::string_view bytes) {
+  expert_placement placement;
+  while (!bytes.empty()) {
+    auto& ranks = placement.emplace_back(TakeCount(bytes));
+    for (expert_list& held : ranks) {
+      held.resize(TakeCount(bytes));
+      for (std::uint16_t& expert : held) {
+        const std::uint32_t number = TakeVarint(bytes);
+        if (number > std::numeric_limits<std::uint16_t>::max()) {
+          throw malformed_message("the number of an expert is out of range");
+        }
+        expert = static_cast<std::uint16_t>(number);
+      }
+    }
+  }
+  return placement;
+}
+
 void WriteFields(const rank_status& from, proto::RankStatus::Builder to) {
   to.setService(from.service);
   to.setGroup(from.group);
@@ -188,10 +232,10 @@
   to.setArmedVersion(from.armed_version);
   to.setArmedStep(from.armed_step);
   to.setHeldStep(from.held_step);
-  to.setExpertTokens(
-      kj::arrayPtr(from.expert_tokens.data(), from.expert_tokens.size()));
+  to.setExpertTokens(AsData(PackNumbers(from.expert_tokens)));
   WriteLists(from.experts, to.initExperts(Count(from.experts)));
   to.setTerm(from.term);
+  to.setServer(from.server);
 }
 
 rank_status ReadFields(proto::RankStatus::Reader from) {
@@ -207,9 +251,10 @@
                      .armed_version = from.getArmedVersion(),
                      .armed_step = from.getArmedStep(),
                      .held_step = from.getHeldStep()};
-  result.expert_tokens = ReadNumbers<std::uint32_t>(from.getExpertTokens());
+  result.expert_tokens = UnpackNumbers(ReadData(from.getExpertTokens()));
   result.experts = ReadLists(from.getExperts());
   result.term = from.getTerm();
+  result.server = from.getServer();
   return result;
 }
 
@@ -219,20 +264,64 @@
   to.setFormation(from.formation);
   to.setVersion(from.version);
   to.setStep(from.step);
-  auto sets = to.initPlacement(Count(from.placement));
-  for (unsigned i = 0; i < from.placement.size(); ++i) {
-    WriteLists(from.placement[i], sets.init(i, Count(from.placement[i])));
-  }
+  to.setPlacement(AsData(PackPlacement(from.placement)));
 }
 
 rank_order ReadFields(proto::RankOrder::Reader from) {
-  rank_order result{.kind = ReadEnum<rank_order_kind>(from.getKind(), 6),
-                    .term = from.getTerm(),
-                    .formation = from.getFormation(),
-                    .version = from.getVersion(),
-                    .step = from.getStep()};
-  for (const auto set : from.getPlacement()) {
-    result.placement.push_back(ReadLists(set));
+  return {.kind = ReadEnum<rank_order_kind>(from.getKind(), 6),
+          .term = from.getTerm(),
+          .formation = from.getFormation(),
+          .version = from.getVersion(),
+          .step = from.getStep(),
+          .placement = UnpackPlacement(ReadData(from.getPlacement()))};
+}
+
+void WriteFields(const rank_presence& from, proto::RankPresence::Builder to) {
+  to.setService(from.service);
+  to.setGroup(from.group);
+  to.setRank(from.rank);
+  to.setRanks(from.ranks);
+  to.setTerm(from.term);
+  to.setServed(from.served);
+}
+
+rank_presence ReadFields(proto::RankPresence::Reader from) {
+  return {.service = from.getService(),
+          .group = from.getGroup(),
+          .rank = from.getRank(),
+          .ranks = from.getRanks(),
+          .term = from.getTerm(),
+          .served = from.getServed()};
+}
+
+void WriteFields(const coordinator_grant& from,
+                 proto::CoordinatorGrant::Builder to) {
+  to.setGroup(from.group);
+  to.setTerm(from.term);
+  to.setName(from.name);
+  to.setAddress(from.address);
+  if (from.shape) {
+    auto shape = to.initShape();
+    shape.setSets(from.shape->sets);
+    shape.setExperts(from.shape->experts);
+    shape.setSlots(from.shape->slots);
+    shape.setSpareSlots(from.shape->spare_slots);
+    shape.setCopyUs(from.shape->copy_us);
+  }
+}
+
+coordinator_grant ReadFields(proto::CoordinatorGrant::Reader from) {
+  coordinator_grant result{.group = from.getGroup(),
+                           .term = from.getTerm(),
+                           .name = from.getName(),
+                           .address = from.getAddress()};
+  if (from.hasShape()) {
+    const auto shape = from.getShape();
+    result.shape = spread_shape{.sets = shape.getSets(),
+                                .experts = shape.getExperts(),
+                                .slots = shape.getSlots(),
+                                .spare_slots = shape.getSpareSlots(),
+                                .copy_us = shape.getCopyUs()};
   }
   return result;
 }
@@ -303,6 +392,12 @@
   void operator()(const rank_order& from) {
     WriteFields(from, root.initRankOrder());
   }
+  void operator()(const rank_presence& from) {
+    WriteFields(from, root.initRankPresence());
+  }
+  void operator()(const coordinator_grant& from) {
+    WriteFields(from, root.initCoordinatorGrant());
+  }
   void operator()(const admin_reply& from) {
     WriteFields(from, root.initAdminReply());
   }
@@ -324,6 +419,10 @@
       return ReadFields(root.getRankStatus());
     case proto::ControlMessage::RANK_ORDER:
       return ReadFields(root.getRankOrder());
+    case proto::ControlMessage::RANK_PRESENCE:
+      return ReadFields(root.getRankPresence());
+    case proto::ControlMessage::COORDINATOR_GRANT:
+      return ReadFields(root.getCoordinatorGrant());
     case proto::ControlMessage::SESSION_GOODBYE:
       return session_goodbye{};
     case proto::ControlMessage::NOT_LEADER:
--- a/src/libwisteriaroute/wire/control_messages.h
+++ b/src/libwisteriaroute/wire/control_messages.h
@@ -3,6 +3,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -420,7 +421,10 @@
 /** Experts by set and rank. */
 using expert_placement = std::vector<std::vector<expert_list>>;
 
-/** Sidecar to control: the state of its rank. Versions and steps: 0 is none. */
+/**
+ * Sidecar to its group's coordinator: the state of its rank. Versions and
+ * steps: 0 is none.
+ */
 struct rank_status {
   std::string service;
   std::string group;
@@ -437,12 +441,14 @@
   std::uint64_t armed_version = 0;
   std::uint64_t armed_step = 0;
   std::uint64_t held_step = 0;
-  /** Since the last status, by set and expert; may be empty. */
+  /** In the last window of counts, by set and expert; may be empty. */
   std::vector<std::uint32_t> expert_tokens;
   /** Of this rank by set, in the map in use; empty: as told before. */
   std::vector<expert_list> experts;
-  /** The highest term of a leader that the sidecar has heard. */
+  /** The highest term of a coordinator that the sidecar has heard. */
   std::uint64_t term = 0;
+  /** `IP:port` of the rank's server. */
+  std::string server;
 
   bool operator==(const rank_status&) const = default;
 };
@@ -461,10 +467,13 @@
   kRelease,
 };
 
-/** Control to sidecar. Repeated until the status shows that it was done. */
+/**
+ * Coordinator to the sidecar of a rank. Repeated until the status shows that it
+ * was done.
+ */
 struct rank_order {
   rank_order_kind kind = rank_order_kind::kPrepare;
-  /** Of the leader; orders of older terms are refused. */
+  /** Of the coordinator's grant; orders of older ones are refused. */
   std::uint64_t term = 0;
   std::uint64_t formation = 0;
   std::uint64_t version = 0;
@@ -474,6 +483,48 @@
   bool operator==(const rank_order&) const = default;
 };
 
+/** Sidecar to control: its rank is there. Repeated every few seconds. */
+struct rank_presence {
+  std::string service;
+  std::string group;
+  std::uint32_t rank = 0;
+  std::uint32_t ranks = 0;
+  /** The highest term of a coordinator that the sidecar has heard. */
+  std::uint64_t term = 0;
+  /** Whether it reached that coordinator lately. */
+  bool served = false;
+
+  bool operator==(const rank_presence&) const = default;
+};
+
+/** What the placement of a group's experts has to fit. */
+struct spread_shape {
+  std::uint32_t sets = 0;
+  std::uint32_t experts = 0;
+  /** Experts that a rank holds at most in a set. */
+  std::uint32_t slots = 0;
+  /** Experts of a set that a rank may receive in one change. */
+  std::uint32_t spare_slots = 0;
+  /** Time to copy one expert to a rank. */
+  std::uint64_t copy_us = 0;
+
+  bool operator==(const spread_shape&) const = default;
+};
+
+/** Control to the sidecars of a group: who coordinates it. */
+struct coordinator_grant {
+  std::string group;
+  /** Grows with each grant; 0: nobody does. */
+  std::uint64_t term = 0;
+  std::string name;
+  /** Link address. */
+  std::string address;
+  /** Nothing while no configuration tells it. */
+  std::optional<spread_shape> shape;
+
+  bool operator==(const coordinator_grant&) const = default;
+};
+
 /**
  * A whole configuration in the operator's format. The highest version wins; an
  * older one or the one in force is acknowledged and changes nothing.
@@ -561,7 +612,9 @@
                                      admin_request,
                                      admin_reply,
                                      rank_status,
-                                     rank_order>;
+                                     rank_order,
+                                     rank_presence,
+                                     coordinator_grant>;
 
 /** Encodes for a link. */
 std::string Encode(const control_message& message);
--- a/src/sidecar/daemon.cc
+++ b/src/sidecar/daemon.cc
@@ -75,11 +75,16 @@
                                 "sidecar",
                                 incarnation_,
                                 clock_),
-           member::ControlLinks(session_)),
+           LinkCallbacks()),
       server_(event_loop),
       metrics_server_(event_loop, [this] { return RenderMetrics(); }),
-      tick_(event_loop.ev(), [this] { Handle(sidecar_tick{}); }) {
+      tick_(event_loop.ev(), [this] { Handle(sidecar_tick{}); }),
+      coordinator_tick_(event_loop.ev(), [this] {
+        Coordinate(coordinator::coordinator_tick{});
+      }) {
+  state_.name = settings_.process.name;
   state_.service = settings_.service;
+  state_.server = settings_.server;
 }
 
 void daemon::Run() {
@@ -104,7 +109,12 @@
                     return Reload(text, out);
                   });
   metrics_server_.Listen(settings_.process.listen_metrics);
+  if (!settings_.process.listen.empty()) {
+    hub_.Listen(settings_.process.listen);
+  }
   tick_.Start(kSidecarTickUs, kSidecarTickUs);
+  coordinator_tick_.Start(coordinator::kCoordinatorTickUs,
+                          coordinator::kCoordinatorTickUs);
   base::LogInfo("sidecar_started", {{"name", settings_.process.name},
                                     {"server", settings_.server},
                                     {"service", settings_.service}});
@@ -113,15 +123,106 @@
 }
 
 member::control_session_callbacks daemon::SessionCallbacks() {
+  return {.on_message =
+              [this](const wire::control_message& message) {
+                if (const auto* grant =
+                        std::get_if<wire::coordinator_grant>(&message)) {
+                  Handle(grant_received{*grant});
+                }
+              },
+          .on_opened = [this] { Handle(control_opened{}); },
+          .on_dropped = [](const wire::control_message&) {}};
+}
+
+net::hub_callbacks daemon::LinkCallbacks() {
   return {
-      .on_message =
-          [this](const wire::control_message& message) {
-            if (const auto* order = std::get_if<wire::rank_order>(&message)) {
-              Handle(order_received{*order});
-            }
+      .on_up =
+          [this](net::link_id link, net::dial_id dial,
+                 const net::peer_identity& peer) {
+            HandleUp(link, dial, peer);
           },
-      .on_opened = [this] { Handle(control_opened{}); },
-      .on_dropped = [](const wire::control_message&) {}};
+      .on_message = [this](
+                        net::link_id link,
+                        std::string_view body) { HandleMessage(link, body); },
+      .on_down = [this](net::link_id link,
+                        std::string_view reason) { HandleDown(link, reason); }};
+}
+
+void daemon::HandleUp(net::link_id link,
+                      net::dial_id dial,
+                      const net::peer_identity& peer) {
+  if (session_->HandleUp(link, dial, peer)) {
+    base::LogInfo("control_link_up", {{"replica", peer.name}});
+  } else if (dial != 0 && dial == coordinator_dial_) {
+    base::LogInfo("coordinator_link_up", {{"coordinator", peer.name}});
+    coordinator_link_ = link;
+    Handle(coordinator_link_changed{true});
+  }
+}
+
+void daemon::HandleMessage(net::link_id link, std::string_view body) {
+  if (session_->HandleMessage(link, body)) {
+    return;
+  }
+  try {
+    const wire::control_message message = wire::DecodeControl(body);
+    if (const auto* status = std::get_if<wire::rank_status>(&message)) {
+      Coordinate(coordinator::rank_reported{link, *status});
+    } else if (const auto* order = std::get_if<wire::rank_order>(&message)) {
+      Handle(order_received{*order});
+    }
+  } catch (const wire::malformed_message& error) {
+    base::LogWarning("malformed_message", {{"cause", error.what()}});
+    hub_.Close(link, error.what());
+  }
+}
+
+void daemon::HandleDown(net::link_id link, std::string_view reason) {
+  if (session_->HandleDown(link)) {
+    base::LogWarning("control_link_down", {{"reason", reason}});
+  } else if (link == coordinator_link_) {
+    base::LogWarning("coordinator_link_down", {{"reason", reason}});
+    coordinator_link_ = 0;
+    Handle(coordinator_link_changed{false});
+  }
+}
+
+void daemon::Follow(const std::string& address) {
+  if (coordinator_dial_ != 0) {
+    coordinator_link_ = 0;
+    hub_.Undial(std::exchange(coordinator_dial_, 0));
+  }
+  if (!address.empty()) {
+    coordinator_dial_ = hub_.Dial(address);
+  }
+}
+
+void daemon::Coordinate(const coordinator::coordinator_event& event) {
+  for (const coordinator::coordinator_effect& effect :
+       coordinator::Step(part_, event, base::MonotonicUs())) {
+    Run(effect);
+  }
+}
+
+void daemon::Run(const coordinator::coordinator_effect& effect) {
+  if (const auto* line = std::get_if<coordinator::note_change>(&effect)) {
+    base::LogInfo(line->kind,
+                  {{"group", line->group}, {"detail", line->detail}});
+    metrics_.Count("wisteriaroute_events_total{kind=\"" + line->kind + "\"}");
+    return;
+  }
+  const auto& sent = std::get<coordinator::send_order>(effect);
+  std::string body;
+  for (const net::link_id link : sent.links) {
+    if (link == coordinator::kOwnRank) {
+      Handle(order_received{sent.order});
+      continue;
+    }
+    if (body.empty()) {
+      body = wire::Encode(sent.order);
+    }
+    hub_.Send(link, body);
+  }
 }
 
 void daemon::Handle(sidecar_event event) {
@@ -168,7 +269,24 @@
     }
     void operator()(const pass_order& passed) const { self.Post(passed.order); }
     void operator()(const send_status& sent) const {
-      self.session_->Send(sent.status);
+      if (self.part_.term != 0) {
+        self.Coordinate(
+            coordinator::rank_reported{coordinator::kOwnRank, sent.status});
+      } else {
+        self.hub_.Send(self.coordinator_link_, wire::Encode(sent.status));
+      }
+    }
+    void operator()(const send_presence& sent) const {
+      self.session_->Send(sent.presence);
+    }
+    void operator()(const follow_coordinator& followed) const {
+      self.Follow(followed.address);
+    }
+    void operator()(const take_part& taken) const {
+      self.Coordinate(coordinator::part_granted{taken.grant});
+    }
+    void operator()(const give_up_part&) const {
+      self.Coordinate(coordinator::part_lost{});
     }
     void operator()(const note_order& line) const {
       base::LogInfo("rank_order", {{"kind", KindName(line.order.kind)},
@@ -222,6 +340,9 @@
   metrics_.Set("wisteriaroute_rank_step", static_cast<double>(rank.step));
   metrics_.Set("wisteriaroute_rank_map_version",
                static_cast<double>(rank.map_version));
+  metrics_.Set("wisteriaroute_coordinating", part_.term != 0 ? 1 : 0);
+  metrics_.Set("wisteriaroute_ranks_heard",
+               static_cast<double>(part_.group.ranks.size()));
   metrics_.Set("wisteriaroute_highest_term",
                static_cast<double>(state_.highest_term));
   metrics_.Set("wisteriaroute_log_lines_dropped",
--- a/src/sidecar/daemon.h
+++ b/src/sidecar/daemon.h
@@ -10,6 +10,7 @@
 #include "libwisteriaroute/base/hlc.h"
 #include "libwisteriaroute/base/metrics.h"
 #include "libwisteriaroute/base/process_settings.h"
+#include "libwisteriaroute/coordinator/coordinator.h"
 #include "libwisteriaroute/member/control_session.h"
 #include "libwisteriaroute/net/http_client.h"
 #include "libwisteriaroute/net/link_hub.h"
@@ -33,7 +34,10 @@
                                       std::string_view file,
                                       base::findings& out);
 
-/** Reports a rank to control, and passes control's orders on to it. */
+/**
+ * Reports a rank to the coordinator of its group and passes orders on to it;
+ * coordinates the group where control grants that.
+ */
 class daemon {
  public:
   daemon(net::loop& event_loop, sidecar_settings settings);
@@ -43,8 +47,17 @@
 
  private:
   member::control_session_callbacks SessionCallbacks();
+  net::hub_callbacks LinkCallbacks();
+  void HandleUp(net::link_id link,
+                net::dial_id dial,
+                const net::peer_identity& peer);
+  void HandleMessage(net::link_id link, std::string_view body);
+  void HandleDown(net::link_id link, std::string_view reason);
+  void Follow(const std::string& address);
   void Handle(sidecar_event event);
   void Run(const sidecar_effect& effect);
+  void Coordinate(const coordinator::coordinator_event& event);
+  void Run(const coordinator::coordinator_effect& effect);
   /** Calls `done` with the body, or nothing if the call failed. */
   void Get(const char* path,
            std::function<void(std::optional<std::string>)> done);
@@ -60,12 +73,17 @@
   net::http_client server_;
   std::optional<member::control_session> session_;
   sidecar_state state_;
+  coordinator::coordinator_state part_;
+  /** The link to the coordinator that is followed; 0: none. */
+  net::dial_id coordinator_dial_ = 0;
+  net::link_id coordinator_link_ = 0;
   std::deque<sidecar_event> events_;
   bool running_ = false;
   std::optional<net::settings_reload> reload_;
   base::metrics metrics_;
   net::metrics_server metrics_server_;
   net::timer tick_;
+  net::timer coordinator_tick_;
 };
 
 }  // namespace wisteriaroute::sidecar
