--- a/tests/control/server_reports_test.cc
+++ b/tests/control/server_reports_test.cc
@@ -129,6 +129,18 @@
     CHECK_FALSE(NextReplicaChange(three, {}, "a", 3));
   }
 
+  SUBCASE("one that is lost stays while fewer than 2f + 1 others live") {
+    std::vector<replica_view> six = three;
+    for (const char* name : {"d", "e", "f"}) {
+      six.push_back({.name = name, .voter = true, .silent_ms = 80});
+    }
+    // Dropping it would leave four once another one is lost, and two of those
+    // may lose their disks.
+    CHECK(NextReplicaChange(six, {}, "a", 5));
+    six.back().silent_ms = 2'000;
+    CHECK_FALSE(NextReplicaChange(six, {}, "a", 5));
+  }
+
   SUBCASE("one that links itself joins") {
     const std::vector<replica_address> linked = {{"b", "b:1"}, {"d", "d:1"}};
     const auto change = NextReplicaChange(three, linked, "a", 3);
--- a/tests/member/session_test.cc
+++ b/tests/member/session_test.cc
@@ -100,6 +100,40 @@
   }
 }
 
+TEST_CASE("members that lost the leader return with growing pauses") {
+  session_state state;
+  state.info = {.name = "side-1", .role = wire::member_role::kSidecar};
+  for (net::link_id link = 1; link <= 3; ++link) {
+    Step(state, control_up{link, "c" + std::to_string(link)}, 0);
+  }
+  std::size_t hellos = 0;
+  for (base::time_us now = 0; now < 10'000'000; now += 100'000) {
+    const auto effects = Step(state, session_tick{}, now);
+    for (net::link_id link = 1; link <= 3; ++link) {
+      hellos += SentTo<wire::session_hello>(link, effects).size();
+    }
+  }
+  // At a try in 300 ms it would be 33.
+  CHECK(hellos >= 3);
+  CHECK(hellos <= 9);
+}
+
+TEST_CASE("a sidecar's heartbeats are seldom") {
+  session_state state;
+  state.info = {.name = "side-1", .role = wire::member_role::kSidecar};
+  Step(state, control_up{1, "c1"}, 0);
+  Step(state,
+       control_received{1, wire::session_ack{.sequence = 1, .lease_ms = 1}},
+       1'000);
+  std::size_t beats = 0;
+  for (base::time_us now = 0; now < 10'000'000; now += 100'000) {
+    beats +=
+        SentTo<wire::session_heartbeat>(1, Step(state, session_tick{}, now))
+            .size();
+  }
+  CHECK(beats <= 5);
+}
+
 // Guards against a lease that outlives the leader's knowledge of the member:
 // whatever is lost, delayed or repeated, and whichever replica answers, the
 // lease ends at most 2.5 s after a heartbeat that was sent and acknowledged.
--- a/tests/wire/codec_test.cc
+++ b/tests/wire/codec_test.cc
@@ -83,7 +83,27 @@
       suspect_cleared{kDigest},
       sample_order,
       order_result{1, {2, 3}, order_status::kTooLate, 4, "late"},
-      group_report{"g", 1, 2, 3, 4, 5, 6, 7, {8, 9}}};
+      group_report{"g", 1, 2, 3, 4, 5, 6, 7, {8, 9}},
+      rank_status{.service = "model",
+                  .group = "g",
+                  .formation = 1,
+                  .rank = 2,
+                  .ranks = 3,
+                  .open = true,
+                  .step = 4,
+                  .expert_tokens = {0, 127, 128, 70'000, 4'294'967'295},
+                  .experts = {{1, 2}, {}},
+                  .term = 5,
+                  .server = "10.0.0.1:80"},
+      rank_order{.kind = rank_order_kind::kPrepare,
+                 .term = 1,
+                 .formation = 2,
+                 .version = 3,
+                 .step = 4,
+                 .placement = {{{1, 300}, {}}, {{65'535}, {2}}}},
+      rank_presence{"model", "g", 1, 2, 3, true},
+      coordinator_grant{"g", 1, "n", "10.0.0.1:1", spread_shape{1, 2, 3, 4, 5}},
+      coordinator_grant{.group = "g"}};
 }
 
 std::vector<admin_call> AdminSamples() {
