gateway: each lockstep group has its own pace and reserve

Cause: the pace and the reserve were kept for a service, though each group has its own passes, shifts and changes of map; a slow group's pauses had streams refused that another group had room for, and it got as many as the others.

Change: both are kept for a pool, the group or else the service; a pool that keeps its pace with fewer streams gets fewer.

--- a/src/libwisteriaroute/gateway/attempts.cc
+++ b/src/libwisteriaroute/gateway/attempts.cc
@@ -72,12 +72,17 @@
   }
   const double gap_ms =
       static_cast<double>(step.now_us - request.last_event_us) / 1'000;
-  NoteGap(step.state.paces[request.service], gap_ms,
+  const server* from = step.state.servers.Find(request.server);
+  if (from == nullptr) {
+    return;
+  }
+  const std::string& pool = PoolOf(from->info);
+  NoteGap(step.state.paces[pool], gap_ms,
           static_cast<double>(request.route->gap_objective_ms),
           static_cast<double>(service->engine->slots), step.now_us);
-  const auto load = step.state.servers.TotalLoad(request.service, step.now_us);
+  const auto load = step.state.servers.TotalLoad(pool, step.now_us);
   if (load.servers > 0) {
-    NoteSlowdown(step.state.reserves[request.service], gap_ms,
+    NoteSlowdown(step.state.reserves[pool], gap_ms,
                  load.requests / static_cast<double>(load.servers),
                  PassTime(*service->engine), step.now_us);
   }
--- a/src/libwisteriaroute/gateway/gateway.h
+++ b/src/libwisteriaroute/gateway/gateway.h
@@ -92,9 +92,9 @@
   std::map<exchange_id, request_state> requests;
   std::map<attempt_id, exchange_id> attempts;
   std::map<std::string, retry_budget, std::less<>> budgets;
-  /** Of services that answer by streams. */
+  /** Of pools that answer by streams. */
   std::map<std::string, policy::pace_limit, std::less<>> paces;
-  /** Of services whose servers run in passes. */
+  /** Of pools whose servers run in passes. */
   std::map<std::string, policy::slowdown_reserve, std::less<>> reserves;
   attempt_id next_attempt = 1;
   std::uint64_t random = 1;
--- a/src/libwisteriaroute/gateway/gauges.cc
+++ b/src/libwisteriaroute/gateway/gauges.cc
@@ -41,8 +41,8 @@
     out.Set(Labelled("wisteriaroute_retry_budget_left", "service", service),
             budget.Left(now_us, state.options.retries));
   }
-  for (const auto& [service, pace] : state.paces) {
-    out.Set(Labelled("wisteriaroute_streams_allowed", "service", service),
+  for (const auto& [pool, pace] : state.paces) {
+    out.Set(Labelled("wisteriaroute_streams_allowed", "pool", pool),
             pace.streams);
   }
   for (const auto& [id, one] : state.servers.all()) {
--- a/src/libwisteriaroute/gateway/placement.cc
+++ b/src/libwisteriaroute/gateway/placement.cc
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <map>
+#include <string_view>
 #include <vector>
 
 #include "libwisteriaroute/gateway/step_context.h"
@@ -66,20 +68,35 @@
        {"version", std::to_string(request.traffic->set().version)}});
 }
 
-/** Whether one more stream would use up the room for the next slowdown. */
-bool UsesReserve(step_context& step, const request_state& request) {
+/**
+ * How many streams a server of the pool may run: as many as its pace allows,
+ * and none more if that used up the room for the next slowdown.
+ */
+double StreamsOfPool(step_context& step,
+                     const request_state& request,
+                     const std::string& pool,
+                     double slots) {
+  const double paced = StreamsAllowed(step.state.paces[pool], slots);
   const config::traffic_service* service =
       request.traffic->FindService(request.service);
-  if (!request.route->streams || request.route->gap_objective_ms <= 0 ||
-      service == nullptr || !service->engine) {
-    return false;
+  if (request.route->gap_objective_ms <= 0 || service == nullptr ||
+      !service->engine) {
+    return paced;
   }
-  const auto load = step.state.servers.TotalLoad(request.service, step.now_us);
-  const double allowed = StreamsWithReserve(
-      step.state.reserves[request.service], PassTime(*service->engine),
-      static_cast<double>(request.route->gap_objective_ms),
-      static_cast<double>(service->engine->slots));
-  return load.requests + 1 > allowed * static_cast<double>(load.servers);
+  const auto load = step.state.servers.TotalLoad(pool, step.now_us);
+  const double reserved =
+      StreamsWithReserve(step.state.reserves[pool], PassTime(*service->engine),
+                         static_cast<double>(request.route->gap_objective_ms),
+                         static_cast<double>(service->engine->slots));
+  const bool fits =
+      load.requests + 1 <= reserved * static_cast<double>(load.servers);
+  return fits ? paced : 0;
+}
+
+double SlotsOf(const server& one) {
+  return one.info.backend.slots > 0
+             ? static_cast<double>(one.info.backend.slots)
+             : kDefaultSlots;
 }
 
 /** The index of the server that gets the request; nothing if all are full. */
@@ -88,19 +105,25 @@
                                   const std::vector<server*>& servers) {
   // The pace bounds what is admitted; what was admitted is finished.
   const bool paced = request.route->streams && request.attempts == 0;
+  std::map<std::string_view, double> streams;
   std::vector<policy::server_candidate> candidates;
   candidates.reserve(servers.size());
   for (const server* one : servers) {
-    const double slots = one->info.backend.slots > 0
-                             ? static_cast<double>(one->info.backend.slots)
-                             : kDefaultSlots;
-    candidates.push_back(
-        {.load = EstimatedLoad(*one, step.now_us),
-         .slots = slots,
-         .queue =
-             paced ? StreamsAllowed(step.state.paces[request.service], slots) -
-                         slots
-                   : step.state.options.server_queue});
+    const double load = EstimatedLoad(*one, step.now_us);
+    const double slots = SlotsOf(*one);
+    if (!paced) {
+      candidates.push_back({.load = load,
+                            .slots = slots,
+                            .queue = step.state.options.server_queue});
+      continue;
+    }
+    const std::string& pool = PoolOf(one->info);
+    const auto [known, is_new] = streams.try_emplace(pool);
+    if (is_new) {
+      known->second = StreamsOfPool(step, request, pool, slots);
+    }
+    // A pool that keeps its pace with fewer streams gets fewer.
+    candidates.push_back({.load = load, .slots = known->second});
   }
   return policy::ChooseServer(candidates, step.Random());
 }
@@ -124,10 +147,7 @@
     return;
   }
   const std::vector<server*> servers = Candidates(step, request);
-  const bool first = request.attempts == 0;
-  const auto chosen = first && UsesReserve(step, request)
-                          ? std::nullopt
-                          : Choose(step, request, servers);
+  const auto chosen = Choose(step, request, servers);
   if (chosen) {
     Send(step, request, *servers[*chosen]);
     return;
--- a/src/libwisteriaroute/gateway/servers.cc
+++ b/src/libwisteriaroute/gateway/servers.cc
@@ -76,11 +76,11 @@
   });
 }
 
-server_table::total_load server_table::TotalLoad(std::string_view service,
+server_table::total_load server_table::TotalLoad(std::string_view pool,
                                                  base::time_us now_us) const {
   total_load total;
   for (const auto& [id, one] : servers_) {
-    if (one.info.backend.service == service) {
+    if (PoolOf(one.info) == pool) {
       total.requests += EstimatedLoad(one, now_us);
       total.servers += one.info.leaving ? 0 : 1;
     }
@@ -132,6 +132,11 @@
   }
 }
 
+const std::string& PoolOf(const wire::member_info& server) {
+  return server.backend.group.empty() ? server.backend.service
+                                      : server.backend.group;
+}
+
 double EstimatedLoad(const server& of, base::time_us now_us) {
   const auto age = static_cast<double>(now_us - of.load_at_us);
   return static_cast<double>(of.in_flight) +
--- a/src/libwisteriaroute/gateway/servers.h
+++ b/src/libwisteriaroute/gateway/servers.h
@@ -43,12 +43,12 @@
   /** Whether the service has any server that isn't leaving. */
   bool HasAny(std::string_view service) const;
 
-  /** What the servers of a service run together, as estimated. */
+  /** What the servers of a pool run together, as estimated. */
   struct total_load {
     double requests = 0;
     std::size_t servers = 0;
   };
-  total_load TotalLoad(std::string_view service, base::time_us now_us) const;
+  total_load TotalLoad(std::string_view pool, base::time_us now_us) const;
 
   /** The server, or null if it is gone. */
   server* Find(std::string_view id);
@@ -67,6 +67,13 @@
   std::set<std::pair<std::string, std::uint64_t>> departed_;
 };
 
+/**
+ * Name of the servers that share a pace: ranks of a group run in lockstep, and
+ * each group has passes and shifts of its own. Other servers share their
+ * service's.
+ */
+const std::string& PoolOf(const wire::member_info& server);
+
 /** Requests that run or wait at a server, as estimated. */
 double EstimatedLoad(const server& of, base::time_us now_us);
 
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -113,6 +114,38 @@
   }
 };
 
+TEST_CASE("each lockstep group keeps a pace of its own") {
+  world w;
+  std::vector<wire::member_info> ranks;
+  for (const char* group : {"slow", "quick"}) {
+    for (int rank = 0; rank < 4; ++rank) {
+      wire::member_info info = Server(group + std::to_string(rank));
+      info.backend.group = group;
+      info.backend.slots = 8;
+      ranks.push_back(info);
+    }
+  }
+  w.Do(members_updated{{.full = true, .changed = ranks}});
+  // One group's experts are out of balance: its pauses are too long.
+  for (int i = 0; i < 400; ++i) {
+    const base::time_us at = w.now_us + i * 10'000;
+    policy::NoteGap(w.state.paces["slow"], 200, 120, 8, at);
+    policy::NoteGap(w.state.paces["quick"], 60, 120, 8, at);
+  }
+  std::map<std::string, int> sent;
+  for (exchange_id exchange = 1; exchange <= 30; ++exchange) {
+    w.Ask(exchange, "/draft/1");
+    ++sent[w.LastAttempt().terms.expected_server.substr(0, 4)];
+  }
+  SUBCASE("streams go where they keep it") {
+    CHECK(sent["quic"] >= 22);
+    CHECK(sent["slow"] <= 8);
+  }
+  SUBCASE("and none is refused while any group has room") {
+    CHECK(w.All<refuse>().empty());
+  }
+}
+
 TEST_CASE("a refusal says whether there are servers at all") {
   world w;
 
