net, gateway: answers without end are given up

Cause: an extension of a chunk that never ends grew the client's buffer until the caller's deadline, and a body or an event that never ends grew the gateway's (a server in trouble may send bytes until the caller closes).

Change: the client bounds what the parser leaves over and what comes before the awaited head; the gateway bounds a whole response and one event (settings max_response_bytes, max_event_bytes) and goes on as after a cut.

Tests: http_test plays eight answers without end over sockets; that of the chunk extension was seen to fail (not done within 5 min). gateway_test has the bodies and events; their bounds were written together with the test.

--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -46,6 +46,13 @@
       reader.Number("server_queue", options.server_queue, -1'000, 1'000);
   options.silent_stream_ms =
       reader.Integer("silent_stream_ms", options.silent_stream_ms, 10, 600'000);
+  options.max_response_bytes = static_cast<std::size_t>(
+      reader.Integer("max_response_bytes",
+                     static_cast<std::int64_t>(options.max_response_bytes),
+                     1'024, 1'000'000'000));
+  options.max_event_bytes = static_cast<std::size_t>(reader.Integer(
+      "max_event_bytes", static_cast<std::int64_t>(options.max_event_bytes),
+      1'024, 1'000'000'000));
   reader.ReportUnknownKeys();
 }
 
--- a/src/libwisteriaroute/gateway/attempts.cc
+++ b/src/libwisteriaroute/gateway/attempts.cc
@@ -113,6 +113,11 @@
     passed += event.text;
     ++request.events;
   }
+  if (request.framer.rest_bytes() > step.state.options.max_event_bytes) {
+    CancelAttempt(step, request);
+    FailAttempt(step, request, attempt_verdict::kFailed, "an endless event");
+    return;
+  }
   if (passed.empty()) {
     return;
   }
@@ -253,6 +258,11 @@
     PassEvents(step, *request, event.data);
   } else {
     request->body += event.data;
+    if (request->body.size() > step.state.options.max_response_bytes) {
+      CancelAttempt(step, *request);
+      FailAttempt(step, *request, attempt_verdict::kFailed,
+                  "an endless response");
+    }
   }
 }
 
--- a/src/libwisteriaroute/gateway/event_framer.h
+++ b/src/libwisteriaroute/gateway/event_framer.h
@@ -22,6 +22,8 @@
 
   /** Whether a part of an event is left over. */
   bool has_rest() const { return !rest_.empty(); }
+  /** Bytes of that part. */
+  std::size_t rest_bytes() const { return rest_.size(); }
 
  private:
   std::string rest_;
--- a/src/libwisteriaroute/gateway/gateway.h
+++ b/src/libwisteriaroute/gateway/gateway.h
@@ -38,6 +38,10 @@
   base::time_ms min_attempt_ms = 20;
   /** A stream without an event for this long goes on at another server. */
   base::time_ms silent_stream_ms = 1'800;
+  /** A response that isn't a stream, and one event of a stream, is at most so
+   * large; a server in trouble may send bytes without end. */
+  std::size_t max_response_bytes = 8 * 1024 * 1024;
+  std::size_t max_event_bytes = 1024 * 1024;
 };
 
 enum class request_phase : std::uint8_t {
--- a/src/libwisteriaroute/net/http_client.cc
+++ b/src/libwisteriaroute/net/http_client.cc
@@ -24,6 +24,9 @@
 constexpr std::size_t kReadBytes = 16 * 1024;
 constexpr std::size_t kMaxHeaderBytes = 64 * 1024;
 constexpr std::size_t kMaxIdlePerAddress = 16;
+// Bytes before the awaited response: of interim responses, and of late ones to
+// earlier requests, which are as large as their bodies.
+constexpr std::size_t kMaxDiscardedBytes = 1024 * 1024;
 // Idle connections of servers that don't state their timeout.
 constexpr base::time_us kDefaultIdleUs = 2'000'000;
 // Taken off a stated timeout, which is in whole seconds of the server's clock.
@@ -119,6 +122,8 @@
   bool head_delivered = false;
   /** The response belongs to another request. */
   bool discarding = false;
+  /** Bytes that came before the head was delivered. */
+  std::size_t before_head = 0;
   transfer* current = nullptr;
   base::time_us idle_since_us = 0;
   base::time_us idle_until_us = 0;
@@ -198,6 +203,7 @@
       kMaxHeaderBytes, std::numeric_limits<std::int64_t>::max());
   on->parser->skip(wanted.method == "HEAD");
   on->head_delivered = false;
+  on->before_head = 0;
   on->discarding = false;
   on->may_keep = wanted.reuse_connection;
   on->out = Serialize(wanted, url);
@@ -374,8 +380,21 @@
     return;
   }
   on.in.append(buffer.data(), static_cast<std::size_t>(count));
+  if (!on.head_delivered) {
+    on.before_head += static_cast<std::size_t>(count);
+  }
   while (on.fd >= 0 && on.current != nullptr && Parse(on)) {
   }
+  if (on.fd < 0 || on.current == nullptr) {
+    return;
+  }
+  // What the parser leaves over is the beginning of a line; a server in trouble
+  // may send bytes without end.
+  if (on.in.size() > kMaxHeaderBytes) {
+    Fail(*on.current, "not a response: a line without an end", false);
+  } else if (!on.head_delivered && on.before_head > kMaxDiscardedBytes) {
+    Fail(*on.current, "no response among what was sent", false);
+  }
 }
 
 // Returns whether another response follows in the input.
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -361,6 +361,47 @@
   }
 }
 
+// Guards against memory that a server in trouble takes.
+TEST_CASE("a server that sends without end") {
+  world w;
+  const std::string noise(64 * 1024, 'x');
+
+  SUBCASE("a response: another server is asked, and the first one is left") {
+    w.Ask(1, "/lookup/4");
+    const attempt_id first = w.LastAttempt().attempt;
+    w.Head(200);
+    for (int i = 0; i < 200 && w.LastAttempt().attempt == first; ++i) {
+      w.Data(noise);
+    }
+    CHECK(w.LastAttempt().attempt != first);
+    REQUIRE(w.All<cancel_attempt>().size() == 1);
+    CHECK(w.All<cancel_attempt>()[0].attempt == first);
+  }
+
+  SUBCASE("a response to what may run once: it may have run") {
+    w.Ask(1, "/pay/4");
+    w.Head(200);
+    for (int i = 0; i < 200 && w.All<refuse>().empty(); ++i) {
+      w.Data(noise);
+    }
+    REQUIRE(w.All<refuse>().size() == 1);
+    CHECK(w.All<refuse>()[0].status == 502);
+  }
+
+  SUBCASE("an event: the stream goes on at another server") {
+    w.Ask(1, "/draft/4");
+    const attempt_id first = w.LastAttempt().attempt;
+    w.Head(200, true, true);
+    w.Data("id: 1\ndata: a\n\n");
+    for (int i = 0; i < 200 && w.LastAttempt().attempt == first; ++i) {
+      w.Data(": " + noise + "\n");
+    }
+    CHECK(w.LastAttempt().attempt != first);
+    CHECK(w.LastAttempt().terms.last_event_id == 1);
+    CHECK(w.Written() == "id: 1\ndata: a\n\n");
+  }
+}
+
 TEST_CASE("servers that leave get no new work") {
   world w;
   wire::member_info leaving = Server("a");
--- a/tests/net/http_test.cc
+++ b/tests/net/http_test.cc
@@ -222,6 +222,56 @@
   std::thread thread_;
 };
 
+/** Sends `head`, then `part` again and again until the caller closes. */
+class endless_server {
+ public:
+  endless_server(std::string head, std::string part)
+      : head_(std::move(head)),
+        part_(std::move(part)),
+        fd_(OpenListener("127.0.0.1:0")) {
+    address_ = LocalAddress(fd_);
+    fcntl(fd_, F_SETFL, fcntl(fd_, F_GETFL) & ~O_NONBLOCK);
+    thread_ = std::thread([this] { Serve(); });
+  }
+  ~endless_server() {
+    stopping_ = true;
+    shutdown(fd_, SHUT_RDWR);
+    thread_.join();
+    close(fd_);
+  }
+
+  const std::string& address() const { return address_; }
+  std::size_t sent() const { return sent_; }
+  bool closed() const { return closed_; }
+
+ private:
+  void Serve() {
+    const int fd = accept(fd_, nullptr, nullptr);
+    char buffer[4'096];
+    if (fd >= 0 && read(fd, buffer, sizeof buffer) > 0) {
+      Send(fd, head_);
+      while (!stopping_ && Send(fd, part_)) {
+      }
+    }
+    closed_ = true;
+    close(fd);
+  }
+  bool Send(int fd, const std::string& bytes) {
+    const ssize_t count = send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    sent_ += count > 0 ? static_cast<std::size_t>(count) : 0;
+    return count >= 0;
+  }
+
+  std::string head_;
+  std::string part_;
+  int fd_;
+  std::string address_;
+  std::atomic<bool> stopping_ = false;
+  std::atomic<bool> closed_ = false;
+  std::atomic<std::size_t> sent_ = 0;
+  std::thread thread_;
+};
+
 std::string Answer(const std::string& id, const std::string& body) {
   return "HTTP/1.1 200 OK\r\nx-id: " + id +
          "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
@@ -271,6 +321,55 @@
   }
 }
 
+// Guards against memory and time that a server takes with bytes that are no
+// answer and never end. The server is seen to be closed.
+TEST_CASE("an answer that never begins or ends") {
+  loop event_loop;
+  http_client client(event_loop);
+  recorded_response response;
+  // What lies in the buffers of both sockets comes on top of what is read.
+  constexpr std::size_t kMostBytes = 16 * 1024 * 1024;
+  const auto fails = [&](const std::string& head, const std::string& part) {
+    endless_server server(head, part);
+    client.Start({.url = "http://" + server.address() + "/",
+                  .headers = {{"x-id", "2"}},
+                  .match_header = "x-id"},
+                 RecordInto(response));
+    REQUIRE(
+        RunUntil(event_loop, [&] { return response.done && server.closed(); }));
+    CHECK_FALSE(response.ok);
+    CHECK(response.body.empty());
+    CHECK(server.sent() < kMostBytes);
+  };
+  const std::string ok = "HTTP/1.1 200 OK\r\nx-id: 2\r\n";
+  const std::string noise(1'024, 'x');
+
+  SUBCASE("a first line without an end") {
+    fails("", noise);
+  }
+  SUBCASE("a header field without an end") {
+    fails(ok + "x: ", noise);
+  }
+  SUBCASE("header fields without an end") {
+    fails(ok, "x: y\r\n");
+  }
+  SUBCASE("an extension of a chunk without an end") {
+    fails(ok + "Transfer-Encoding: chunked\r\n\r\n5;x=", noise);
+  }
+  SUBCASE("trailers without an end") {
+    fails(ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "x: y\r\n");
+  }
+  SUBCASE("interim answers without an end") {
+    fails("", "HTTP/1.1 102 Processing\r\n\r\n");
+  }
+  SUBCASE("answers to other requests without an end") {
+    fails("", Answer("1", noise));
+  }
+  SUBCASE("one to another request that doesn't end itself") {
+    fails("HTTP/1.1 200 OK\r\nx-id: 1\r\n\r\n", noise);
+  }
+}
+
 // Guards against a request that reaches a server after its caller has left: a
 // host that stood still reads what came in good order, and drops what was reset
 // (clearsight-sort mix, seed 38713445174).
