--- a/src/libwisteriaroute/gateway/attempts.cc
+++ b/src/libwisteriaroute/gateway/attempts.cc
@@ -72,12 +72,17 @@
   }
   const double gap_ms =
       static_cast<double>(step.now_us - request.last_event_us) / 1'000;
-  NoteGap(step.state.paces[request.service], gap_ms,
+  const server* from = step.state.servers.Find(request.server);
+  if (from == nullptr) {
+    return;
+  }
+  const std::string& pool = PoolOf(from->info);
+  NoteGap(step.state.paces[pool], gap_ms,
           static_cast<double>(request.route->gap_objective_ms),
           static_cast<double>(service->engine->slots), step.now_us);
-  const auto load = step.state.servers.TotalLoad(request.service, step.now_us);
+  const auto load = step.state.servers.TotalLoad(pool, step.now_us);
   if (load.servers > 0) {
-    NoteSlowdown(step.state.reserves[request.service], gap_ms,
+    NoteSlowdown(step.state.reserves[pool], gap_ms,
                  load.requests / static_cast<double>(load.servers),
                  PassTime(*service->engine), step.now_us);
   }
@@ -108,6 +113,11 @@
     passed += event.text;
     ++request.events;
   }
+  if (request.framer.rest_bytes() > step.state.options.max_event_bytes) {
+    CancelAttempt(step, request);
+    FailAttempt(step, request, attempt_verdict::kFailed, "an endless event");
+    return;
+  }
   if (passed.empty()) {
     return;
   }
@@ -248,6 +258,11 @@
     PassEvents(step, *request, event.data);
   } else {
     request->body += event.data;
+    if (request->body.size() > step.state.options.max_response_bytes) {
+      CancelAttempt(step, *request);
+      FailAttempt(step, *request, attempt_verdict::kFailed,
+                  "an endless response");
+    }
   }
 }
 
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -113,6 +114,38 @@
   }
 };
 
+TEST_CASE("each lockstep group keeps a pace of its own") {
+  world w;
+  std::vector<wire::member_info> ranks;
+  for (const char* group : {"slow", "quick"}) {
+    for (int rank = 0; rank < 4; ++rank) {
+      wire::member_info info = Server(group + std::to_string(rank));
+      info.backend.group = group;
+      info.backend.slots = 8;
+      ranks.push_back(info);
+    }
+  }
+  w.Do(members_updated{{.full = true, .changed = ranks}});
+  // One group's experts are out of balance: its pauses are too long.
+  for (int i = 0; i < 400; ++i) {
+    const base::time_us at = w.now_us + i * 10'000;
+    policy::NoteGap(w.state.paces["slow"], 200, 120, 8, at);
+    policy::NoteGap(w.state.paces["quick"], 60, 120, 8, at);
+  }
+  std::map<std::string, int> sent;
+  for (exchange_id exchange = 1; exchange <= 30; ++exchange) {
+    w.Ask(exchange, "/draft/1");
+    ++sent[w.LastAttempt().terms.expected_server.substr(0, 4)];
+  }
+  SUBCASE("streams go where they keep it") {
+    CHECK(sent["quic"] >= 22);
+    CHECK(sent["slow"] <= 8);
+  }
+  SUBCASE("and none is refused while any group has room") {
+    CHECK(w.All<refuse>().empty());
+  }
+}
+
 TEST_CASE("a refusal says whether there are servers at all") {
   world w;
 
@@ -328,6 +361,47 @@
   }
 }
 
+// Guards against memory that a server in trouble takes.
+TEST_CASE("a server that sends without end") {
+  world w;
+  const std::string noise(64 * 1024, 'x');
+
+  SUBCASE("a response: another server is asked, and the first one is left") {
+    w.Ask(1, "/lookup/4");
+    const attempt_id first = w.LastAttempt().attempt;
+    w.Head(200);
+    for (int i = 0; i < 200 && w.LastAttempt().attempt == first; ++i) {
+      w.Data(noise);
+    }
+    CHECK(w.LastAttempt().attempt != first);
+    REQUIRE(w.All<cancel_attempt>().size() == 1);
+    CHECK(w.All<cancel_attempt>()[0].attempt == first);
+  }
+
+  SUBCASE("a response to what may run once: it may have run") {
+    w.Ask(1, "/pay/4");
+    w.Head(200);
+    for (int i = 0; i < 200 && w.All<refuse>().empty(); ++i) {
+      w.Data(noise);
+    }
+    REQUIRE(w.All<refuse>().size() == 1);
+    CHECK(w.All<refuse>()[0].status == 502);
+  }
+
+  SUBCASE("an event: the stream goes on at another server") {
+    w.Ask(1, "/draft/4");
+    const attempt_id first = w.LastAttempt().attempt;
+    w.Head(200, true, true);
+    w.Data("id: 1\ndata: a\n\n");
+    for (int i = 0; i < 200 && w.LastAttempt().attempt == first; ++i) {
+      w.Data(": " + noise + "\n");
+    }
+    CHECK(w.LastAttempt().attempt != first);
+    CHECK(w.LastAttempt().terms.last_event_id == 1);
+    CHECK(w.Written() == "id: 1\ndata: a\n\n");
+  }
+}
+
 TEST_CASE("servers that leave get no new work") {
   world w;
   wire::member_info leaving = Server("a");
