--- a/src/libwisteriaroute/control/coordinators.cc
+++ b/src/libwisteriaroute/control/coordinators.cc
@@ -14,6 +14,9 @@
 constexpr base::time_us kPresentUs = 12'000'000;
 // A member that is away for less than this may only be reconnecting.
 constexpr base::time_us kAwayUs = 1'000'000;
+// All sidecars have found a new leader by then; it can't tell before who is
+// away. What ranks say of a coordinator that they can't reach counts at once.
+constexpr base::time_us kReturnUs = 4'000'000;
 // The ranks of a group need this long to link to a new coordinator.
 constexpr base::time_us kGrantPeriodUs = 2'500'000;
 
@@ -43,22 +46,23 @@
 /** Whether the holder is gone, or most ranks can't reach it. */
 bool IsLost(const present_group& group,
             const granted_coordinator& held,
+            base::time_us elected_us,
             base::time_us now_us) {
   std::size_t unserved = 0;
   std::size_t present = 0;
   bool holder_linked = false;
-  base::time_us holder_heard_us = 0;
+  base::time_us away_since_us = elected_us + kReturnUs;
   for (const auto& [rank, one] : group.ranks) {
     if (one.member == held.name) {
       holder_linked = one.link != 0;
-      holder_heard_us = one.link_changed_us;
+      away_since_us = std::max(away_since_us, one.link_changed_us);
     }
     if (one.link != 0 && one.said.term == held.term) {
       ++present;
       unserved += one.said.served ? 0 : 1;
     }
   }
-  const bool away = !holder_linked && now_us - holder_heard_us > kAwayUs;
+  const bool away = !holder_linked && now_us - away_since_us > kAwayUs;
   return away || 2 * unserved > present;
 }
 
@@ -147,7 +151,7 @@
     const granted_coordinator held = found == state.durable.coordinators.end()
                                          ? granted_coordinator()
                                          : found->second;
-    if (held.term != 0 && !IsLost(group, held, now.now_us)) {
+    if (held.term != 0 && !IsLost(group, held, leader.elected_us, now.now_us)) {
       continue;
     }
     const present_rank* next = NextHolder(group, held);
--- a/src/libwisteriaroute/gateway/gauges.cc
+++ b/src/libwisteriaroute/gateway/gauges.cc
@@ -47,7 +47,7 @@
   }
   for (const auto& [id, one] : state.servers.all()) {
     out.Set(Labelled("wisteriaroute_server_load", "server", id),
-            EstimatedLoad(one, now_us));
+            state.servers.Load(one, now_us));
     out.Set(Labelled("wisteriaroute_server_load_age_seconds", "server", id),
             static_cast<double>(now_us - one.load_at_us) / kUsPerSecond);
     out.Set(Labelled("wisteriaroute_server_suspended", "server", id),
--- a/src/libwisteriaroute/gateway/placement.cc
+++ b/src/libwisteriaroute/gateway/placement.cc
@@ -63,34 +63,32 @@
       {{"request", request.request.id},
        {"attempt", std::to_string(request.attempts)},
        {"server", to.info.name},
-       {"load", std::to_string(EstimatedLoad(to, step.now_us))},
+       {"load", std::to_string(step.state.servers.Load(to, step.now_us))},
        {"load_age_ms", std::to_string((step.now_us - to.load_at_us) / 1'000)},
        {"version", std::to_string(request.traffic->set().version)}});
 }
 
 /**
- * How many streams a server of the pool may run: as many as its pace allows,
- * and none more if that used up the room for the next slowdown.
+ * Whether the pool may run one more stream: as many a server as its pace
+ * allows, and none that uses up the room for the next slowdown.
  */
-double StreamsOfPool(step_context& step,
-                     const request_state& request,
-                     const std::string& pool,
-                     double slots) {
-  const double paced = StreamsAllowed(step.state.paces[pool], slots);
+bool HasRoom(step_context& step,
+             const request_state& request,
+             const std::string& pool,
+             double slots) {
+  double allowed = StreamsAllowed(step.state.paces[pool], slots);
   const config::traffic_service* service =
       request.traffic->FindService(request.service);
-  if (request.route->gap_objective_ms <= 0 || service == nullptr ||
-      !service->engine) {
-    return paced;
+  if (request.route->gap_objective_ms > 0 && service != nullptr &&
+      service->engine) {
+    allowed = std::min(
+        allowed, StreamsWithReserve(
+                     step.state.reserves[pool], PassTime(*service->engine),
+                     static_cast<double>(request.route->gap_objective_ms),
+                     static_cast<double>(service->engine->slots)));
   }
   const auto load = step.state.servers.TotalLoad(pool, step.now_us);
-  const double reserved =
-      StreamsWithReserve(step.state.reserves[pool], PassTime(*service->engine),
-                         static_cast<double>(request.route->gap_objective_ms),
-                         static_cast<double>(service->engine->slots));
-  const bool fits =
-      load.requests + 1 <= reserved * static_cast<double>(load.servers);
-  return fits ? paced : 0;
+  return load.requests + 1 <= allowed * static_cast<double>(load.servers);
 }
 
 double SlotsOf(const server& one) {
@@ -105,27 +103,29 @@
                                   const std::vector<server*>& servers) {
   // The pace bounds what is admitted; what was admitted is finished.
   const bool paced = request.route->streams && request.attempts == 0;
-  std::map<std::string_view, double> streams;
+  std::map<std::string_view, bool> room;
   std::vector<policy::server_candidate> candidates;
-  candidates.reserve(servers.size());
-  for (const server* one : servers) {
-    const double load = EstimatedLoad(*one, step.now_us);
-    const double slots = SlotsOf(*one);
-    if (!paced) {
-      candidates.push_back({.load = load,
-                            .slots = slots,
-                            .queue = step.state.options.server_queue});
-      continue;
+  std::vector<std::size_t> indexes;
+  for (std::size_t i = 0; i < servers.size(); ++i) {
+    const server& one = *servers[i];
+    const double slots = SlotsOf(one);
+    if (paced) {
+      const std::string& pool = PoolOf(one.info);
+      const auto [known, is_new] = room.try_emplace(pool);
+      if (is_new) {
+        known->second = HasRoom(step, request, pool, slots);
+      }
+      if (!known->second) {
+        continue;
+      }
     }
-    const std::string& pool = PoolOf(one->info);
-    const auto [known, is_new] = streams.try_emplace(pool);
-    if (is_new) {
-      known->second = StreamsOfPool(step, request, pool, slots);
-    }
-    // A pool that keeps its pace with fewer streams gets fewer.
-    candidates.push_back({.load = load, .slots = known->second});
+    candidates.push_back({.load = step.state.servers.Load(one, step.now_us),
+                          .slots = slots,
+                          .queue = step.state.options.server_queue});
+    indexes.push_back(i);
   }
-  return policy::ChooseServer(candidates, step.Random());
+  const auto chosen = policy::ChooseServer(candidates, step.Random());
+  return chosen ? std::optional(indexes[*chosen]) : std::nullopt;
 }
 
 }  // namespace
--- a/src/libwisteriaroute/gateway/servers.cc
+++ b/src/libwisteriaroute/gateway/servers.cc
@@ -7,9 +7,11 @@
 
 namespace {
 
-// What other entries have there is believed less the older it is: it halves
-// in this time, which is about that of a request.
+// What other entries have there is believed less the older it is, and what is
+// usual in the pool the more: half of each after the time of a request.
 constexpr double kLoadHalfLifeUs = 2'000'000;
+// Fewer statements than these tell no mean.
+constexpr double kMinStatements = 2;
 // A server that failed this often in a row gets no new work for a while.
 constexpr int kSuspendAfterFailures = 3;
 constexpr base::time_us kSuspendUs = 1'000'000;
@@ -79,15 +81,43 @@
 server_table::total_load server_table::TotalLoad(std::string_view pool,
                                                  base::time_us now_us) const {
   total_load total;
+  const std::optional<double> mean = MeanLoad(pool, now_us);
   for (const auto& [id, one] : servers_) {
     if (PoolOf(one.info) == pool) {
-      total.requests += EstimatedLoad(one, now_us);
+      total.requests += mean ? 0 : Load(one, now_us);
       total.servers += one.info.leaving ? 0 : 1;
     }
   }
+  if (mean) {
+    total.requests = *mean * static_cast<double>(total.servers);
+  }
   return total;
 }
 
+std::optional<double> server_table::MeanLoad(std::string_view pool,
+                                             base::time_us now_us) const {
+  const auto found = pools_.find(pool);
+  if (found == pools_.end()) {
+    return std::nullopt;
+  }
+  const pool_load& known = found->second;
+  const double left = std::exp2(-static_cast<double>(now_us - known.at_us) /
+                                static_cast<double>(kPoolHalfLifeUs));
+  if (known.weight * left < kMinStatements) {
+    return std::nullopt;
+  }
+  return known.requests_sum / known.weight;
+}
+
+double server_table::Load(const server& of, base::time_us now_us) const {
+  const auto age = static_cast<double>(now_us - of.load_at_us);
+  const double believed = std::exp2(-age / kLoadHalfLifeUs);
+  const auto own = static_cast<double>(of.in_flight);
+  const double usual =
+      std::max(0.0, MeanLoad(PoolOf(of.info), now_us).value_or(0) - own);
+  return own + of.others * believed + usual * (1 - believed);
+}
+
 server* server_table::Find(std::string_view id) {
   const auto found = servers_.find(id);
   return found == servers_.end() ? nullptr : &found->second;
@@ -99,6 +129,13 @@
   of.others = std::max(
       0.0, static_cast<double>(load.running + load.waiting - of.in_flight));
   of.load_at_us = now_us;
+  pool_load& pool = pools_[PoolOf(of.info)];
+  const double left = std::exp2(-static_cast<double>(now_us - pool.at_us) /
+                                static_cast<double>(kPoolHalfLifeUs));
+  pool.requests_sum = pool.requests_sum * left +
+                      static_cast<double>(load.running + load.waiting);
+  pool.weight = pool.weight * left + 1;
+  pool.at_us = now_us;
 }
 
 void server_table::NoteVerdict(server& of,
@@ -137,10 +174,4 @@
                                       : server.backend.group;
 }
 
-double EstimatedLoad(const server& of, base::time_us now_us) {
-  const auto age = static_cast<double>(now_us - of.load_at_us);
-  return static_cast<double>(of.in_flight) +
-         of.others * std::exp2(-age / kLoadHalfLifeUs);
-}
-
 }  // namespace wisteriaroute::gateway
--- a/src/libwisteriaroute/gateway/servers.h
+++ b/src/libwisteriaroute/gateway/servers.h
@@ -2,6 +2,7 @@
 #define LIBWISTERIAROUTE_GATEWAY_SERVERS_H_
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -28,6 +29,19 @@
   base::time_us suspended_until_us = 0;
 };
 
+/**
+ * Mean load of a pool's servers, by what any of them stated lately. An entry
+ * among many hears of each single server too seldom.
+ */
+struct pool_load {
+  double requests_sum = 0;
+  /** Statements, each halved in kPoolHalfLifeUs. */
+  double weight = 0;
+  base::time_us at_us = 0;
+};
+
+inline constexpr base::time_us kPoolHalfLifeUs = 400'000;
+
 /** How an attempt ended, for the judgement of its server. */
 enum class attempt_verdict { kGood, kBusy, kFailed, kUnreachable, kReplaced };
 
@@ -50,6 +64,9 @@
   };
   total_load TotalLoad(std::string_view pool, base::time_us now_us) const;
 
+  /** Requests that run or wait at a server, as estimated. */
+  double Load(const server& of, base::time_us now_us) const;
+
   /** The server, or null if it is gone. */
   server* Find(std::string_view id);
 
@@ -62,7 +79,12 @@
   }
 
  private:
+  /** The mean load of a pool; nothing if it isn't known. */
+  std::optional<double> MeanLoad(std::string_view pool,
+                                 base::time_us now_us) const;
+
   std::map<std::string, server, std::less<>> servers_;
+  std::map<std::string, pool_load, std::less<>> pools_;
   /** Ids with incarnations that have left; late reports don't revive them. */
   std::set<std::pair<std::string, std::uint64_t>> departed_;
 };
@@ -74,9 +96,6 @@
  */
 const std::string& PoolOf(const wire::member_info& server);
 
-/** Requests that run or wait at a server, as estimated. */
-double EstimatedLoad(const server& of, base::time_us now_us);
-
 }  // namespace wisteriaroute::gateway
 
 #endif  // LIBWISTERIAROUTE_GATEWAY_SERVERS_H_
--- a/tests/control/coordinators_test.cc
+++ b/tests/control/coordinators_test.cc
@@ -139,6 +139,7 @@
   }
 
   SUBCASE("moves on when the coordinator's link is gone for a second") {
+    w.Run(5'000'000);
     w.Take(link_closed{1});
     w.Run(900'000);
     CHECK(w.Held().term == term);
@@ -171,6 +172,25 @@
     CHECK(w.Held().term == term);
   }
 
+  SUBCASE("stays when its holder finds a new leader later than others") {
+    w.Elect();
+    w.Present(1, term);
+    w.Present(2, term);
+    w.Run(3'900'000);
+    CHECK(w.Held().term == term);
+    w.Present(0, term);
+    w.Run(6'000'000);
+    CHECK(w.Held().term == term);
+  }
+
+  SUBCASE("moves on at once under a new leader, too, if ranks can't reach it") {
+    w.Elect();
+    w.Present(1, term, false);
+    w.Present(2, term, false);
+    w.Run(3'000'000);
+    CHECK(w.Held().name == "side-1");
+  }
+
   SUBCASE("isn't changed by a command that replaces another one") {
     Apply(w.state.durable,
           {.body = grant_command{.group = "g", .name = "x", .replaces = 1}},
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -146,6 +146,54 @@
   }
 }
 
+// Replays a large pool in front of many entries: each entry hears of a single
+// server every few seconds, and a mean of what any of them states at once.
+TEST_CASE("an entry among many knows how full a large pool is") {
+  constexpr int kServers = 64;
+  constexpr base::time_us kStatementUs = 90'000;
+  world w;
+  std::vector<wire::member_info> ranks;
+  for (int rank = 0; rank < kServers; ++rank) {
+    wire::member_info info = Server("i" + std::to_string(rank));
+    info.backend.group = "g";
+    info.backend.slots = 6;
+    ranks.push_back(info);
+  }
+  w.Do(members_updated{{.full = true, .changed = ranks}});
+  w.state.paces["g"].streams = 4;
+  const auto state_loads = [&](std::int64_t running) {
+    for (int i = 0; i < 24; ++i) {
+      w.now_us += kStatementUs;
+      server* one =
+          w.state.servers.Find("i" + std::to_string(i * 37 % kServers));
+      w.state.servers.NoteLoad(*one, {.running = running, .slots = 6},
+                               w.now_us);
+    }
+  };
+
+  SUBCASE("it admits nothing while other entries keep the pool full") {
+    state_loads(5);
+    w.Ask(1, "/draft/1");
+    REQUIRE(w.All<refuse>().size() == 1);
+    CHECK(w.All<refuse>()[0].code == "servers_full");
+  }
+
+  SUBCASE("and refuses nothing while they leave room") {
+    state_loads(3);
+    for (exchange_id exchange = 1; exchange <= 20; ++exchange) {
+      w.Ask(exchange, "/draft/1");
+    }
+    CHECK(w.All<refuse>().empty());
+  }
+
+  SUBCASE("nor long after it heard anything") {
+    state_loads(5);
+    w.now_us += 10'000'000;
+    w.Ask(1, "/draft/1");
+    CHECK(w.All<refuse>().empty());
+  }
+}
+
 TEST_CASE("a refusal says whether there are servers at all") {
   world w;
 
