gateway: a stated load counts the request that it answers

Cause: a server states its load in the head of an answer, the answered request included, and requests meet a server that runs more the more often; the mean of the statements was one request too high, a quarter of what a server may run.

Change: what the request found there is counted, without itself.

--- a/src/libwisteriaroute/gateway/servers.cc
+++ b/src/libwisteriaroute/gateway/servers.cc
@@ -132,8 +132,10 @@
   pool_load& pool = pools_[PoolOf(of.info)];
   const double left = std::exp2(-static_cast<double>(now_us - pool.at_us) /
                                 static_cast<double>(kPoolHalfLifeUs));
-  pool.requests_sum = pool.requests_sum * left +
-                      static_cast<double>(load.running + load.waiting);
+  // The request that is answered counts itself; what it found there is what a
+  // server has on the mean, since requests come independently of each other.
+  const auto found = static_cast<double>(load.running + load.waiting - 1);
+  pool.requests_sum = pool.requests_sum * left + std::max(0.0, found);
   pool.weight = pool.weight * left + 1;
   pool.at_us = now_us;
 }
