gateway, control: a server's own statement goes before the pool's mean; restarted coordinators lose the part at once

Cause: where an entry hears of each server often, the pool's mean says less than what the servers said.

Change: a pool's load is the sum of its servers', each between its last statement and the pool's mean by the statement's age. A holder that is seen to be another run is replaced without waiting for the other ranks.

--- a/src/libwisteriaroute/control/coordinators.cc
+++ b/src/libwisteriaroute/control/coordinators.cc
@@ -44,7 +44,18 @@
   return grant;
 }
 
-/** Whether the holder is gone or another run, or most ranks can't reach it. */
+/**
+ * Whether the holder's process is another run. Orders of the run before may
+ * still be carried out; only another term tells them from those of this run.
+ */
+bool IsAnotherRun(const present_group& group, const granted_coordinator& held) {
+  return std::ranges::any_of(group.ranks, [&](const auto& item) {
+    const present_rank& one = item.second;
+    return one.member == held.name && one.incarnation != held.incarnation;
+  });
+}
+
+/** Whether the holder is gone, or most ranks can't reach it. */
 bool IsLost(const present_group& group,
             const granted_coordinator& held,
             base::time_us elected_us,
@@ -55,11 +66,6 @@
   base::time_us away_since_us = elected_us + kReturnUs;
   for (const auto& [rank, one] : group.ranks) {
     if (one.member == held.name) {
-      // Orders of the run before may still be carried out; only another term
-      // tells them from those of this run.
-      if (one.incarnation != held.incarnation) {
-        return true;
-      }
       holder_linked = one.link != 0;
       away_since_us = std::max(away_since_us, one.link_changed_us);
     }
@@ -151,14 +157,18 @@
   });
   for (auto& [name, group] : leader.platform_groups) {
     const bool whole = group.ranks.size() == group.size;
-    if ((!whole && !settled) || now.now_us < group.next_grant_us) {
+    if (now.now_us < group.next_grant_us) {
       continue;
     }
     const auto found = state.durable.coordinators.find(name);
     const granted_coordinator held = found == state.durable.coordinators.end()
                                          ? granted_coordinator()
                                          : found->second;
-    if (held.term != 0 && !IsLost(group, held, leader.elected_us, now.now_us)) {
+    const bool restarted = IsAnotherRun(group, held);
+    const bool lost =
+        held.term == 0 || IsLost(group, held, leader.elected_us, now.now_us);
+    // Just after an election only what is certain counts.
+    if (!restarted && (!lost || (!whole && !settled))) {
       continue;
     }
     const present_rank* next = NextHolder(group, held);
--- a/src/libwisteriaroute/gateway/servers.cc
+++ b/src/libwisteriaroute/gateway/servers.cc
@@ -81,16 +81,12 @@
 server_table::total_load server_table::TotalLoad(std::string_view pool,
                                                  base::time_us now_us) const {
   total_load total;
-  const std::optional<double> mean = MeanLoad(pool, now_us);
   for (const auto& [id, one] : servers_) {
     if (PoolOf(one.info) == pool) {
-      total.requests += mean ? 0 : Load(one, now_us);
+      total.requests += Load(one, now_us);
       total.servers += one.info.leaving ? 0 : 1;
     }
   }
-  if (mean) {
-    total.requests = *mean * static_cast<double>(total.servers);
-  }
   return total;
 }
 
