--- a/src/libwisteriaroute/gateway/servers.cc
+++ b/src/libwisteriaroute/gateway/servers.cc
@@ -25,8 +25,7 @@
 
 }  // namespace
 
-void server_table::Update(const wire::member_update& update,
-                          base::time_us now_us) {
+void server_table::Update(const wire::member_update& update) {
   std::set<std::string, std::less<>> named;
   for (const wire::member_info& info : update.changed) {
     if (info.role != wire::member_role::kServer) {
@@ -44,7 +43,8 @@
     }
     server& one = servers_[info.name];
     if (one.info.incarnation != info.incarnation) {
-      one = {.load_at_us = now_us};
+      // Its load isn't known, so it counts as what is usual.
+      one = {};
     }
     one.info = info;
     one.info.leaving = info.leaving || departed_.contains(departed);
--- a/src/libwisteriaroute/gateway/servers.h
+++ b/src/libwisteriaroute/gateway/servers.h
@@ -22,6 +22,7 @@
   std::int64_t in_flight = 0;
   /** Requests of other entries there, by the last statement of its load. */
   double others = 0;
+  /** 0: it has stated nothing yet. */
   base::time_us load_at_us = 0;
   /** Failures in a row without a good answer. */
   int failures = 0;
@@ -49,7 +50,7 @@
 class server_table {
  public:
   /** Applies an update of control. */
-  void Update(const wire::member_update& update, base::time_us now_us);
+  void Update(const wire::member_update& update);
 
   /** Servers of a service that take new work, in order of id. */
   std::vector<server*> Usable(std::string_view service, base::time_us now_us);
