--- a/src/libwisteriaroute/control/coordinators.cc
+++ b/src/libwisteriaroute/control/coordinators.cc
@@ -34,7 +34,8 @@
   wire::coordinator_grant grant{.group = group,
                                 .term = held.term,
                                 .name = held.name,
-                                .address = held.address};
+                                .address = held.address,
+                                .incarnation = held.incarnation};
   const engine_shapes& shapes = Shapes(state);
   const auto shape = shapes.find(state.leading->platform_groups[group].service);
   if (shape != shapes.end()) {
@@ -43,6 +44,17 @@
   return grant;
 }
 
+/**
+ * Whether the holder's process is another run. Orders of the run before may
+ * still be carried out; only another term tells them from those of this run.
+ */
+bool IsAnotherRun(const present_group& group, const granted_coordinator& held) {
+  return std::ranges::any_of(group.ranks, [&](const auto& item) {
+    const present_rank& one = item.second;
+    return one.member == held.name && one.incarnation != held.incarnation;
+  });
+}
+
 /** Whether the holder is gone, or most ranks can't reach it. */
 bool IsLost(const present_group& group,
             const granted_coordinator& held,
@@ -111,6 +123,7 @@
   }
   one.member = session->info.name;
   one.address = session->info.address;
+  one.incarnation = session->info.incarnation;
   one.link = link;
   one.said = presence;
   one.heard_us = now.now_us;
@@ -144,14 +157,18 @@
   });
   for (auto& [name, group] : leader.platform_groups) {
     const bool whole = group.ranks.size() == group.size;
-    if ((!whole && !settled) || now.now_us < group.next_grant_us) {
+    if (now.now_us < group.next_grant_us) {
       continue;
     }
     const auto found = state.durable.coordinators.find(name);
     const granted_coordinator held = found == state.durable.coordinators.end()
                                          ? granted_coordinator()
                                          : found->second;
-    if (held.term != 0 && !IsLost(group, held, leader.elected_us, now.now_us)) {
+    const bool restarted = IsAnotherRun(group, held);
+    const bool lost =
+        held.term == 0 || IsLost(group, held, leader.elected_us, now.now_us);
+    // Just after an election only what is certain counts.
+    if (!restarted && (!lost || (!whole && !settled))) {
       continue;
     }
     const present_rank* next = NextHolder(group, held);
@@ -163,6 +180,7 @@
             grant_command{.group = name,
                           .name = next->member,
                           .address = next->address,
+                          .incarnation = next->incarnation,
                           .replaces = held.term},
             std::monostate{}, now, out);
   }
--- a/src/libwisteriaroute/gateway/servers.cc
+++ b/src/libwisteriaroute/gateway/servers.cc
@@ -25,8 +25,7 @@
 
 }  // namespace
 
-void server_table::Update(const wire::member_update& update,
-                          base::time_us now_us) {
+void server_table::Update(const wire::member_update& update) {
   std::set<std::string, std::less<>> named;
   for (const wire::member_info& info : update.changed) {
     if (info.role != wire::member_role::kServer) {
@@ -44,7 +43,8 @@
     }
     server& one = servers_[info.name];
     if (one.info.incarnation != info.incarnation) {
-      one = {.load_at_us = now_us};
+      // Its load isn't known, so it counts as what is usual.
+      one = {};
     }
     one.info = info;
     one.info.leaving = info.leaving || departed_.contains(departed);
@@ -81,16 +81,12 @@
 server_table::total_load server_table::TotalLoad(std::string_view pool,
                                                  base::time_us now_us) const {
   total_load total;
-  const std::optional<double> mean = MeanLoad(pool, now_us);
   for (const auto& [id, one] : servers_) {
     if (PoolOf(one.info) == pool) {
-      total.requests += mean ? 0 : Load(one, now_us);
+      total.requests += Load(one, now_us);
       total.servers += one.info.leaving ? 0 : 1;
     }
   }
-  if (mean) {
-    total.requests = *mean * static_cast<double>(total.servers);
-  }
   return total;
 }
 
@@ -132,8 +128,10 @@
   pool_load& pool = pools_[PoolOf(of.info)];
   const double left = std::exp2(-static_cast<double>(now_us - pool.at_us) /
                                 static_cast<double>(kPoolHalfLifeUs));
-  pool.requests_sum = pool.requests_sum * left +
-                      static_cast<double>(load.running + load.waiting);
+  // The request that is answered counts itself; what it found there is what a
+  // server has on the mean, since requests come independently of each other.
+  const auto found = static_cast<double>(load.running + load.waiting - 1);
+  pool.requests_sum = pool.requests_sum * left + std::max(0.0, found);
   pool.weight = pool.weight * left + 1;
   pool.at_us = now_us;
 }
