--- a/tests/net/link_hub_test.cc
+++ b/tests/net/link_hub_test.cc
@@ -88,6 +88,19 @@
     }
   }
 
+  SUBCASE("an idle link has the heartbeat that the client asks for") {
+    endpoint client(event_loop, "client", "a shared cluster key");
+    constexpr base::time_ms kSeldomMs = 2'000;
+    client.hub.Dial(address, kSeldomMs);
+    REQUIRE(RunUntil(event_loop, [&] { return !server.peers.empty(); }));
+    // Longer than three of the usual heartbeats without a word.
+    const base::time_us until =
+        base::MonotonicUs() + 3 * kLinkHeartbeatMs * 1'000 + 700'000;
+    RunUntil(event_loop, [&] { return base::MonotonicUs() > until; });
+    CHECK(client.downs.empty());
+    CHECK(server.downs.empty());
+  }
+
   SUBCASE("a client with another key never gets a channel") {
     endpoint intruder(event_loop, "intruder", "some other cluster key");
     intruder.hub.Dial(address);
