raft: a replica is called the leader once it has applied what was committed

Cause: role_changed told of an election at once.

Seen to fail: with the old Describe, raft_property_test is falsified after one schedule ("a leader that hasn't applied what was committed").

--- a/src/control/daemon.h
+++ b/src/control/daemon.h
@@ -127,8 +127,6 @@
   };
   replay replay_;
   log_growth growth_;
-  /** Term of the election that was won, until its no-op is committed. */
-  std::uint64_t elected_term_ = 0;
   base::time_us shutdown_until_us_ = 0;
   std::uint64_t malformed_messages_ = 0;
   std::string failure_;
--- a/src/control/daemon_log.cc
+++ b/src/control/daemon_log.cc
@@ -50,11 +50,6 @@
     if (entry.kind == wire::entry_kind::kCommand) {
       events_.emplace_back(
           entry_committed{entry.index, std::move(entry.payload)});
-    } else if (entry.kind == wire::entry_kind::kNoOp &&
-               entry.term == elected_term_) {
-      // Everything committed before its term lies in front of this event.
-      elected_term_ = 0;
-      events_.emplace_back(became_leader{entry.term});
     }
   }
   RunEvents();
@@ -72,14 +67,8 @@
 }
 
 void daemon::HandleRole(const raft::role_changed& change) {
-  elected_term_ = 0;
   if (change.new_role == raft::role::kLeader) {
-    // Members and operators are answered once it holds what was committed
-    // before, which may take longer than the election.
-    elected_term_ = change.term;
-    base::LogInfo("election_won", {{"term", change.term},
-                                   {"applied_index", state_.applied_index}});
-    Post(became_follower{});
+    Post(became_leader{change.term});
     return;
   }
   if (change.leader_name != state_.leader_name && !change.leader_name.empty()) {
--- a/src/libwisteriaroute/raft/raft.cc
+++ b/src/libwisteriaroute/raft/raft.cc
@@ -128,6 +128,10 @@
 };
 
 role_changed Describe(const raft_state& state) {
+  if (state.current_role == role::kLeader &&
+      state.commit_index < state.leader.noop_index) {
+    return {.new_role = role::kCandidate, .term = state.hard.term};
+  }
   const wire::replica* leader = FindReplica(state, state.leader_name);
   return {
       .new_role = state.current_role,
@@ -142,9 +146,7 @@
                          const event& event,
                          base::time_us now_us) {
   step_context step{.state = state, .now_us = now_us};
-  const role role_before = state.current_role;
-  const std::uint64_t term_before = state.hard.term;
-  const std::string leader_before = state.leader_name;
+  const role_changed role_before = Describe(state);
   const std::uint64_t replicas_before = state.log.replicas_revision();
 
   std::visit(event_visitor{step}, event);
@@ -152,9 +154,8 @@
     SendToAll(step);
   }
 
-  if (state.current_role != role_before || state.hard.term != term_before ||
-      state.leader_name != leader_before) {
-    step.effects.emplace_back(Describe(state));
+  if (role_changed role_after = Describe(state); role_after != role_before) {
+    step.effects.emplace_back(std::move(role_after));
   }
   if (state.log.replicas_revision() != replicas_before) {
     step.effects.emplace_back(replicas_changed{state.log.replicas()});
--- a/src/libwisteriaroute/raft/raft.h
+++ b/src/libwisteriaroute/raft/raft.h
@@ -157,12 +157,18 @@
   std::uint64_t read_id = 0;
 };
 
+/**
+ * A replica is called the leader once its no-op is committed, so that it has
+ * applied all that was committed before; until then no leader is known to it.
+ */
 struct role_changed {
   role new_role = role::kFollower;
   std::uint64_t term = 0;
   /** Empty if no leader is known. */
   std::string leader_name;
   std::string leader_address;
+
+  bool operator==(const role_changed&) const = default;
 };
 
 /** The replica set in force changed; links are kept to its members. */
--- a/tests/raft/cluster.h
+++ b/tests/raft/cluster.h
@@ -327,6 +327,11 @@
           (index < log.first_index() || log.TermAt(index) == entry.term);
       Require(holds || committed_in_.at(index) >= content.term,
               "leader completeness");
+      // A publication was refused as stale by a leader that had not applied
+      // the one before it.
+      Require(
+          index <= target.applied || committed_in_.at(index) >= content.term,
+          "a leader that hasn't applied what was committed");
     }
   }
 
