gateway, policy, platform: servers that say they leave or ask for a pause

No code read Server-Leaving, or Retry-After of a server: an entry out of touch with control sent on to a leaving server, and one that was turned away came back after 50 ms.

Change: both are decoded in the header codec (bounded, nonsense noted). From the head on this run gets no new request, retries included, whatever control says later. When all have asked, callers are refused at once with the end of the first pause.

Tests: a property by the servers' own count, reducer and codec tests, a process test with all of control stopped. Not built: waiting in a queue (gateways have none), news of leaving servers to control (servers report it themselves).

--- a/src/libwisteriaroute/gateway/attempts.cc
+++ b/src/libwisteriaroute/gateway/attempts.cc
@@ -1,6 +1,7 @@
 #include <utility>
 
 #include "libwisteriaroute/gateway/step_context.h"
+#include "libwisteriaroute/policy/pause_ramp.h"
 
 namespace wisteriaroute::gateway {
 
@@ -218,8 +219,56 @@
              {"events", std::to_string(request.events)}});
 }
 
+/** What the head says of the server itself, whatever it says of the request. */
+void NoteWishes(step_context& step,
+                const request_state& request,
+                server& of,
+                const response_head& head) {
+  // The answer of another server, or of a run that is over.
+  if (head.wrong_server || of.info.incarnation != request.server_incarnation) {
+    return;
+  }
+  if (head.leaving && !of.info.leaving) {
+    step.state.servers.NoteLeaving(of);
+    NoteLeaving(step, of, "header", request.request.id);
+  }
+  if (head.pause_unreadable) {
+    step.Note("server_pause_unreadable",
+              {{"server", of.info.name}, {"request", request.request.id}});
+  }
+  if (head.pause_ms.value_or(0) == 0) {
+    of.answers_after_pause += head.not_run ? 0 : 1;
+    return;
+  }
+  const base::time_us until_us =
+      policy::RampBegins(step.now_us + *head.pause_ms * 1'000, step.Random());
+  step.state.servers.NotePause(of, until_us);
+  step.Count("wisteriaroute_server_wishes_total", "wish", "pause");
+  step.Note(
+      "server_paused",
+      {{"server", of.info.name},
+       {"incarnation", std::to_string(of.info.incarnation)},
+       {"source", "header"},
+       {"request", request.request.id},
+       {"asked_ms", std::to_string(*head.pause_ms)},
+       {"for_ms", std::to_string((of.paused_until_us - step.now_us) / 1'000)}});
+}
+
 }  // namespace
 
+void NoteLeaving(step_context& step,
+                 const server& of,
+                 std::string_view source,
+                 std::string_view request) {
+  step.Count("wisteriaroute_server_wishes_total", "wish", "leaving");
+  step.Note("server_leaving",
+            {{"server", of.info.name},
+             {"incarnation", std::to_string(of.info.incarnation)},
+             {"source", std::string(source)},
+             {"request", std::string(request)},
+             {"in_flight", std::to_string(of.in_flight)}});
+}
+
 request_state* FindByAttempt(step_context& step, attempt_id attempt) {
   const auto exchange = step.state.attempts.find(attempt);
   return exchange == step.state.attempts.end()
@@ -233,8 +282,11 @@
     return;
   }
   server* of = step.state.servers.Find(request->server);
-  if (of != nullptr && event.head.load) {
-    step.state.servers.NoteLoad(*of, *event.head.load, step.now_us);
+  if (of != nullptr) {
+    NoteWishes(step, *request, *of, event.head);
+    if (event.head.load) {
+      step.state.servers.NoteLoad(*of, *event.head.load, step.now_us);
+    }
   }
   request->head = event.head;
   const response_head& head = *request->head;
--- a/src/libwisteriaroute/gateway/gateway.cc
+++ b/src/libwisteriaroute/gateway/gateway.cc
@@ -121,7 +121,9 @@
     step.state.options = event.options;
   }
   void operator()(const members_updated& event) const {
-    step.state.servers.Update(event.update);
+    for (const server* one : step.state.servers.Update(event.update)) {
+      NoteLeaving(step, *one, "member_update", "");
+    }
     step.Note("servers_updated",
               {{"changed", std::to_string(event.update.changed.size())},
                {"removed", std::to_string(event.update.removed.size())},
--- a/src/libwisteriaroute/gateway/gateway.h
+++ b/src/libwisteriaroute/gateway/gateway.h
@@ -68,6 +68,8 @@
 
   attempt_id attempt = 0;
   std::string server;
+  /** Run of the server that the attempt was sent to. */
+  std::uint64_t server_incarnation = 0;
   base::time_us attempt_at_us = 0;
   std::set<std::string> tried;
   /** Attempts that may have reached a server. */
--- a/src/libwisteriaroute/gateway/gauges.cc
+++ b/src/libwisteriaroute/gateway/gauges.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <string>
 
 #include "libwisteriaroute/gateway/gateway.h"
@@ -52,6 +53,12 @@
             static_cast<double>(now_us - one.load_at_us) / kUsPerSecond);
     out.Set(Labelled("wisteriaroute_server_suspended", "server", id),
             one.suspended_until_us > now_us ? 1 : 0);
+    out.Set(Labelled("wisteriaroute_server_leaving", "server", id),
+            one.info.leaving ? 1 : 0);
+    out.Set(Labelled("wisteriaroute_server_paused_seconds", "server", id),
+            static_cast<double>(
+                std::max<base::time_us>(0, one.paused_until_us - now_us)) /
+                kUsPerSecond);
   }
 }
 
--- a/src/libwisteriaroute/gateway/http_codec.cc
+++ b/src/libwisteriaroute/gateway/http_codec.cc
@@ -1,6 +1,8 @@
 #include "libwisteriaroute/gateway/http_codec.h"
 
+#include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -16,6 +18,10 @@
 constexpr std::string_view kAuthorization = "authorization";
 constexpr std::string_view kBearer = "Bearer ";
 constexpr std::string_view kLastEventId = "last-event-id";
+constexpr std::string_view kRetryAfter = "retry-after";
+constexpr unsigned kUnavailable = 503;
+// A server that wants nothing for longer leaves; more is taken for a mistake.
+constexpr double kMaxPauseS = 600;
 
 template <typename Number>
 std::optional<Number> ParseNumber(std::string_view text) {
@@ -51,6 +57,33 @@
   return server_load{*running, *waiting, *slots};
 }
 
+/** Seconds, perhaps with a fraction; nothing for any other text. */
+std::optional<base::time_ms> ParsePause(std::string_view text) {
+  double seconds = 0;
+  const char* end = text.data() + text.size();
+  const auto parsed =
+      std::from_chars(text.data(), end, seconds, std::chars_format::fixed);
+  if (text.empty() || parsed.ec != std::errc() || parsed.ptr != end ||
+      !(seconds >= 0) || seconds > kMaxPauseS) {
+    return std::nullopt;
+  }
+  return static_cast<base::time_ms>(std::ceil(seconds * 1'000));
+}
+
+void ReadPause(const net::http_headers& headers, response_head& to) {
+  const auto named = [](const auto& header) {
+    return header.first == kRetryAfter;
+  };
+  const auto found = std::ranges::find_if(headers, named);
+  if (found == headers.end()) {
+    return;
+  }
+  if (std::ranges::count_if(headers, named) == 1) {
+    to.pause_ms = ParsePause(found->second);
+  }
+  to.pause_unreadable = !to.pause_ms;
+}
+
 /** Whether the system sets the header itself, or it concerns only us. */
 bool IsReplaced(const header_names& names, std::string_view name) {
   return name == kAuthorization || name == names.deadline_ms ||
@@ -129,6 +162,12 @@
       .event_stream =
           FindHeader(headers, "content-type").starts_with("text/event-stream"),
       .load = ParseLoad(FindHeader(headers, names.server_load))};
+  const std::string_view leaving = FindHeader(headers, names.server_leaving);
+  head.leaving = !leaving.empty() && leaving != "0";
+  // Elsewhere the header speaks of the request, not of the server.
+  if (status == kUnavailable) {
+    ReadPause(headers, head);
+  }
   const std::string_view connection = FindHeader(headers, "connection");
   for (const auto& [name, value] : headers) {
     if (IsForwarded(name, connection) && name != "content-length") {
--- a/src/libwisteriaroute/gateway/http_codec.h
+++ b/src/libwisteriaroute/gateway/http_codec.h
@@ -32,6 +32,8 @@
   std::string_view not_run;
   /** Running and waiting requests and slots of the server: `3,0,8`. */
   std::string_view server_load;
+  /** Present, and not 0, in each response of a server that leaves. */
+  std::string_view server_leaving;
 };
 
 /** Of the product's own stand-ins. */
@@ -45,7 +47,8 @@
     .priority = "x-request-priority",
     .seal = "x-server-id",
     .not_run = "x-not-run",
-    .server_load = "x-server-load"};
+    .server_load = "x-server-load",
+    .server_leaving = "x-server-leaving"};
 
 /** Reads what a request says. Fields that can't be read count as absent. */
 caller_request DecodeRequest(const header_names& names,
--- a/src/libwisteriaroute/gateway/messages.h
+++ b/src/libwisteriaroute/gateway/messages.h
@@ -50,6 +50,12 @@
   bool encoded = false;
   bool event_stream = false;
   std::optional<server_load> load;
+  /** The server leaves; it wants no new request. */
+  bool leaving = false;
+  /** With a 503: the server wants no request for so long. */
+  std::optional<base::time_ms> pause_ms;
+  /** It asked for a pause that can't be read. */
+  bool pause_unreadable = false;
 };
 
 /** What an attempt adds to the caller's own request. */
--- a/src/libwisteriaroute/gateway/placement.cc
+++ b/src/libwisteriaroute/gateway/placement.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "libwisteriaroute/gateway/step_context.h"
+#include "libwisteriaroute/policy/pause_ramp.h"
 #include "libwisteriaroute/policy/server_choice.h"
 
 namespace wisteriaroute::gateway {
@@ -37,6 +38,7 @@
   request.attempt = step.state.next_attempt++;
   step.state.attempts[request.attempt] = request.exchange;
   request.server = to.info.name;
+  request.server_incarnation = to.info.incarnation;
   request.tried.insert(to.info.name);
   request.attempt_at_us = step.now_us;
   request.last_event_us = step.now_us;
@@ -109,6 +111,11 @@
   for (std::size_t i = 0; i < servers.size(); ++i) {
     const server& one = *servers[i];
     const double slots = SlotsOf(one);
+    if (one.paused_until_us != 0 &&
+        static_cast<double>(one.in_flight) >=
+            policy::RequestsAfterPause(one.answers_after_pause)) {
+      continue;
+    }
     if (paced) {
       const std::string& pool = PoolOf(one.info);
       const auto [known, is_new] = room.try_emplace(pool);
@@ -155,10 +162,15 @@
   const auto spread = static_cast<base::time_ms>(
       step.Random() % static_cast<std::uint64_t>(kRetrySpreadMs));
   constexpr unsigned kUnavailable = 503;
+  const auto pause_ends_us =
+      step.state.servers.FirstPauseEnd(request.service, step.now_us);
   if (request.may_have_run || request.phase == request_phase::kStreaming) {
     GiveUp(step, request, "no_other_server");
   } else if (!step.state.servers.HasAny(request.service)) {
     Refuse(step, request, kUnavailable, "no_server", kNoServerRetryMs + spread);
+  } else if (pause_ends_us) {
+    Refuse(step, request, kUnavailable, "servers_paused",
+           (*pause_ends_us - step.now_us) / 1'000 + spread);
   } else {
     Refuse(step, request, kUnavailable, "servers_full", kFullRetryMs + spread);
   }
--- a/src/libwisteriaroute/gateway/servers.cc
+++ b/src/libwisteriaroute/gateway/servers.cc
@@ -25,7 +25,9 @@
 
 }  // namespace
 
-void server_table::Update(const wire::member_update& update) {
+std::vector<const server*> server_table::Update(
+    const wire::member_update& update) {
+  std::vector<const server*> leaving;
   std::set<std::string, std::less<>> named;
   for (const wire::member_info& info : update.changed) {
     if (info.role != wire::member_role::kServer) {
@@ -37,17 +39,19 @@
         found->second.info.incarnation > info.incarnation) {
       continue;
     }
-    const auto departed = std::pair(info.name, info.incarnation);
-    if (info.leaving && departed_.size() < kMaxDeparted) {
-      departed_.insert(departed);
-    }
     server& one = servers_[info.name];
     if (one.info.incarnation != info.incarnation) {
       // Its load isn't known, so it counts as what is usual.
       one = {};
     }
+    const bool left = one.info.leaving;
     one.info = info;
-    one.info.leaving = info.leaving || departed_.contains(departed);
+    one.info.leaving =
+        left || departed_.contains({info.name, info.incarnation});
+    if (info.leaving && !one.info.leaving) {
+      NoteLeaving(one);
+      leaving.push_back(&one);
+    }
   }
   for (const std::string& name : update.removed) {
     servers_.erase(name);
@@ -57,6 +61,7 @@
       return !named.contains(item.first);
     });
   }
+  return leaving;
 }
 
 std::vector<server*> server_table::Usable(std::string_view service,
@@ -64,7 +69,7 @@
   std::vector<server*> usable;
   for (auto& [id, one] : servers_) {
     if (one.info.backend.service == service && !one.info.leaving &&
-        one.suspended_until_us <= now_us) {
+        one.suspended_until_us <= now_us && one.paused_until_us <= now_us) {
       usable.push_back(&one);
     }
   }
@@ -78,13 +83,29 @@
   });
 }
 
+std::optional<base::time_us> server_table::FirstPauseEnd(
+    std::string_view service,
+    base::time_us now_us) const {
+  std::optional<base::time_us> first;
+  for (const auto& [id, one] : servers_) {
+    if (one.info.backend.service != service || one.info.leaving) {
+      continue;
+    }
+    if (one.paused_until_us <= now_us) {
+      return std::nullopt;
+    }
+    first = std::min(first.value_or(one.paused_until_us), one.paused_until_us);
+  }
+  return first;
+}
+
 server_table::total_load server_table::TotalLoad(std::string_view pool,
                                                  base::time_us now_us) const {
   total_load total;
   for (const auto& [id, one] : servers_) {
     if (PoolOf(one.info) == pool) {
       total.requests += Load(one, now_us);
-      total.servers += one.info.leaving ? 0 : 1;
+      total.servers += one.info.leaving || one.paused_until_us > now_us ? 0 : 1;
     }
   }
   return total;
@@ -167,6 +188,18 @@
   }
 }
 
+void server_table::NoteLeaving(server& of) {
+  of.info.leaving = true;
+  if (departed_.size() < kMaxDeparted) {
+    departed_.emplace(of.info.name, of.info.incarnation);
+  }
+}
+
+void server_table::NotePause(server& of, base::time_us until_us) {
+  of.paused_until_us = std::max(of.paused_until_us, until_us);
+  of.answers_after_pause = 0;
+}
+
 const std::string& PoolOf(const wire::member_info& server) {
   return server.backend.group.empty() ? server.backend.service
                                       : server.backend.group;
--- a/src/libwisteriaroute/gateway/servers.h
+++ b/src/libwisteriaroute/gateway/servers.h
@@ -28,6 +28,10 @@
   int failures = 0;
   /** No new work before this time. */
   base::time_us suspended_until_us = 0;
+  /** No new work before this time, as the server asked; 0: it never did. */
+  base::time_us paused_until_us = 0;
+  /** Answers since the pause. */
+  int answers_after_pause = 0;
 };
 
 /**
@@ -49,8 +53,8 @@
 /** The backend servers that have reported themselves, by id. */
 class server_table {
  public:
-  /** Applies an update of control. */
-  void Update(const wire::member_update& update);
+  /** Applies an update of control. Returns the servers that now leave. */
+  std::vector<const server*> Update(const wire::member_update& update);
 
   /** Servers of a service that take new work, in order of id. */
   std::vector<server*> Usable(std::string_view service, base::time_us now_us);
@@ -58,6 +62,13 @@
   /** Whether the service has any server that isn't leaving. */
   bool HasAny(std::string_view service) const;
 
+  /**
+   * When the first of the service's servers ends its pause; nothing if there is
+   * one that isn't paused, or none at all.
+   */
+  std::optional<base::time_us> FirstPauseEnd(std::string_view service,
+                                             base::time_us now_us) const;
+
   /** What the servers of a pool run together, as estimated. */
   struct total_load {
     double requests = 0;
@@ -73,6 +84,10 @@
 
   void NoteLoad(server& of, const server_load& load, base::time_us now_us);
   void NoteVerdict(server& of, attempt_verdict verdict, base::time_us now_us);
+  /** This run of the server leaves, whatever control says of it later. */
+  void NoteLeaving(server& of);
+  /** A pause in force is never shortened. */
+  void NotePause(server& of, base::time_us until_us);
 
   std::size_t size() const { return servers_.size(); }
   const std::map<std::string, server, std::less<>>& all() const {
--- a/src/libwisteriaroute/gateway/step_context.h
+++ b/src/libwisteriaroute/gateway/step_context.h
@@ -77,6 +77,12 @@
 /** Goes on at another server, if the stream may; else waits on. */
 void LeaveSilentServer(step_context& step, request_state& request);
 
+/** Logs that a server leaves; `request` told it, or nothing. */
+void NoteLeaving(step_context& step,
+                 const server& of,
+                 std::string_view source,
+                 std::string_view request);
+
 /** The request of an attempt in progress, or null. */
 request_state* FindByAttempt(step_context& step, attempt_id attempt);
 
--- /dev/null
+++ b/src/libwisteriaroute/policy/pause_ramp.cc
@@ -0,0 +1,25 @@
+#include "libwisteriaroute/policy/pause_ramp.h"
+
+#include <limits>
+
+namespace wisteriaroute::policy {
+
+namespace {
+
+// As many requests as a server usually runs at once.
+constexpr int kAnswersToAll = 16;
+
+}  // namespace
+
+base::time_us RampBegins(base::time_us pause_ends_us, std::uint64_t random) {
+  return pause_ends_us +
+         static_cast<base::time_us>(random %
+                                    static_cast<std::uint64_t>(kRampSpreadUs));
+}
+
+double RequestsAfterPause(int answers) {
+  return answers < kAnswersToAll ? 1.0 + answers
+                                 : std::numeric_limits<double>::infinity();
+}
+
+}  // namespace wisteriaroute::policy
--- a/src/standin/reporting_server.cc
+++ b/src/standin/reporting_server.cc
@@ -94,6 +94,7 @@
     http_.Respond(id, kOk, {}, "");
     return;
   }
+  ++arrived_;
   const std::string_view expected = request.Header(kNames.expected_server);
   if (!expected.empty() && expected != settings_.id) {
     NotRun(id, request, kMisdirected);
@@ -185,11 +186,16 @@
 void reporting_server::NotRun(net::exchange_id id,
                               const net::http_server_request& request,
                               unsigned status) {
-  http_.Respond(id, status,
-                {{std::string(kNames.request_id),
-                  std::string(request.Header(kNames.request_id))},
-                 {std::string(kNames.not_run), "1"}},
-                "");
+  net::http_headers headers = {{std::string(kNames.request_id),
+                                std::string(request.Header(kNames.request_id))},
+                               {std::string(kNames.not_run), "1"}};
+  if (faults_.leave_by_header > 0) {
+    headers.emplace_back(kNames.server_leaving, "1");
+  }
+  if (!faults_.pause.empty()) {
+    headers.emplace_back("Retry-After", faults_.pause);
+  }
+  http_.Respond(id, status, headers, "");
 }
 
 void reporting_server::SetFaults(const std::string& body) {
@@ -207,11 +213,16 @@
   read("cut_streams", faults_.cut_streams);
   read("cut_after", faults_.cut_after);
   read("mute_streams", faults_.mute_streams);
+  read("leave_by_header", faults_.leave_by_header);
+  faults_.pause = from.value("pause", faults_.pause);
+  arrived_ = 0;
 }
 
 nlohmann::json reporting_server::Runs() const {
-  return {
-      {"runs", runs_}, {"running", running_.size()}, {"abandoned", abandoned_}};
+  return {{"runs", runs_},
+          {"running", running_.size()},
+          {"abandoned", abandoned_},
+          {"arrived", arrived_}};
 }
 
 net::http_headers reporting_server::Headers(const run& of) const {
@@ -222,6 +233,9 @@
   if (of.sealed) {
     headers.emplace_back(kNames.seal, settings_.id);
   }
+  if (faults_.leave_by_header > 0) {
+    headers.emplace_back(kNames.server_leaving, "1");
+  }
   return headers;
 }
 
--- a/src/standin/reporting_server.h
+++ b/src/standin/reporting_server.h
@@ -44,6 +44,10 @@
   std::uint64_t cut_after = 3;
   /** Streams that go silent after `cut_after` events. */
   std::uint64_t mute_streams = 0;
+  /** Not a number of requests: all answers say that the server leaves. */
+  std::uint64_t leave_by_header = 0;
+  /** `Retry-After` of the requests that are refused; empty: none. */
+  std::string pause;
 };
 
 /**
@@ -114,6 +118,8 @@
   /** Runs by request id. */
   std::map<std::string, std::uint64_t> runs_;
   std::uint64_t abandoned_ = 0;
+  /** Requests that have come since the last change of faults. */
+  std::uint64_t arrived_ = 0;
 };
 
 }  // namespace wisteriaroute::standin
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -4,9 +4,12 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "libwisteriaroute/policy/pause_ramp.h"
+
 namespace wisteriaroute::gateway {
 namespace {
 
@@ -195,6 +198,140 @@
   }
 }
 
+TEST_CASE("a server that says it leaves gets no new request") {
+  world w;
+  w.Ask(1, "/lookup/4");
+  const std::string leaving = w.LastAttempt().terms.expected_server;
+  response_head head{.status = 200, .sealed = true, .leaving = true};
+  const auto ask_many = [&] {
+    int reached = 0;
+    for (exchange_id exchange = 10; exchange < 20; ++exchange) {
+      w.Ask(exchange, "/lookup/4");
+      reached += w.LastAttempt().terms.expected_server == leaving ? 1 : 0;
+      w.Head(200);
+      w.End(true);
+    }
+    return reached;
+  };
+
+  SUBCASE("and finishes what it runs") {
+    w.Do(attempt_head{w.LastAttempt().attempt, head});
+    w.Data("found");
+    w.End(true);
+    REQUIRE(w.All<relay>().size() == 1);
+    CHECK(w.All<relay>()[0].body == "found");
+    CHECK(ask_many() == 0);
+  }
+  SUBCASE("also when it says so in refusing one") {
+    head = {.status = 503, .not_run = true, .leaving = true};
+    w.Do(attempt_head{w.LastAttempt().attempt, head});
+    CHECK(w.LastAttempt().terms.expected_server != leaving);
+    w.Head(200);
+    w.End(true);
+    CHECK(ask_many() == 0);
+  }
+  SUBCASE("whatever control says of this run later") {
+    w.Do(attempt_head{w.LastAttempt().attempt, head});
+    w.End(true);
+    w.Do(members_updated{
+        {.full = true, .changed = {Server("a"), Server("b"), Server("c")}}});
+    CHECK(ask_many() == 0);
+    // Dropped and listed again.
+    w.Do(members_updated{{.removed = {leaving}}});
+    w.Do(members_updated{{.changed = {Server(leaving)}}});
+    CHECK(ask_many() == 0);
+    w.Do(options_changed{});
+    CHECK(ask_many() == 0);
+  }
+  SUBCASE("until another run reports itself") {
+    w.Do(attempt_head{w.LastAttempt().attempt, head});
+    w.End(true);
+    w.Do(members_updated{{.changed = {Server(leaving, 2)}}});
+    CHECK(ask_many() > 0);
+  }
+  SUBCASE("but the next run isn't taken for the one that spoke") {
+    w.Do(members_updated{{.changed = {Server(leaving, 2)}}});
+    w.Do(attempt_head{w.LastAttempt().attempt, head});
+    w.End(true);
+    CHECK(ask_many() > 0);
+  }
+  SUBCASE("nor is a server whose address another one answers at") {
+    head = {
+        .status = 421, .not_run = true, .wrong_server = true, .leaving = true};
+    w.Do(attempt_head{w.LastAttempt().attempt, head});
+    CHECK_FALSE(w.state.servers.Find(leaving)->info.leaving);
+  }
+}
+
+TEST_CASE("a server that asks for a pause gets it") {
+  world w;
+  w.Ask(1, "/lookup/4");
+  const std::string asked = w.LastAttempt().terms.expected_server;
+  const auto refuse_with = [&](std::optional<base::time_ms> pause_ms) {
+    w.Do(attempt_head{w.LastAttempt().attempt,
+                      {.status = 503, .not_run = true, .pause_ms = pause_ms}});
+  };
+  const auto paused_until = [&](const std::string& id) {
+    return w.state.servers.Find(id)->paused_until_us;
+  };
+  const auto reaches = [&](base::time_us after_us) {
+    w.now_us = kStartUs + after_us;
+    int reached = 0;
+    for (exchange_id exchange = 10; exchange < 30; ++exchange) {
+      w.Ask(exchange, "/lookup/4");
+      reached += w.LastAttempt().terms.expected_server == asked ? 1 : 0;
+      w.Head(200);
+      w.End(true);
+    }
+    return reached;
+  };
+  refuse_with(1'500);
+  w.Head(200);
+  w.End(true);
+
+  SUBCASE("until its end, from every request") {
+    CHECK(reaches(100'000) == 0);
+    CHECK(reaches(1'499'000) == 0);
+    CHECK(reaches(1'500'000 + policy::kRampSpreadUs) > 0);
+  }
+  SUBCASE("which a shorter wish and a plain refusal don't bring forward") {
+    const base::time_us until_us = paused_until(asked);
+    w.state.servers.NotePause(*w.state.servers.Find(asked), w.now_us + 100'000);
+    CHECK(paused_until(asked) == until_us);
+  }
+  SUBCASE("and its failures aren't counted") {
+    CHECK(w.state.servers.Find(asked)->failures == 0);
+  }
+  SUBCASE("its slots are no room meanwhile") {
+    CHECK(w.state.servers.TotalLoad("orders", w.now_us).servers == 2);
+  }
+  SUBCASE("a new run owes none") {
+    w.Do(members_updated{{.changed = {Server(asked, 2)}}});
+    CHECK(reaches(100'000) > 0);
+  }
+  SUBCASE("work comes back to it one by one") {
+    w.now_us = kStartUs + 1'500'000 + policy::kRampSpreadUs;
+    std::map<std::string, int> sent;
+    for (exchange_id exchange = 10; exchange < 20; ++exchange) {
+      w.Ask(exchange, "/lookup/4");
+      ++sent[w.LastAttempt().terms.expected_server];
+    }
+    CHECK(sent[asked] <= 2);
+  }
+  SUBCASE("when all have asked, callers are told when to come") {
+    for (const char* id : {"a", "b", "c"}) {
+      w.state.servers.NotePause(*w.state.servers.Find(id),
+                                kStartUs + 3'000'000);
+    }
+    w.Ask(5, "/lookup/4");
+    REQUIRE(w.All<refuse>().size() == 1);
+    CHECK(w.All<refuse>()[0].status == 503);
+    CHECK(w.All<refuse>()[0].code == "servers_paused");
+    CHECK(w.All<refuse>()[0].retry_after_ms >=
+          (paused_until(asked) - w.now_us) / 1'000);
+  }
+}
+
 TEST_CASE("a refusal says whether there are servers at all") {
   world w;
 
--- a/tests/platform/platform_codec_test.cc
+++ b/tests/platform/platform_codec_test.cc
@@ -198,6 +198,38 @@
         gateway::DecodeHead(kHeaders, 200, {{"wisteriaroute-server-load", "x"}})
             .load);
   }
+
+  SUBCASE("what a response says of its server") {
+    const auto decode = [](unsigned status, const net::http_headers& headers) {
+      return gateway::DecodeHead(kHeaders, status, headers);
+    };
+    CHECK(decode(200, {{"server-leaving", "1"}}).leaving);
+    CHECK(decode(503, {{"server-leaving", "1"}}).leaving);
+    CHECK_FALSE(decode(200, {{"server-leaving", "0"}}).leaving);
+    CHECK_FALSE(decode(200, {}).leaving);
+
+    CHECK(decode(503, {{"retry-after", "2"}}).pause_ms == 2'000);
+    CHECK(decode(503, {{"retry-after", "0.25"}}).pause_ms == 250);
+    CHECK(decode(503, {{"retry-after", "600"}}).pause_ms == 600'000);
+    CHECK_FALSE(decode(503, {}).pause_unreadable);
+    for (const char* status_of_the_request : {"1", "x"}) {
+      const auto head = decode(429, {{"retry-after", status_of_the_request}});
+      CHECK_FALSE(head.pause_ms);
+      CHECK_FALSE(head.pause_unreadable);
+    }
+    for (const char* nonsense :
+         {"", "-1", "1e9", "601", "99999999999999999999999999", "1 2", "2s",
+          "inf", "nan", "Wed, 21 Oct 2026 07:28:00 GMT"}) {
+      CAPTURE(nonsense);
+      const auto head = decode(503, {{"retry-after", nonsense}});
+      CHECK_FALSE(head.pause_ms);
+      CHECK(head.pause_unreadable);
+    }
+    const auto twice =
+        decode(503, {{"retry-after", "1"}, {"retry-after", "2"}});
+    CHECK_FALSE(twice.pause_ms);
+    CHECK(twice.pause_unreadable);
+  }
 }
 
 TEST_CASE("ranks") {
--- a/tests/process/gateway_process_test.cc
+++ b/tests/process/gateway_process_test.cc
@@ -25,6 +25,12 @@
   }
 }
 
+/** Requests that have come to a server since its faults were set. */
+int Arrived(gateway_system& system, const std::string& server) {
+  const auto answer = system.Get(system.Server(server) + "/standin/runs");
+  return nlohmann::json::parse(answer->body)["arrived"].get<int>();
+}
+
 bool Holds(const std::string& text, const std::string& part) {
   return text.find(part) != text.npos;
 }
@@ -174,6 +180,46 @@
     CHECK(system.RunUntil([&] { return !system.IsRunning("desk-a"); }));
   }
 
+  SUBCASE("a server that leaves by header only gets no new ones") {
+    for (const char* control : {"control-0", "control-1", "control-2"}) {
+      system.Signal(control, SIGSTOP);
+    }
+    system.SetFaults("desk-a", {{"leave_by_header", 1}});
+    const auto told = [&] {
+      return Holds(system.Log("gateway-0"), "server_leaving server=desk-a");
+    };
+    for (int i = 0; i < 50 && !told(); ++i) {
+      CHECK(system.Ask(0, "/pay/1", "r-" + std::to_string(i))->status == 200);
+    }
+    REQUIRE(told());
+    const int before = Arrived(system, "desk-a");
+    for (int i = 50; i < 80; ++i) {
+      CHECK(system.Ask(0, "/pay/1", "r-" + std::to_string(i))->status == 200);
+    }
+    CHECK(Arrived(system, "desk-a") == before);
+    CHECK(Holds(system.Get(system.Metrics("gateway-0"))->body,
+                "wisteriaroute_server_leaving{server=\"desk-a\"} 1\n"));
+    for (const char* control : {"control-0", "control-1", "control-2"}) {
+      system.Signal(control, SIGCONT);
+    }
+  }
+
+  SUBCASE("servers that ask for a pause get it, and callers are told when") {
+    SetFaultsOfAll(system, {{"refuse", 1}, {"pause", "3.5"}});
+    for (int i = 0; i < 6; ++i) {
+      system.Ask(0, "/lookup/1", "r-" + std::to_string(i));
+    }
+    const auto refused = system.Ask(0, "/lookup/1", "r-late");
+    CHECK(refused->status == 503);
+    CHECK(refused->ErrorCode() == "servers_paused");
+    for (const char* server : {"desk-a", "desk-b", "desk-c"}) {
+      CHECK(Arrived(system, server) == 1);
+    }
+    SetFaultsOfAll(system, {{"refuse", 0}, {"pause", "soon"}});
+    system.RunFor(4'000'000);
+    CHECK(system.Ask(0, "/lookup/1", "r-after")->status == 200);
+  }
+
   SUBCASE("a set that contradicts itself is refused and nothing changes") {
     std::string broken = gateway_system::Traffic(2);
     broken.replace(broken.find("service = \"desk\""), 16, "service = \"dusk\"");
