--- a/src/libwisteriaroute/control/replica.h
+++ b/src/libwisteriaroute/control/replica.h
@@ -165,6 +165,8 @@
 struct replica_view {
   std::string name;
   std::string address;
+  /** Of its data directory; another one was empty when it joined. */
+  std::uint64_t identity = 0;
   bool voter = false;
   bool leader = false;
   /** On the leader: the highest index that is known to be synced there. */
@@ -231,8 +233,13 @@
   std::uint64_t next_id = 1;
   /** Set while this replica leads. */
   std::optional<leader_view> leading;
+  /** This replica's own, for members that wait for a leader. */
+  std::string self_name;
+  std::string self_address;
   std::string leader_name;
   std::string leader_address;
+  /** Entries that came while no leader was known; they are told of the next. */
+  std::set<net::link_id> unserved_entries;
   std::vector<replica_view> replicas;
 };
 
@@ -244,7 +251,7 @@
 
 // Events.
 
-/** This replica was elected in `term`. */
+/** This replica was elected in `term` and holds all that is committed. */
 struct became_leader {
   std::uint64_t term = 0;
 };
--- a/src/libwisteriaroute/raft/raft.cc
+++ b/src/libwisteriaroute/raft/raft.cc
@@ -33,6 +33,22 @@
   }
 }
 
+/** The first of the entries up to `index` that are kept. */
+std::uint64_t FirstKept(const raft_state& state, std::uint64_t index) {
+  const raft_options& options = state.options;
+  std::uint64_t first = index + 1;
+  std::size_t bytes = 0;
+  while (first > state.log.first_index() &&
+         index + 1 - first < options.keep_entries) {
+    bytes += state.log.At(first - 1).payload.size();
+    if (bytes > options.keep_bytes) {
+      break;
+    }
+    --first;
+  }
+  return first;
+}
+
 void OnSnapshotMade(step_context& step, const snapshot_made& event) {
   raft_state& state = step.state;
   const bool newer = state.latest_snapshot == nullptr ||
@@ -48,10 +64,8 @@
                .data = event.data});
   step.batch.new_snapshot = *state.latest_snapshot;
   step.batch_needed = true;
-  if (event.index > state.options.keep_entries) {
-    step.batch.compact_before = event.index + 1 - state.options.keep_entries;
-    state.log.CompactBefore(step.batch.compact_before);
-  }
+  step.batch.compact_before = FirstKept(state, event.index);
+  state.log.CompactBefore(step.batch.compact_before);
 }
 
 struct message_visitor {
@@ -114,6 +128,10 @@
 };
 
 role_changed Describe(const raft_state& state) {
+  if (state.current_role == role::kLeader &&
+      state.commit_index < state.leader.noop_index) {
+    return {.new_role = role::kCandidate, .term = state.hard.term};
+  }
   const wire::replica* leader = FindReplica(state, state.leader_name);
   return {
       .new_role = state.current_role,
@@ -128,9 +146,7 @@
                          const event& event,
                          base::time_us now_us) {
   step_context step{.state = state, .now_us = now_us};
-  const role role_before = state.current_role;
-  const std::uint64_t term_before = state.hard.term;
-  const std::string leader_before = state.leader_name;
+  const role_changed role_before = Describe(state);
   const std::uint64_t replicas_before = state.log.replicas_revision();
 
   std::visit(event_visitor{step}, event);
@@ -138,9 +154,8 @@
     SendToAll(step);
   }
 
-  if (state.current_role != role_before || state.hard.term != term_before ||
-      state.leader_name != leader_before) {
-    step.effects.emplace_back(Describe(state));
+  if (role_changed role_after = Describe(state); role_after != role_before) {
+    step.effects.emplace_back(std::move(role_after));
   }
   if (state.log.replicas_revision() != replicas_before) {
     step.effects.emplace_back(replicas_changed{state.log.replicas()});
