--- a/src/libwisteriaroute/net/loop.cc
+++ b/src/libwisteriaroute/net/loop.cc
@@ -1,5 +1,6 @@
 #include "libwisteriaroute/net/loop.h"
 
+#include <algorithm>
 #include <csignal>
 #include <stdexcept>
 #include <utility>
@@ -43,10 +44,20 @@
   // Writes to closed connections and pipes are reported as errors.
   std::signal(SIGPIPE, SIG_IGN);
   ev_prepare_init(&prepare_, [](struct ev_loop*, ev_prepare* watcher, int) {
-    static_cast<loop*>(watcher->data)->RunPending();
+    loop& self = *static_cast<loop*>(watcher->data);
+    self.RunPending();
+    if (self.turn_began_us_ != 0) {
+      self.longest_turn_us_ = std::max(
+          self.longest_turn_us_, base::MonotonicUs() - self.turn_began_us_);
+    }
   });
   prepare_.data = this;
   ev_prepare_start(ev_, &prepare_);
+  ev_check_init(&check_, [](struct ev_loop*, ev_check* watcher, int) {
+    static_cast<loop*>(watcher->data)->turn_began_us_ = base::MonotonicUs();
+  });
+  check_.data = this;
+  ev_check_start(ev_, &check_);
   ev_idle_init(&idle_, [](struct ev_loop*, ev_idle*, int) {});
 }
 
@@ -55,6 +66,7 @@
     ev_signal_stop(ev_, &signal->watcher);
   }
   ev_prepare_stop(ev_, &prepare_);
+  ev_check_stop(ev_, &check_);
   ev_idle_stop(ev_, &idle_);
   ev_loop_destroy(std::exchange(ev_, nullptr));
 }
@@ -72,6 +84,10 @@
   ev_idle_start(ev_, &idle_);
 }
 
+base::time_us loop::TakeLongestTurn() {
+  return std::exchange(longest_turn_us_, 0);
+}
+
 void loop::OnSignal(int signal_number, std::function<void()> callback) {
   auto signal = std::make_unique<signal_watcher>();
   signal->callback = std::move(callback);
--- a/src/libwisteriaroute/net/loop.h
+++ b/src/libwisteriaroute/net/loop.h
@@ -52,6 +52,9 @@
   /** Runs `task` at the end of the current loop iteration. */
   void Defer(std::function<void()> task);
 
+  /** The longest time without a wait since the last call. */
+  base::time_us TakeLongestTurn();
+
   /** Calls back when the process receives `signal_number`. */
   void OnSignal(int signal_number, std::function<void()> callback);
 
@@ -68,6 +71,9 @@
 
   struct ev_loop* ev_;
   ev_prepare prepare_;
+  ev_check check_;
+  base::time_us turn_began_us_ = 0;
+  base::time_us longest_turn_us_ = 0;
   ev_idle idle_;
   std::vector<std::function<void()>> deferred_;
   std::vector<std::unique_ptr<signal_watcher>> signals_;
--- a/src/libwisteriaroute/net/metrics_server.cc
+++ b/src/libwisteriaroute/net/metrics_server.cc
@@ -14,11 +14,18 @@
 // Few read it; more would cost descriptors that requests need.
 constexpr unsigned kMaxConnections = 16;
 
+/** What all processes tell of their loop. */
+std::string LoopText(loop& of) {
+  return "wisteriaroute_longest_turn_seconds " +
+         std::to_string(static_cast<double>(of.TakeLongestTurn()) / 1e6) + "\n";
+}
+
 }  // namespace
 
 metrics_server::metrics_server(loop& event_loop,
                                std::function<std::string()> render)
-    : render_(std::move(render)),
+    : loop_(event_loop),
+      render_(std::move(render)),
       server_(event_loop,
               {.connections = kMaxConnections},
               {.on_request = [this](exchange_id id,
@@ -29,7 +36,7 @@
                 }
                 server_.Respond(id, kOk,
                                 {{"Content-Type", "text/plain; version=0.0.4"}},
-                                render_());
+                                render_() + LoopText(loop_));
               }}) {}
 
 void metrics_server::Listen(std::string_view address) {
--- a/src/libwisteriaroute/net/metrics_server.h
+++ b/src/libwisteriaroute/net/metrics_server.h
@@ -19,6 +19,7 @@
   void Listen(std::string_view address);
 
  private:
+  loop& loop_;
   std::function<std::string()> render_;
   http_server server_;
 };
