control: a coordinator stays while its sidecar looks for a new leader

The holder's sidecar had its session with the frozen leader and notices a silent link after three heartbeats of 2 s; the new leader waited for 4 s only.

Change: a holder that this leader never heard of is away after 10 s; one that was linked to it, a second after that. A holder that is another run loses the part at once.

--- a/src/libwisteriaroute/control/coordinators.cc
+++ b/src/libwisteriaroute/control/coordinators.cc
@@ -14,11 +14,15 @@
 constexpr base::time_us kPresentUs = 12'000'000;
 // A member that is away for less than this may only be reconnecting.
 constexpr base::time_us kAwayUs = 1'000'000;
-// All sidecars have found a new leader by then; it can't tell before who is
-// away. What ranks say of a coordinator that they can't reach counts at once.
-constexpr base::time_us kReturnUs = 4'000'000;
+// All sidecars have found a new leader by then; it can't tell before who of
+// those that it never heard of is away. One whose leader stands still misses three heartbeats of 2 s before it
+// looks for another. What ranks say of a coordinator that they can't reach
+// counts at once.
+constexpr base::time_us kReturnUs = 10'000'000;
 // The ranks of a group need this long to link to a new coordinator.
 constexpr base::time_us kGrantPeriodUs = 2'500'000;
+// A grant is committed by then; what it is about is known before.
+constexpr base::time_us kProposalUs = 300'000;
 
 const engine_shapes& Shapes(replica_state& state) {
   leader_view& leader = *state.leading;
@@ -67,7 +71,8 @@
   for (const auto& [rank, one] : group.ranks) {
     if (one.member == held.name) {
       holder_linked = one.link != 0;
-      away_since_us = std::max(away_since_us, one.link_changed_us);
+      // It had found this leader.
+      away_since_us = one.link_changed_us;
     }
     if (one.link != 0 && one.said.term == held.term) {
       ++present;
@@ -157,14 +162,17 @@
   });
   for (auto& [name, group] : leader.platform_groups) {
     const bool whole = group.ranks.size() == group.size;
-    if (now.now_us < group.next_grant_us) {
-      continue;
-    }
     const auto found = state.durable.coordinators.find(name);
     const granted_coordinator held = found == state.durable.coordinators.end()
                                          ? granted_coordinator()
                                          : found->second;
     const bool restarted = IsAnotherRun(group, held);
+    // Ranks that don't reach a coordinator may only need time; one that is
+    // another run is lost for certain.
+    const base::time_us pause_us = restarted ? kProposalUs : kGrantPeriodUs;
+    if (group.granted_us != 0 && now.now_us < group.granted_us + pause_us) {
+      continue;
+    }
     const bool lost =
         held.term == 0 || IsLost(group, held, leader.elected_us, now.now_us);
     // Just after an election only what is certain counts.
@@ -175,7 +183,7 @@
     if (next == nullptr) {
       continue;
     }
-    group.next_grant_us = now.now_us + kGrantPeriodUs;
+    group.granted_us = now.now_us;
     Propose(state,
             grant_command{.group = name,
                           .name = next->member,
--- a/src/libwisteriaroute/control/replica.h
+++ b/src/libwisteriaroute/control/replica.h
@@ -194,8 +194,8 @@
   /** Ranks that the group has. */
   std::uint32_t size = 0;
   std::map<std::uint32_t, present_rank> ranks;
-  /** No further grant before this time. */
-  base::time_us next_grant_us = 0;
+  /** When the last grant was proposed; 0: never in this term. */
+  base::time_us granted_us = 0;
 };
 
 /** What a leader keeps of its term; lost with the leadership. */
