--- a/src/libwisteriaroute/control/coordinators.cc
+++ b/src/libwisteriaroute/control/coordinators.cc
@@ -15,9 +15,9 @@
 // A member that is away for less than this may only be reconnecting.
 constexpr base::time_us kAwayUs = 1'000'000;
 // All sidecars have found a new leader by then; it can't tell before who of
-// those that it never heard of is away. One whose leader stands still misses three heartbeats of 2 s before it
-// looks for another. What ranks say of a coordinator that they can't reach
-// counts at once.
+// those that it never heard of is away. One whose leader stands still misses
+// three heartbeats of 2 s before it looks for another. What ranks say of a
+// coordinator that they can't reach counts at once.
 constexpr base::time_us kReturnUs = 10'000'000;
 // The ranks of a group need this long to link to a new coordinator.
 constexpr base::time_us kGrantPeriodUs = 2'500'000;
--- a/src/libwisteriaroute/gateway/servers.cc
+++ b/src/libwisteriaroute/gateway/servers.cc
@@ -27,7 +27,7 @@
 
 std::vector<const server*> server_table::Update(
     const wire::member_update& update) {
-  std::vector<const server*> leaving;
+  std::vector<std::string> leaving;
   std::set<std::string, std::less<>> named;
   for (const wire::member_info& info : update.changed) {
     if (info.role != wire::member_role::kServer) {
@@ -50,7 +50,7 @@
         left || departed_.contains({info.name, info.incarnation});
     if (info.leaving && !one.info.leaving) {
       NoteLeaving(one);
-      leaving.push_back(&one);
+      leaving.push_back(info.name);
     }
   }
   for (const std::string& name : update.removed) {
@@ -61,7 +61,13 @@
       return !named.contains(item.first);
     });
   }
-  return leaving;
+  std::vector<const server*> kept;
+  for (const std::string& name : leaving) {
+    if (const server* one = Find(name)) {
+      kept.push_back(one);
+    }
+  }
+  return kept;
 }
 
 std::vector<server*> server_table::Usable(std::string_view service,
--- a/src/libwisteriaroute/gateway/servers.h
+++ b/src/libwisteriaroute/gateway/servers.h
@@ -53,7 +53,10 @@
 /** The backend servers that have reported themselves, by id. */
 class server_table {
  public:
-  /** Applies an update of control. Returns the servers that now leave. */
+  /**
+   * Applies an update of control. Returns those of its servers that leave from
+   * now on.
+   */
   std::vector<const server*> Update(const wire::member_update& update);
 
   /** Servers of a service that take new work, in order of id. */
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -243,6 +243,12 @@
     w.Do(options_changed{});
     CHECK(ask_many() == 0);
   }
+  SUBCASE("also when one update says that it leaves and is gone") {
+    wire::member_info info = Server(leaving);
+    info.leaving = true;
+    w.Do(members_updated{{.changed = {info}, .removed = {leaving}}});
+    CHECK(w.state.servers.Find(leaving) == nullptr);
+  }
   SUBCASE("until another run reports itself") {
     w.Do(attempt_head{w.LastAttempt().attempt, head});
     w.End(true);
