standin: a generation may be cancelled while its token is delivered

Callers (the agent's process test) saw a stand-in engine die with SIGSEGV after a malformed stream, so the attempt that followed got no answer.

Cause: engine::Step() iterates over its running sequences and calls on_token. The write finds the connection reset, and the abandoned exchange cancels the generation, which erased the sequence that Step() was still using. SendToken had the same fault with its stream between two writes.

Cancel() now marks a running sequence during a step; Step() removes it before it returns. SendToken writes once and uses nothing afterwards.

--- a/src/standin/engine.cc
+++ b/src/standin/engine.cc
@@ -60,11 +60,21 @@
 }
 
 bool engine::Cancel(generation_id id) {
-  const auto matches = [id](const sequence& s) { return s.request.id == id; };
-  const auto erased = std::erase_if(running_, matches) +
-                      std::erase_if(queue_, [&](const auto& entry) {
-                        return matches(entry.second);
-                      });
+  const auto matches = [id](const sequence& s) {
+    return s.request.id == id && !s.cancelled;
+  };
+  const auto found = std::ranges::find_if(running_, matches);
+  if (found != running_.end()) {
+    // A callback may cancel the sequence that Step() is working on.
+    if (in_step_) {
+      found->cancelled = true;
+    } else {
+      running_.erase(found);
+    }
+    return true;
+  }
+  const auto erased = std::erase_if(
+      queue_, [&](const auto& entry) { return matches(entry.second); });
   return erased > 0;
 }
 
@@ -88,11 +98,12 @@
 
 void engine::Step(base::time_us now_us) {
   Admit(now_us);
+  in_step_ = true;
   // All requests in prefill share one step's time, in order of admission.
   double prefill_us = static_cast<double>(settings_.step_time_us);
   for (auto it = running_.begin(); it != running_.end();) {
     sequence& current = *it;
-    if (current.prefill_left_us > 0) {
+    if (!current.cancelled && current.prefill_left_us > 0) {
       const double used = std::min(prefill_us, current.prefill_left_us);
       current.prefill_left_us -= used;
       prefill_us -= used;
@@ -101,13 +112,16 @@
         continue;
       }
     }
-    if (current.next_token < current.request.max_tokens) {
+    if (!current.cancelled &&
+        current.next_token < current.request.max_tokens) {
       ++tokens_;
       const std::uint64_t index = current.next_token++;
       callbacks_.on_token(current.request.id, index,
                           TokenText(current.prompt_hash, index));
     }
-    if (current.next_token >= current.request.max_tokens) {
+    if (current.cancelled) {
+      it = running_.erase(it);
+    } else if (current.next_token >= current.request.max_tokens) {
       const sequence ended = std::move(current);
       it = running_.erase(it);
       End(ended);
@@ -115,6 +129,9 @@
       ++it;
     }
   }
+  // Callbacks may have cancelled sequences that the loop had passed.
+  std::erase_if(running_, [](const sequence& s) { return s.cancelled; });
+  in_step_ = false;
 }
 
 void engine::End(const sequence& ended) {
--- a/src/standin/engine.h
+++ b/src/standin/engine.h
@@ -81,7 +81,7 @@
   bool Add(generation_request request, base::time_us now_us);
   /**
    * Removes a running or queued generation without a callback. Returns whether
-   * there was one.
+   * there was one. May be called from a callback.
    */
   bool Cancel(generation_id id);
   /** Like Cancel, for all generations of an attempt. */
@@ -105,6 +105,8 @@
     std::uint64_t cached_tokens = 0;
     double prefill_left_us = 0;
     std::uint64_t next_token = 0;
+    /** Cancelled during a step; removed by the time the step ends. */
+    bool cancelled = false;
   };
 
   void Admit(base::time_us now_us);
@@ -114,6 +116,8 @@
   engine_callbacks callbacks_;
   prefix_cache cache_;
   std::list<sequence> running_;
+  /** Step() is iterating over `running_`. */
+  bool in_step_ = false;
   /** Waiting requests by priority, then in order of arrival. */
   std::multimap<std::uint64_t, sequence> queue_;
   std::uint64_t tokens_ = 0;
--- a/src/standin/server.cc
+++ b/src/standin/server.cc
@@ -305,14 +305,17 @@
   if (target.silent && target.sent_tokens >= kSilentAfterTokens) {
     return;
   }
+  std::string events;
   if (target.malformed && target.sent_tokens == 1) {
-    http_.Write(id, "data: {\"choices\": [{\"text\": \xff\xfe\n\ndata: 7\n\n");
+    events = "data: {\"choices\": [{\"text\": \xff\xfe\n\ndata: 7\n\n";
   }
   ++target.sent_tokens;
   nlohmann::json event = Envelope(target.request, true);
   event["choices"] = {Choice(target.request, text, true)};
   event["token_index"] = index;
-  http_.Write(id, "data: " + event.dump() + "\n\n");
+  events += "data: " + event.dump() + "\n\n";
+  // May abandon the exchange, which erases `target`.
+  http_.Write(id, events);
 }
 
 void server::SendEnd(generation_id id, const nlohmann::json& usage) {
