--- a/src/standin/engine.cc
+++ b/src/standin/engine.cc
@@ -112,8 +112,7 @@
         continue;
       }
     }
-    if (!current.cancelled &&
-        current.next_token < current.request.max_tokens) {
+    if (!current.cancelled && current.next_token < current.request.max_tokens) {
       ++tokens_;
       const std::uint64_t index = current.next_token++;
       callbacks_.on_token(current.request.id, index,
--- a/tests/standin/engine_test.cc
+++ b/tests/standin/engine_test.cc
@@ -15,18 +15,15 @@
   std::function<void(generation_id)> during_token = [](generation_id) {};
   std::vector<generation_id> tokens;
   std::vector<generation_id> ends;
-  engine tested{{},
-                {.on_token =
-                     [this](generation_id id,
-                            std::uint64_t,
-                            const std::string&) {
-                       tokens.push_back(id);
-                       during_token(id);
-                     },
-                 .on_end = [this](generation_id id,
-                                  const nlohmann::json&) {
-                   ends.push_back(id);
-                 }}};
+  engine tested{
+      {},
+      {.on_token =
+           [this](generation_id id, std::uint64_t, const std::string&) {
+             tokens.push_back(id);
+             during_token(id);
+           },
+       .on_end = [this](generation_id id,
+                        const nlohmann::json&) { ends.push_back(id); }}};
 
   void Add(generation_id id, std::uint64_t max_tokens) {
     CHECK(tested.Add({.id = id,
