gateway: log the request digest and the shared parts of failed attempts

The adapter decodes the parts of a prompt (without the last) and computes a digest that resends of a request share; attempt_failed logs both. No decision uses them yet.

--- a/src/libwisteriaroute/gateway/attempts.cc
+++ b/src/libwisteriaroute/gateway/attempts.cc
@@ -210,6 +210,15 @@
   GiveUp(step, request, "server_refused");
 }
 
+std::string JoinPartIds(const caller_request& request) {
+  std::string joined;
+  for (const prompt_part& part : request.shared_parts) {
+    joined += joined.empty() ? "" : ",";
+    joined += part.id;
+  }
+  return joined;
+}
+
 /** Records a failed attempt in the server table, the metrics and the log. */
 void NoteFailure(step_context& step,
                  const request_state& request,
@@ -227,7 +236,9 @@
        {"cause", std::string(cause)},
        {"after_ms",
         std::to_string((step.now_us - request.attempt_started_us) / 1'000)},
-       {"events", std::to_string(request.events)}});
+       {"events", std::to_string(request.events)},
+       {"digest", base::ToString(request.request.digest)},
+       {"parts", JoinPartIds(request.request)}});
 }
 
 /** Applies what the head says about the server itself, whatever the outcome of
--- a/src/libwisteriaroute/gateway/http_codec.cc
+++ b/src/libwisteriaroute/gateway/http_codec.cc
@@ -20,6 +20,9 @@
 constexpr std::string_view kLastEventId = "last-event-id";
 constexpr std::string_view kRetryAfter = "retry-after";
 constexpr unsigned kUnavailable = 503;
+// Bounds what a caller may add to the memory of each entry.
+constexpr std::size_t kMaxSharedParts = 16;
+constexpr std::size_t kMaxPartIdBytes = 64;
 // A server that needs a longer pause would leave instead, so longer pauses are
 // rejected as mistakes.
 constexpr double kMaxPauseS = 600;
@@ -59,6 +62,35 @@
   return server_load{*running, *waiting, *slots};
 }
 
+std::vector<prompt_part> ParseSharedParts(std::string_view text) {
+  std::vector<prompt_part> parts;
+  while (!text.empty() && parts.size() <= kMaxSharedParts) {
+    const std::string_view field = NextField(text);
+    const std::string id = net::LowerCase(field.substr(0, field.find(':')));
+    if (id.empty() || id.size() > kMaxPartIdBytes) {
+      return {};
+    }
+    parts.push_back({.id = id, .digest = base::Digest128("part " + id)});
+  }
+  if (!parts.empty()) {
+    parts.pop_back();
+  }
+  return parts;
+}
+
+base::digest128 RequestDigest(const net::http_server_request& request) {
+  std::string whole;
+  for (const std::string_view field :
+       {request.Header(kAuthorization), std::string_view(request.method),
+        std::string_view(request.path), std::string_view(request.query),
+        std::string_view(request.body)}) {
+    whole += std::to_string(field.size());
+    whole += ':';
+    whole += field;
+  }
+  return base::Digest128(whole);
+}
+
 /** Parses a number of seconds, with or without a fraction, rounded up to ms.
  * Returns nothing if the text is invalid or exceeds kMaxPauseS. */
 std::optional<base::time_ms> ParsePause(std::string_view text) {
@@ -123,6 +155,8 @@
   decoded.expected_output_tokens =
       ParseNumber<std::int64_t>(request.Header(names.expected_output))
           .value_or(0);
+  decoded.shared_parts = ParseSharedParts(request.Header(names.prompt_parts));
+  decoded.digest = RequestDigest(request);
   return decoded;
 }
 
--- a/src/libwisteriaroute/gateway/http_codec.h
+++ b/src/libwisteriaroute/gateway/http_codec.h
@@ -21,6 +21,9 @@
   std::string_view token_usage;
   /** Tokens of the output that the caller expects. */
   std::string_view expected_output;
+  /** Parts of the prompt in order, each as id and tokens: `5c1e:800,91bd:410`.
+   */
+  std::string_view prompt_parts;
   /** Workspace of the caller's key; removed from callers' requests. */
   std::string_view workspace;
   /** Id of the only server that may run the request. */
@@ -42,6 +45,7 @@
     .deadline_ms = "x-request-deadline-ms",
     .token_usage = "x-token-usage",
     .expected_output = "x-expected-output-tokens",
+    .prompt_parts = "x-prompt-parts",
     .workspace = "x-workspace",
     .expected_server = "x-expected-server",
     .priority = "x-request-priority",
--- a/src/libwisteriaroute/gateway/messages.h
+++ b/src/libwisteriaroute/gateway/messages.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "libwisteriaroute/base/clock.h"
 #include "libwisteriaroute/base/digest.h"
@@ -11,6 +12,13 @@
 
 namespace wisteriaroute::gateway {
 
+/** A part of a prompt that several requests may share. */
+struct prompt_part {
+  std::string id;
+  /** Identifies the part in quarantine. */
+  base::digest128 digest;
+};
+
 /** Contents of a caller's request, independent of the wire format. */
 struct caller_request {
   /** Id that the caller gave to this attempt. */
@@ -28,6 +36,11 @@
   std::int64_t max_output_tokens = 0;
   /** The caller's estimate, which is often inaccurate; 0 if not given. */
   std::int64_t expected_output_tokens = 0;
+  /** Parts of the prompt in order, without the last one, which belongs to this
+   * request or its session alone. */
+  std::vector<prompt_part> shared_parts;
+  /** Of key, method, path, query and body: equal for resends. */
+  base::digest128 digest;
 };
 
 /** Load that a backend server reports in a response. */
