--- a/src/standin/main.cc
+++ b/src/standin/main.cc
@@ -44,6 +44,10 @@
 DEFINE_string(crash_marker,
               "",
               "exit on a request whose body contains this text");
+DEFINE_string(crash_part,
+              "",
+              "exit when the answer to a prompt with this shared part begins "
+              "(reporting)");
 
 namespace {
 
@@ -86,7 +90,8 @@
       .service = FLAGS_service,
       .data_center = FLAGS_data_center,
       .controls = SplitAtCommas(FLAGS_controls),
-      .slots = FLAGS_slots};
+      .slots = FLAGS_slots,
+      .crash_part = FLAGS_crash_part};
   if (settings.id.empty() || settings.service.empty() ||
       settings.controls.empty()) {
     std::cerr << "--id, --service and --controls are required\n";
--- a/src/standin/reporting_server.cc
+++ b/src/standin/reporting_server.cc
@@ -1,5 +1,8 @@
 #include "standin/reporting_server.h"
 
+#include <unistd.h>
+
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -14,6 +17,7 @@
 constexpr base::time_ms kDefaultGapMs = 10;
 constexpr std::int64_t kCallTimeoutMs = 1'000;
 constexpr int kMaxRedirects = 2;
+constexpr int kCrashExitCode = 42;
 
 constexpr unsigned kOk = 200;
 constexpr unsigned kFirstRedirect = 300;
@@ -124,6 +128,11 @@
   target.cut = target.is_stream && ConsumeFault(faults_.cut_streams);
   target.silent =
       target.is_stream && !target.cut && ConsumeFault(faults_.mute_streams);
+  target.crash =
+      std::ranges::any_of(gateway::DecodeRequest(kNames, request).shared_parts,
+                          [&](const gateway::prompt_part& part) {
+                            return part.id == settings_.crash_part;
+                          });
   ++runs_[target.request_id];
   target.timer =
       std::make_unique<net::timer>(loop_.ev(), [this, id] { ContinueRun(id); });
@@ -138,6 +147,9 @@
     return;
   }
   run& target = found->second;
+  if (target.crash) {
+    _exit(kCrashExitCode);
+  }
   if (target.is_stream) {
     ContinueStream(id, target);
     return;
--- a/src/standin/reporting_server.h
+++ b/src/standin/reporting_server.h
@@ -27,6 +27,9 @@
   base::time_us report_period_us = 300'000;
   /** How long it serves after control has accepted its deregistration. */
   base::time_us leave_delay_us = 1'000'000;
+  /** The process exits when it begins to answer a prompt with this shared part;
+   * empty: never. */
+  std::string crash_part;
 };
 
 /** Faults that `POST /standin/faults` has set, as remaining requests. */
@@ -85,6 +88,7 @@
     bool fail = false;
     bool cut = false;
     bool silent = false;
+    bool crash = false;
     std::unique_ptr<net::timer> timer;
   };
 
--- a/tests/process/gateway_process_harness.cc
+++ b/tests/process/gateway_process_harness.cc
@@ -142,6 +142,7 @@
                               "--service=desk",
                               "--data_center=north-a",
                               "--slots=4",
+                              std::string("--crash_part=") + kCrashPart,
                               "--controls=" + controls,
                               "--listen=" + addresses_[name]};
 }
--- a/tests/process/gateway_process_harness.h
+++ b/tests/process/gateway_process_harness.h
@@ -15,6 +15,10 @@
 
 namespace wisteriaroute::testing {
 
+/** The servers crash when they begin to answer a prompt with this shared part.
+ */
+inline constexpr const char* kCrashPart = "c4a5";
+
 /**
  * Runs three control replicas, two gateways and three stand-ins in the mode
  * `reporting` as processes. All speak the native protocol.
