policy: blame a whole request only after three crashes

Two crashes are too few for a request that comes back by itself; three are what the users' rule counts for whole requests. Parts of prompts keep two, because their crashes need different requests.

--- a/src/libwisteriaroute/policy/crash_evidence.cc
+++ b/src/libwisteriaroute/policy/crash_evidence.cc
@@ -18,6 +18,9 @@
 // A part that servers have answered before is less likely to be the cause than
 // one that was never answered.
 constexpr std::uint32_t kCrashesNeededIfAnswered = 4;
+// A request whose caller sends it again after each crash of all servers comes
+// back to the next one.
+constexpr std::uint32_t kCrashesNeededOfRequest = 3;
 constexpr std::uint32_t kCrashesNeededAgain = 1;
 // Position of a whole request, after all of its parts.
 constexpr std::size_t kWholeRequest = 1'000;
@@ -157,6 +160,16 @@
   return rank(a) > rank(b);
 }
 
+std::uint32_t CrashesNeeded(const evidence& found, bool was_culprit) {
+  if (was_culprit) {
+    return kCrashesNeededAgain;
+  }
+  if (found.position == kWholeRequest) {
+    return kCrashesNeededOfRequest;
+  }
+  return found.answered ? kCrashesNeededIfAnswered : kCrashesNeeded;
+}
+
 std::vector<candidate> Convictable(
     const evidence_table& table,
     const std::vector<std::size_t>& windows,
@@ -164,12 +177,8 @@
     const std::set<base::digest128>& earlier) {
   std::vector<candidate> found;
   for (const auto& [fingerprint, why] : table) {
-    const std::uint32_t needed = earlier.contains(fingerprint)
-                                     ? kCrashesNeededAgain
-                                 : why.answered ? kCrashesNeededIfAnswered
-                                                : kCrashesNeeded;
     const std::uint32_t crashes = CountCrashes(why, windows, totals);
-    if (crashes >= needed) {
+    if (crashes >= CrashesNeeded(why, earlier.contains(fingerprint))) {
       found.push_back({{fingerprint, crashes}, &why});
     }
   }
