gateway: a stream that ends with its connection before an event is broken

An answer may come with neither a length nor chunks. If its server crashed before the first event, the end of the connection looked like the end of the stream: the caller got an empty answer as a complete one, and the crash had no suspect.

Such a stream, and one that ends within its first event, now counts as a broken attempt: it goes to another server, and its server is probed.

--- a/src/libwisteriaroute/gateway/attempts.cc
+++ b/src/libwisteriaroute/gateway/attempts.cc
@@ -115,6 +115,7 @@
     }
     forwarded += event.text;
     ++request.events;
+    ++request.attempt_events;
   }
   if (request.framer.partial_event_bytes() >
       step.state.options.max_event_bytes) {
@@ -167,6 +168,18 @@
   Relay(step, request, head, std::move(request.body));
 }
 
+/** Why a stream that has ended isn't complete; null if it is. */
+const char* WhyBroken(const request_state& request) {
+  if (request.framer.has_partial_event()) {
+    return "stream ended within an event";
+  }
+  // The end of the connection may as well be that of the server.
+  if (request.head->ends_with_connection && request.attempt_events == 0) {
+    return "stream ended with its connection before an event";
+  }
+  return nullptr;
+}
+
 void HandleComplete(step_context& step, request_state& request) {
   if (!IsSuccess(request.head->status)) {
     HandleFailureResponse(step, request);
@@ -174,10 +187,12 @@
   }
   if (request.route->streams && request.head->event_stream) {
     server* target = RemoveAttempt(step, request);
-    if (request.framer.has_partial_event()) {
+    if (const char* cause = WhyBroken(request)) {
       request.may_have_run = true;
-      FailAttempt(step, request, attempt_verdict::kFailed,
-                  "stream ended within an event");
+      if (request.events == 0) {
+        NoteBrokenAttempt(step, request);
+      }
+      FailAttempt(step, request, attempt_verdict::kFailed, cause);
       return;
     }
     RecordVerdict(step, target, attempt_verdict::kGood, request, "");
--- a/src/libwisteriaroute/gateway/gateway.h
+++ b/src/libwisteriaroute/gateway/gateway.h
@@ -93,6 +93,8 @@
   std::optional<std::uint64_t> last_event_id;
   base::time_us last_event_us = 0;
   std::uint64_t events = 0;
+  /** Events of the current attempt. */
+  std::uint64_t attempt_events = 0;
   base::time_us first_event_us = 0;
 };
 
--- a/src/libwisteriaroute/gateway/http_codec.cc
+++ b/src/libwisteriaroute/gateway/http_codec.cc
@@ -198,6 +198,8 @@
       .encoded = !FindHeader(headers, "content-encoding").empty(),
       .event_stream =
           FindHeader(headers, "content-type").starts_with("text/event-stream"),
+      .ends_with_connection = FindHeader(headers, "content-length").empty() &&
+                              FindHeader(headers, "transfer-encoding").empty(),
       .load = ParseLoad(FindHeader(headers, names.server_load))};
   const std::string_view leaving = FindHeader(headers, names.server_leaving);
   head.leaving = !leaving.empty() && leaving != "0";
--- a/src/libwisteriaroute/gateway/messages.h
+++ b/src/libwisteriaroute/gateway/messages.h
@@ -65,6 +65,8 @@
   /** The body has a content encoding, so it isn't as the server produced it. */
   bool encoded = false;
   bool event_stream = false;
+  /** The body has neither a length nor chunks: it ends with its connection. */
+  bool ends_with_connection = false;
   std::optional<server_load> load;
   /** The server is leaving and must get no new requests. */
   bool leaving = false;
--- a/src/libwisteriaroute/gateway/placement.cc
+++ b/src/libwisteriaroute/gateway/placement.cc
@@ -48,6 +48,7 @@
   request.head.reset();
   request.body.clear();
   request.framer = {};
+  request.attempt_events = 0;
   ++request.attempts;
   step.Count("wisteriaroute_attempts_total", "repeat",
              request.attempts > 1 ? "yes" : "no");
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -789,6 +789,49 @@
   }
 }
 
+// A crash closed such a connection, and its caller got an empty answer.
+TEST_CASE("a stream that ends with its connection") {
+  world w;
+  w.Ask(1, "/draft/1");
+  const std::string first = w.LastAttempt().terms.expected_server;
+  const auto head = [&] {
+    w.Do(attempt_head{w.LastAttempt().attempt,
+                      {.status = 200,
+                       .sealed = true,
+                       .event_stream = true,
+                       .ends_with_connection = true}});
+  };
+  head();
+
+  SUBCASE("is complete after an event") {
+    w.Data("id: 1\ndata: x\n\n");
+    w.End(true);
+    CHECK(w.All<end_stream>().size() == 1);
+  }
+  SUBCASE("is broken before any event, and its server is probed") {
+    w.End(true);
+    CHECK(w.All<end_stream>().empty());
+    REQUIRE(w.All<probe_server>().size() == 1);
+    CHECK(w.All<probe_server>()[0].server == first);
+    CHECK(w.LastAttempt().terms.expected_server != first);
+  }
+  SUBCASE("is broken within its first event") {
+    w.Data("id: 1\nda");
+    w.End(true);
+    CHECK(w.All<end_stream>().empty());
+    CHECK(w.All<probe_server>().size() == 1);
+  }
+  SUBCASE("is broken if it adds no event to those of another server") {
+    w.Data("id: 1\ndata: x\n\nid: 2\n");
+    w.End(true);
+    REQUIRE(w.LastAttempt().terms.last_event_id == 1);
+    head();
+    w.End(true);
+    CHECK(w.All<end_stream>().empty());
+    CHECK(w.All<probe_server>().empty());
+  }
+}
+
 TEST_CASE("the memory of answered parts is bounded and ages") {
   answered_parts parts;
   const auto part = [](std::size_t i) {
--- a/tests/gateway/http_codec_test.cc
+++ b/tests/gateway/http_codec_test.cc
@@ -78,4 +78,13 @@
   CHECK(digest(request) != first);
 }
 
+TEST_CASE("an answer without length and chunks ends with its connection") {
+  const auto ends = [](const net::http_headers& headers) {
+    return DecodeHead(kNativeHeaders, 200, headers).ends_with_connection;
+  };
+  CHECK(ends({{"content-type", "text/event-stream"}}));
+  CHECK_FALSE(ends({{"content-length", "0"}}));
+  CHECK_FALSE(ends({{"transfer-encoding", "chunked"}}));
+}
+
 }  // namespace wisteriaroute::gateway
