entry: quarantine messages that crash servers in any chat

The entry's quarantine knew whole requests only: chats that share one message, no two alike, crashed server after server, each of them two. Same cause as at the gateway.

The entry reports the messages before the last one of a request that had no answer when its server was lost, tells control of answers to suspects, and refuses requests with a quarantined message. Control's table is the same; its entries now tell parts from whole requests, because whole ones are isolated and parts aren't. answered_parts moves to policy/, where both use it.

'a message that crashes servers is quarantined in any chat' fails without the report (checked by leaving the call out) and passes with it.

--- a/proto/control.capnp
+++ b/proto/control.capnp
@@ -88,6 +88,8 @@
   state @1 :UInt8;
   crashes @2 :UInt32;
   sinceMs @3 :Int64;
+  # A part of prompts, not a whole request.
+  isPart @4 :Bool;
 }
 
 struct QuarantineUpdate {
--- a/src/libwisteriaroute/control/admin_json.cc
+++ b/src/libwisteriaroute/control/admin_json.cc
@@ -186,6 +186,7 @@
   for (const auto& [fingerprint, entry] : state.durable.quarantine.entries) {
     const bool suspect = entry.state == wire::quarantine_state::kSuspect;
     entries.push_back({{"fingerprint", base::ToString(fingerprint)},
+                       {"kind", entry.is_part ? "part" : "request"},
                        {"state", suspect ? "suspect" : "quarantined"},
                        {"crashes", entry.crashes},
                        {"since_ms", entry.since_ms}});
--- a/src/libwisteriaroute/control/quarantine_table.cc
+++ b/src/libwisteriaroute/control/quarantine_table.cc
@@ -47,15 +47,17 @@
   }
 }
 
-/** Makes a fingerprint a suspect unless it is known. */
-void AddSuspect(quarantine_table& table,
-                const base::digest128& fingerprint,
-                base::time_ms log_time_ms,
-                quarantine_changes& changes) {
+/** Makes a part a suspect unless it is known. */
+void AddSuspectPart(quarantine_table& table,
+                    const base::digest128& fingerprint,
+                    base::time_ms log_time_ms,
+                    quarantine_changes& changes) {
   const auto [entry, is_new] = table.entries.try_emplace(fingerprint);
   if (is_new) {
-    entry->second = {
-        .fingerprint = fingerprint, .crashes = 1, .since_ms = log_time_ms};
+    entry->second = {.fingerprint = fingerprint,
+                     .crashes = 1,
+                     .since_ms = log_time_ms,
+                     .is_part = true};
     changes.push_back(fingerprint);
   }
 }
@@ -80,7 +82,8 @@
     entry = {.fingerprint = found.fingerprint,
              .state = quarantine_state::kQuarantined,
              .crashes = before + found.crashes,
-             .since_ms = log_time_ms};
+             .since_ms = log_time_ms,
+             .is_part = found.is_part};
     changes.push_back(found.fingerprint);
   }
 }
@@ -146,7 +149,7 @@
     for (const wire::suspect_request& suspect : report.suspects) {
       // Only parts: another entry can tell nothing of a whole request.
       for (const wire::suspect_part& part : suspect.parts) {
-        AddSuspect(table, part.fingerprint, log_time_ms, changes);
+        AddSuspectPart(table, part.fingerprint, log_time_ms, changes);
       }
     }
   }
--- a/src/libwisteriaroute/entry/api.cc
+++ b/src/libwisteriaroute/entry/api.cc
@@ -18,6 +18,7 @@
 constexpr std::size_t kBytesPerToken = 4;
 // 16 KiB of shared prefix; further blocks cost time and don't change routing.
 constexpr std::size_t kMaxPrefixBlocks = 256;
+constexpr std::size_t kMaxSharedMessages = 64;
 
 std::string Quoted(std::string_view text) {
   std::string out = "\"";
@@ -74,6 +75,24 @@
   return {};
 }
 
+std::vector<base::digest128> SharedMessages(const json& body) {
+  std::vector<base::digest128> digests;
+  const auto messages = body.find("messages");
+  if (messages == body.end() || !messages->is_array()) {
+    return digests;
+  }
+  for (const json& message : *messages) {
+    if (digests.size() > kMaxSharedMessages) {
+      break;
+    }
+    digests.push_back(base::Digest128("message " + message.dump()));
+  }
+  if (!digests.empty()) {
+    digests.pop_back();
+  }
+  return digests;
+}
+
 std::string ReadMaxTokens(const json& body, generation_body& out) {
   out.max_tokens = kDefaultMaxTokens;
   for (const char* name : {"max_tokens", "max_completion_tokens"}) {
@@ -160,6 +179,7 @@
     if (out.prefix_blocks.size() > kMaxPrefixBlocks) {
       out.prefix_blocks.resize(kMaxPrefixBlocks);
     }
+    out.shared_messages = SharedMessages(parsed);
     out.prompt_tokens = static_cast<std::uint32_t>(
         std::max<std::size_t>(text_bytes / kBytesPerToken, 1));
     return out;
--- a/src/libwisteriaroute/entry/api.h
+++ b/src/libwisteriaroute/entry/api.h
@@ -21,6 +21,8 @@
   std::uint32_t max_tokens = 0;
   /** Hashes of the prompt's blocks, as in the agents' cache hints. */
   std::vector<std::uint64_t> prefix_blocks;
+  /** Digests of the messages of a chat before the last one, in order. */
+  std::vector<base::digest128> shared_messages;
 };
 
 /** Parses the body of a generation request; returns a message on error. */
--- a/src/libwisteriaroute/entry/quarantine.cc
+++ b/src/libwisteriaroute/entry/quarantine.cc
@@ -4,6 +4,7 @@
 
 #include "libwisteriaroute/entry/queue.h"
 #include "libwisteriaroute/entry/respond.h"
+#include "libwisteriaroute/policy/crash_evidence.h"
 
 namespace wisteriaroute::entry {
 
@@ -55,6 +56,39 @@
   return crashes.back().suspects_before;
 }
 
+// No two requests may be alike that crash servers with a message they share, so
+// control looks for what the crashes have in common.
+void ReportSharedMessages(step_context& step, const request_state& request) {
+  if (request.shared_messages.empty() || request.response.offset > 0) {
+    return;
+  }
+  wire::suspect_request suspect{.fingerprint = request.fingerprint};
+  for (const base::digest128& message : request.shared_messages) {
+    const bool answered = step.state.answered_parts.Find(message).has_value();
+    suspect.parts.push_back({.fingerprint = message, .answered = answered});
+  }
+  const base::digest128 id = policy::CrashId(
+      request.current->agent, request.current->backend_incarnation);
+  step.Emit(send_control{
+      wire::crash_reports{{{.id = id, .suspects = {std::move(suspect)}}}}});
+}
+
+void HandlePart(step_context& step, const wire::quarantine_entry& part) {
+  step.state.suspect_parts[part.fingerprint] = part;
+  const auto answered_us = step.state.answered_parts.Find(part.fingerprint);
+  if (answered_us) {
+    step.Emit(send_control{wire::answers_begun{
+        {{.fingerprint = part.fingerprint,
+          .age_ms = (step.now_us - *answered_us) / 1'000}}}});
+  }
+}
+
+bool IsQuarantinedPart(const entry_state& state, const base::digest128& part) {
+  const auto found = state.suspect_parts.find(part);
+  return found != state.suspect_parts.end() &&
+         found->second.state == wire::quarantine_state::kQuarantined;
+}
+
 }  // namespace
 
 error_reply QuarantinedError() {
@@ -64,6 +98,11 @@
 }
 
 bool IsQuarantined(const entry_state& state, const request_state& request) {
+  if (std::ranges::any_of(request.shared_messages, [&](const auto& message) {
+        return IsQuarantinedPart(state, message);
+      })) {
+    return true;
+  }
   const auto found = state.quarantine.find(request.fingerprint);
   return found != state.quarantine.end() &&
          (found->second.state == wire::quarantine_state::kQuarantined ||
@@ -100,6 +139,7 @@
 void RecordCrash(step_context& step,
                  request_state& request,
                  std::span<const base::digest128> ran_beside) {
+  ReportSharedMessages(step, request);
   const auto& suspects_before =
       SuspectsBeforeCrash(step, *request.current, ran_beside);
   request.ran_at_crash = true;
@@ -129,6 +169,15 @@
   step.Emit(count_metric{"wisteriaroute_suspects_total"});
 }
 
+void NoteAnswerBegun(step_context& step, const request_state& request) {
+  for (const base::digest128& message : request.shared_messages) {
+    step.state.answered_parts.Add(message, step.now_us);
+    if (step.state.suspect_parts.contains(message)) {
+      step.Emit(send_control{wire::answers_begun{{{message}}}});
+    }
+  }
+}
+
 void ClearSuspect(step_context& step, request_state& request) {
   if (!request.suspect) {
     return;
@@ -143,12 +192,18 @@
   auto& quarantine = step.state.quarantine;
   if (update.full) {
     quarantine.clear();
+    step.state.suspect_parts.clear();
   }
   for (const wire::quarantine_entry& changed : update.changed) {
-    quarantine[changed.fingerprint] = changed;
+    if (changed.is_part) {
+      HandlePart(step, changed);
+    } else {
+      quarantine[changed.fingerprint] = changed;
+    }
   }
   for (const base::digest128& removed : update.removed) {
     quarantine.erase(removed);
+    step.state.suspect_parts.erase(removed);
   }
   std::vector<std::uint64_t> waiting;
   for (auto& [number, request] : step.state.requests) {
--- a/src/libwisteriaroute/entry/quarantine.h
+++ b/src/libwisteriaroute/entry/quarantine.h
@@ -35,6 +35,9 @@
                  request_state& request,
                  std::span<const base::digest128> ran_beside);
 
+/** Records that a server has begun to answer the request. */
+void NoteAnswerBegun(step_context& step, const request_state& request);
+
 /** Clears a suspect whose response was received completely. */
 void ClearSuspect(step_context& step, request_state& request);
 
--- a/src/libwisteriaroute/entry/request.h
+++ b/src/libwisteriaroute/entry/request.h
@@ -112,6 +112,8 @@
   std::uint32_t prompt_tokens = 0;
   std::uint32_t max_tokens = 0;
   std::vector<std::uint64_t> prefix_blocks;
+  /** Parts of the prompt that other requests may share, in order. */
+  std::vector<base::digest128> shared_messages;
   std::uint8_t priority = 5;
   base::time_us arrived_us = 0;
   base::time_us deadline_us = 0;
--- a/src/libwisteriaroute/entry/state.h
+++ b/src/libwisteriaroute/entry/state.h
@@ -16,6 +16,7 @@
 #include "libwisteriaroute/entry/events.h"
 #include "libwisteriaroute/entry/request.h"
 #include "libwisteriaroute/entry/settings.h"
+#include "libwisteriaroute/policy/answered_parts.h"
 
 namespace wisteriaroute::entry {
 
@@ -126,6 +127,9 @@
   std::size_t queued = 0;
 
   std::unordered_map<base::digest128, wire::quarantine_entry> quarantine;
+  /** Parts of prompts that are suspects or may not run. */
+  std::unordered_map<base::digest128, wire::quarantine_entry> suspect_parts;
+  policy::answered_parts answered_parts;
   /** The latest crashes, oldest first. */
   std::deque<crash> recent_crashes;
   /** Retry budget: requests and retries of the last 10 s, by second. */
--- a/src/libwisteriaroute/entry/streaming.cc
+++ b/src/libwisteriaroute/entry/streaming.cc
@@ -105,6 +105,9 @@
             std::string_view data,
             std::uint64_t units) {
   response_state& response = request.response;
+  if (response.offset == 0) {
+    NoteAnswerBegun(step, request);
+  }
   response.text.append(data);
   response.offset += units;
   if (!IsEventStream(request)) {
--- a/src/libwisteriaroute/entry/validation.cc
+++ b/src/libwisteriaroute/entry/validation.cc
@@ -125,6 +125,7 @@
   out.prompt_tokens = body.prompt_tokens;
   out.max_tokens = body.max_tokens;
   out.prefix_blocks = body.prefix_blocks;
+  out.shared_messages = body.shared_messages;
   out.pool = "model/" + body.model;
   return std::nullopt;
 }
--- a/src/libwisteriaroute/gateway/crash_watch.h
+++ b/src/libwisteriaroute/gateway/crash_watch.h
@@ -9,7 +9,7 @@
 
 #include "libwisteriaroute/base/clock.h"
 #include "libwisteriaroute/base/digest.h"
-#include "libwisteriaroute/gateway/answered_parts.h"
+#include "libwisteriaroute/policy/answered_parts.h"
 #include "libwisteriaroute/policy/crash_evidence.h"
 #include "libwisteriaroute/wire/control_messages.h"
 
@@ -32,7 +32,7 @@
 struct crash_watch {
   /** From control: suspects, and requests and parts that may not run. */
   std::map<base::digest128, wire::quarantine_entry> quarantine;
-  answered_parts answered;
+  policy::answered_parts answered;
   /** By server id. */
   std::map<std::string, broken_server> broken;
   /** Crashes that this entry has seen; monotonic ms. */
--- a/src/libwisteriaroute/gateway/answered_parts.cc
+++ b/src/libwisteriaroute/policy/answered_parts.cc
@@ -1,8 +1,8 @@
-#include "libwisteriaroute/gateway/answered_parts.h"
+#include "libwisteriaroute/policy/answered_parts.h"
 
 #include <utility>
 
-namespace wisteriaroute::gateway {
+namespace wisteriaroute::policy {
 
 void answered_parts::Add(const base::digest128& part, base::time_us now_us) {
   if (current_.size() >= kGenerationParts ||
@@ -24,4 +24,4 @@
   return std::nullopt;
 }
 
-}  // namespace wisteriaroute::gateway
+}  // namespace wisteriaroute::policy
--- a/src/libwisteriaroute/gateway/answered_parts.h
+++ b/src/libwisteriaroute/policy/answered_parts.h
@@ -1,5 +1,5 @@
-#ifndef LIBWISTERIAROUTE_GATEWAY_ANSWERED_PARTS_H_
-#define LIBWISTERIAROUTE_GATEWAY_ANSWERED_PARTS_H_
+#ifndef LIBWISTERIAROUTE_POLICY_ANSWERED_PARTS_H_
+#define LIBWISTERIAROUTE_POLICY_ANSWERED_PARTS_H_
 
 #include <cstddef>
 #include <optional>
@@ -8,7 +8,7 @@
 #include "libwisteriaroute/base/clock.h"
 #include "libwisteriaroute/base/digest.h"
 
-namespace wisteriaroute::gateway {
+namespace wisteriaroute::policy {
 
 /**
  * Remembers when servers last began to answer a prompt with each part. Keeps
@@ -33,6 +33,6 @@
   base::time_us current_since_us_ = 0;
 };
 
-}  // namespace wisteriaroute::gateway
+}  // namespace wisteriaroute::policy
 
-#endif  // LIBWISTERIAROUTE_GATEWAY_ANSWERED_PARTS_H_
+#endif  // LIBWISTERIAROUTE_POLICY_ANSWERED_PARTS_H_
--- a/src/libwisteriaroute/policy/crash_evidence.cc
+++ b/src/libwisteriaroute/policy/crash_evidence.cc
@@ -179,7 +179,8 @@
   for (const auto& [fingerprint, why] : table) {
     const std::uint32_t crashes = CountCrashes(why, windows, totals);
     if (crashes >= CrashesNeeded(why, earlier.contains(fingerprint))) {
-      found.push_back({{fingerprint, crashes}, &why});
+      found.push_back(
+          {{fingerprint, crashes, why.position != kWholeRequest}, &why});
     }
   }
   return found;
--- a/src/libwisteriaroute/policy/crash_evidence.h
+++ b/src/libwisteriaroute/policy/crash_evidence.h
@@ -36,6 +36,7 @@
   base::digest128 fingerprint;
   /** Number of independent crashes that it explains. */
   std::uint32_t crashes = 0;
+  bool is_part = false;
 
   bool operator==(const culprit&) const = default;
 };
--- a/src/libwisteriaroute/wire/control_fields.cc
+++ b/src/libwisteriaroute/wire/control_fields.cc
@@ -100,13 +100,15 @@
   to.setState(static_cast<std::uint8_t>(from.state));
   to.setCrashes(from.crashes);
   to.setSinceMs(from.since_ms);
+  to.setIsPart(from.is_part);
 }
 
 quarantine_entry ReadFields(proto::QuarantineEntry::Reader from) {
   return {.fingerprint = Read(from.getFingerprint()),
           .state = ReadEnum<quarantine_state>(from.getState(), 2),
           .crashes = from.getCrashes(),
-          .since_ms = from.getSinceMs()};
+          .since_ms = from.getSinceMs(),
+          .is_part = from.getIsPart()};
 }
 
 void WriteFields(const suspect_request& from,
--- a/src/libwisteriaroute/wire/control_messages.h
+++ b/src/libwisteriaroute/wire/control_messages.h
@@ -159,6 +159,8 @@
   std::uint32_t crashes = 0;
   /** Time of the replicated log, Unix ms. */
   std::int64_t since_ms = 0;
+  /** A part of prompts, not a whole request. */
+  bool is_part = false;
 
   bool operator==(const quarantine_entry&) const = default;
 };
--- a/tests/entry/entry_property_test.cc
+++ b/tests/entry/entry_property_test.cc
@@ -243,6 +243,62 @@
   return R"({"model":"m","prompt":")" + text + "\"}";
 }
 
+std::string Chat(const std::vector<std::string>& messages) {
+  std::string list;
+  for (const std::string& message : messages) {
+    list += list.empty() ? "" : ",";
+    list += R"({"role":"user","content":")" + message + "\"}";
+  }
+  return R"({"model":"m","messages":[)" + list + "]}";
+}
+
+// Chats with a message in common, no two alike, crashed server after server,
+// because only whole requests were quarantined.
+TEST_CASE("a message that crashes servers is quarantined in any chat") {
+  static constexpr std::size_t kCrashesBeforeTheBound = 5;
+  static constexpr base::time_us kReactionUs = 3'000'000;
+  static constexpr int kMaxLaterRuns = 3;
+  const bool held = CheckSchedules([](std::uint64_t seed) {
+    world sim(seed, 2, 8);
+    std::vector<base::time_us> crashes;
+    int later_runs = 0;
+    sim.on_run = [&](const std::string& agent, const wire::submit& work) {
+      if (work.body.find(kPoison) == std::string::npos) {
+        return;
+      }
+      later_runs +=
+          crashes.size() >= kCrashesBeforeTheBound &&
+                  sim.now() > crashes[kCrashesBeforeTheBound - 1] + kReactionUs
+              ? 1
+              : 0;
+      crashes.push_back(sim.now());
+      sim.At(1, [&sim, agent] { sim.Crash(agent, 500'000); });
+    };
+    std::vector<std::uint64_t> sound;
+    std::vector<std::uint64_t> crashing;
+    for (int i = 0; i < 24; ++i) {
+      sim.At(i * 1'500'000, [&, i] {
+        sound.push_back(sim.Send(i % 2, "POST", "/v1/chat/completions",
+                                 Chat({"system", std::to_string(i)})));
+      });
+      sim.At(i * 1'500'000 + 700'000, [&, i] {
+        crashing.push_back(
+            sim.Send(i % 2, "POST", "/v1/chat/completions",
+                     Chat({"system", kPoison, std::to_string(i)})));
+      });
+    }
+    sim.RunFor(60'000'000);
+    RC_ASSERT(later_runs <= kMaxLaterRuns);
+    RC_ASSERT(sim.exchanges[crashing.back()].status == 422U);
+    RC_ASSERT(OutcomeIn(sim.exchanges[crashing.back()]) == "not_run");
+    for (const std::uint64_t id : sound) {
+      RC_ASSERT(sim.exchanges[id].status == 200U);
+    }
+    CheckClean(sim);
+  });
+  CHECK(held);
+}
+
 // Guards against a crashing request that reaches a third server, and against
 // failing other requests that ran beside it.
 TEST_CASE("a crashing request reaches at most two servers; others succeed") {
--- a/tests/entry/fake_control.h
+++ b/tests/entry/fake_control.h
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "libwisteriaroute/control/quarantine_table.h"
 #include "libwisteriaroute/wire/control_messages.h"
 
 namespace wisteriaroute::entry_test {
@@ -30,6 +31,12 @@
     if (const auto* cleared = std::get_if<wire::suspect_cleared>(&message)) {
       quarantine.erase(cleared->fingerprint);
     }
+    if (const auto* reports = std::get_if<wire::crash_reports>(&message)) {
+      control::ReportCrashes(parts, *reports, time_ms);
+    }
+    if (const auto* answers = std::get_if<wire::answers_begun>(&message)) {
+      control::NoteAnswers(parts, *answers, time_ms);
+    }
     return std::nullopt;
   }
 
@@ -49,6 +56,9 @@
   }
 
   std::map<base::digest128, wire::quarantine_entry> quarantine;
+  /** The real table, for the parts of prompts. */
+  control::quarantine_table parts;
+  base::time_ms time_ms = 0;
 
  private:
   struct claim {
--- a/tests/entry/world.h
+++ b/tests/entry/world.h
@@ -197,8 +197,12 @@
 
   void SendQuarantine() {
     wire::quarantine_update update{.full = true};
-    for (const auto& [fingerprint, entry] : control.quarantine) {
-      update.changed.push_back(entry);
+    for (const auto* entries : {&control.quarantine, &control.parts.entries}) {
+      for (const auto& [fingerprint, entry] : *entries) {
+        if (entry.is_part == (entries == &control.parts.entries)) {
+          update.changed.push_back(entry);
+        }
+      }
     }
     for (std::size_t i = 0; i < entries.size(); ++i) {
       Feed(static_cast<int>(i), control_received{update});
@@ -332,6 +336,7 @@
       return;
     }
     At(1'000 + Random(20'000), [this, entry, message = effect.message] {
+      control.time_ms = now() / 1'000;
       const auto reply = control.Receive(message);
       if (reply && !Chance(faults.control_loss)) {
         At(1'000 + Random(20'000), [this, entry, reply = *reply] {
--- a/tests/wire/codec_test.cc
+++ b/tests/wire/codec_test.cc
@@ -74,7 +74,9 @@
       config_update{1, 2, {{"region", "r", "{}"}}, {{"region", "q"}}},
       member_update{true, {kMember}, {"gone"}, {"drained"}},
       quarantine_update{
-          true, {{kDigest, quarantine_state::kQuarantined, 2, 99}}, {kAttempt}},
+          true,
+          {{kDigest, quarantine_state::kQuarantined, 2, 99, true}},
+          {kAttempt}},
       claim_request{1, "w", kDigest, kAttempt, 123, kTarget},
       claim_move{1, "w", kDigest, kAttempt, kTarget},
       claim_outcome{1, "w", kDigest, kAttempt, kResponse},
