gateway: the exit of a server that leaves is no crash

A server that leaves ends its open connections as it exits and then refuses new ones, which looked like a crash and made its unanswered prompts suspects. The new section of gateway_test failed before.

--- a/src/libwisteriaroute/gateway/crash_watch.cc
+++ b/src/libwisteriaroute/gateway/crash_watch.cc
@@ -80,7 +80,8 @@
 
 void NoteBrokenAttempt(step_context& step, const request_state& request) {
   const server* target = step.state.servers.Find(request.server);
-  if (target == nullptr ||
+  // A server that leaves ends its connections as it exits.
+  if (target == nullptr || target->info.leaving ||
       target->info.incarnation != request.server_incarnation) {
     return;
   }
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -699,6 +699,14 @@
     CHECK(w.All<probe_server>().empty());
   }
 
+  SUBCASE("nor is the exit of a server that leaves") {
+    wire::member_info leaving = Server(broken);
+    leaving.leaving = true;
+    w.Do(members_updated{{.changed = {leaving}}});
+    w.End(false);
+    CHECK(w.All<probe_server>().empty());
+  }
+
   SUBCASE("and a server that runs on has not crashed") {
     w.End(false);
     REQUIRE(w.All<probe_server>().size() == 1);
