--- a/tests/net/http_test.cc
+++ b/tests/net/http_test.cc
@@ -202,11 +202,14 @@
   CHECK(server.requests() == 2);
 }
 
-/** Sends the same bytes on each connection, whatever the request. */
+/** Sends the same bytes on each connection, whatever the request, and then
+ * closes or resets it. */
 class scripted_server {
  public:
-  explicit scripted_server(std::string answer)
-      : answer_(std::move(answer)), fd_(OpenListener("127.0.0.1:0")) {
+  explicit scripted_server(std::string answer, bool reset = false)
+      : answer_(std::move(answer)),
+        reset_(reset),
+        fd_(OpenListener("127.0.0.1:0")) {
     address_ = LocalAddress(fd_);
     fcntl(fd_, F_SETFL, fcntl(fd_, F_GETFL) & ~O_NONBLOCK);
     thread_ = std::thread([this] {
@@ -216,6 +219,10 @@
         if (read(fd, buffer, sizeof buffer) > 0) {
           CHECK(write(fd, answer_.data(), answer_.size()) > 0);
         }
+        if (reset_) {
+          const linger option{.l_onoff = 1, .l_linger = 0};
+          setsockopt(fd, SOL_SOCKET, SO_LINGER, &option, sizeof option);
+        }
         close(fd);
       }
     });
@@ -230,6 +237,7 @@
 
  private:
   std::string answer_;
+  bool reset_;
   int fd_;
   std::string address_;
   std::thread thread_;
@@ -319,6 +327,20 @@
     CHECK(response.body.empty());
   }
 
+  SUBCASE("a response without length and chunks ends with its connection") {
+    const scripted_server server("HTTP/1.1 200 OK\r\nx-id: 2\r\n\r\nmine");
+    ask(server);
+    CHECK(response.ok);
+    CHECK(response.body == "mine");
+  }
+
+  SUBCASE("such a response is incomplete if its connection is reset") {
+    const scripted_server server("HTTP/1.1 200 OK\r\nx-id: 2\r\n\r\nmine",
+                                 true);
+    ask(server);
+    CHECK_FALSE(response.ok);
+  }
+
   SUBCASE("bytes that are no response fail the transfer") {
     const scripted_server server("what is this\r\n\r\n");
     ask(server);
