--- a/src/libwisteriaroute/policy/crash_evidence.cc
+++ b/src/libwisteriaroute/policy/crash_evidence.cc
@@ -11,7 +11,7 @@
 namespace {
 
 // A rack or all servers may fail at once, so the crashes of one window are one
-// crash for what they have in common. More servers than this that fail with the
+// crash for what they have in common. This many servers that fail with the
 // same part in different requests count as two, unless most others fail, too.
 constexpr std::size_t kSameWindowCrashes = 3;
 constexpr std::uint32_t kCrashesNeeded = 2;
