--- a/src/libwisteriaroute/control/quarantine_table.cc
+++ b/src/libwisteriaroute/control/quarantine_table.cc
@@ -205,8 +205,9 @@
       entry.state = quarantine_state::kSuspect;
       entry.since_ms = log_time_ms;
       // Only a crash from now on counts against it.
+      const std::set<base::digest128> ended = {fingerprint};
       std::erase_if(table.crashes, [&](const policy::crash& one) {
-        return policy::HasAny(one, {fingerprint});
+        return policy::HasAny(one, ended);
       });
       changes.push_back(fingerprint);
     }
