tests: processes of a test listen on loopback IPs of their own

Cause: FreeAddresses closes its sockets before the processes bind the ports, and all tests and all outgoing connections share 127.0.0.1; the replicas of control also take the same port on 127.0.0.2 and 127.0.0.3, which was never checked.

Each test process now uses IPs derived from its PID. Checks are unchanged.

--- a/tests/process/gateway_process_harness.cc
+++ b/tests/process/gateway_process_harness.cc
@@ -49,7 +49,7 @@
   const std::string http_port = PortOf(TakeAddress());
   for (std::size_t i = 0; i < kControls; ++i) {
     const std::string name = "control-" + std::to_string(i);
-    const std::string ip = "127.0.0." + std::to_string(i + 1);
+    const std::string ip = LoopbackIp(static_cast<unsigned>(i));
     addresses_[name] = ip + port;
     addresses_[name + "/http"] = ip + http_port;
     addresses_[name + "/metrics"] = TakeAddress();
