--- a/src/libwisteriaroute/gateway/attempts.cc
+++ b/src/libwisteriaroute/gateway/attempts.cc
@@ -219,7 +219,11 @@
   step.Note("attempt_not_run",
             {{"request", request.request.id},
              {"server", request.server},
-             {"status", std::to_string(request.head->status)}});
+             {"status", std::to_string(request.head->status)},
+             {"at_fault", request.head->server_at_fault},
+             {"after_ms",
+              std::to_string((step.now_us - request.attempt_started_us) /
+                             1'000)}});
   if (TakeRetry(step, request)) {
     Dispatch(step, request);
     return;
--- a/src/libwisteriaroute/gateway/http_codec.cc
+++ b/src/libwisteriaroute/gateway/http_codec.cc
@@ -206,6 +206,7 @@
   // With any other status, Retry-After concerns the request, not the server.
   if (status == kUnavailable) {
     ReadPause(headers, head);
+    head.server_at_fault = FindHeader(headers, names.server_at_fault);
   }
   const std::string_view connection = FindHeader(headers, "connection");
   for (const auto& [name, value] : headers) {
--- a/src/libwisteriaroute/gateway/http_codec.h
+++ b/src/libwisteriaroute/gateway/http_codec.h
@@ -37,6 +37,8 @@
   std::string_view server_load;
   /** Present, and not 0, in every response of a server that is leaving. */
   std::string_view server_leaving;
+  /** Id of the server that is the reason for a status of 421 or 503. */
+  std::string_view server_at_fault;
 };
 
 /** Header names of the project's own stand-in servers. */
@@ -52,7 +54,8 @@
     .seal = "x-server-id",
     .not_run = "x-not-run",
     .server_load = "x-server-load",
-    .server_leaving = "x-server-leaving"};
+    .server_leaving = "x-server-leaving",
+    .server_at_fault = "x-server-at-fault"};
 
 /** Decodes a caller's request. Invalid fields count as absent. */
 caller_request DecodeRequest(const header_names& names,
--- a/src/libwisteriaroute/gateway/messages.h
+++ b/src/libwisteriaroute/gateway/messages.h
@@ -70,6 +70,9 @@
   std::optional<server_load> load;
   /** The server is leaving and must get no new requests. */
   bool leaving = false;
+  /** Only with status 503: id of the server that is the reason, which may be
+   * another rank of the group; empty if not given. */
+  std::string server_at_fault;
   /** Only with status 503: time for which the server must get no request. */
   std::optional<base::time_ms> pause_ms;
   /** The server asked for a pause, but its duration is invalid. */
