--- a/src/libwisteriaroute/gateway/attempts.cc
+++ b/src/libwisteriaroute/gateway/attempts.cc
@@ -216,14 +216,14 @@
       wrong_server ? attempt_verdict::kReplaced : attempt_verdict::kBusy,
       request, "not run");
   step.Count("wisteriaroute_attempt_ends_total", "end", "not_run");
-  step.Note("attempt_not_run",
-            {{"request", request.request.id},
-             {"server", request.server},
-             {"status", std::to_string(request.head->status)},
-             {"at_fault", request.head->server_at_fault},
-             {"after_ms",
-              std::to_string((step.now_us - request.attempt_started_us) /
-                             1'000)}});
+  step.Note(
+      "attempt_not_run",
+      {{"request", request.request.id},
+       {"server", request.server},
+       {"status", std::to_string(request.head->status)},
+       {"at_fault", request.head->server_at_fault},
+       {"after_ms",
+        std::to_string((step.now_us - request.attempt_started_us) / 1'000)}});
   if (TakeRetry(step, request)) {
     Dispatch(step, request);
     return;
