--- a/src/libwisteriaroute/gateway/crash_watch.cc
+++ b/src/libwisteriaroute/gateway/crash_watch.cc
@@ -121,6 +121,7 @@
     return;
   }
   found->second.crashed = true;
+  NoteServerCrash(step, event.server, event.incarnation, "probe");
   step.Count("wisteriaroute_server_crashes_total", "suspects",
              found->second.suspects.empty() ? "no" : "yes");
   RecordSuspects(step, event.server, found->second);
--- a/src/libwisteriaroute/gateway/gateway.cc
+++ b/src/libwisteriaroute/gateway/gateway.cc
@@ -122,7 +122,9 @@
     step.state.options = event.options;
   }
   void operator()(const members_updated& event) const {
-    for (const server* one : step.state.servers.Update(event.update)) {
+    for (const server* one :
+         step.state.servers.Update(event.update, step.now_us,
+                                   step.state.options.group_start_ms * 1'000)) {
       NoteLeaving(step, *one, "member_update", "");
     }
     step.Note("servers_updated",
--- a/src/libwisteriaroute/gateway/gateway.h
+++ b/src/libwisteriaroute/gateway/gateway.h
@@ -40,6 +40,8 @@
   base::time_ms min_attempt_ms = 20;
   /** Time without an event after which a stream moves to another server. */
   base::time_ms silent_stream_ms = 1'800;
+  /** Time that a group needs to run again once its last lost rank is back. */
+  base::time_ms group_start_ms = 600;
   /** Maximum size of a response that isn't a stream, and of one event of a
    * stream. A faulty server may send an unlimited number of bytes. */
   std::size_t max_response_bytes = 8 * 1024 * 1024;
--- a/src/libwisteriaroute/gateway/servers.cc
+++ b/src/libwisteriaroute/gateway/servers.cc
@@ -30,7 +30,9 @@
 }  // namespace
 
 std::vector<const server*> server_table::Update(
-    const wire::member_update& update) {
+    const wire::member_update& update,
+    base::time_us now_us,
+    base::time_us group_start_us) {
   std::vector<std::string> leaving;
   std::set<std::string, std::less<>> named;
   for (const wire::member_info& info : update.changed) {
@@ -43,6 +45,7 @@
         found->second.info.incarnation > info.incarnation) {
       continue;
     }
+    outages_.NoteRank(info, now_us, group_start_us);
     server& one = servers_[info.name];
     if (one.info.incarnation != info.incarnation) {
       // The load of a new incarnation is unknown; Load() uses the mean of the
@@ -80,7 +83,8 @@
   std::vector<server*> usable;
   for (auto& [id, one] : servers_) {
     if (one.info.backend.service == service && !one.info.leaving &&
-        one.suspended_until_us <= now_us && one.paused_until_us <= now_us) {
+        one.suspended_until_us <= now_us && one.paused_until_us <= now_us &&
+        outages_.IsRunning(one.info.backend.group, now_us)) {
       usable.push_back(&one);
     }
   }
@@ -110,6 +114,29 @@
   return first;
 }
 
+bool server_table::IsDown(std::string_view service,
+                          base::time_us now_us) const {
+  return HasAny(service) &&
+         std::ranges::none_of(servers_, [&](const auto& item) {
+           const wire::member_info& info = item.second.info;
+           return info.backend.service == service && !info.leaving &&
+                  outages_.IsRunning(info.backend.group, now_us);
+         });
+}
+
+std::optional<base::time_us> server_table::FirstGroupStart(
+    std::string_view service,
+    base::time_us now_us) const {
+  std::optional<base::time_us> first;
+  for (const auto& [id, one] : servers_) {
+    const auto start = outages_.StartTime(one.info.backend.group, now_us);
+    if (one.info.backend.service == service && start) {
+      first = std::min(first.value_or(*start), *start);
+    }
+  }
+  return first;
+}
+
 server_table::total_load server_table::TotalLoad(std::string_view pool,
                                                  base::time_us now_us) const {
   total_load total;
@@ -208,6 +235,14 @@
   }
 }
 
+bool server_table::NoteCrash(std::string_view id,
+                             std::uint64_t incarnation,
+                             base::time_us now_us) {
+  const server* crashed = Find(id);
+  return crashed != nullptr && crashed->info.incarnation == incarnation &&
+         outages_.NoteLost(crashed->info, now_us);
+}
+
 void server_table::NotePause(server& target, base::time_us until_us) {
   target.paused_until_us = std::max(target.paused_until_us, until_us);
   target.responses_after_pause = 0;
--- a/src/libwisteriaroute/gateway/servers.h
+++ b/src/libwisteriaroute/gateway/servers.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "libwisteriaroute/base/clock.h"
+#include "libwisteriaroute/gateway/group_outages.h"
 #include "libwisteriaroute/gateway/messages.h"
 #include "libwisteriaroute/wire/control_messages.h"
 
@@ -57,12 +58,15 @@
  public:
   /**
    * Applies an update from control. Returns the servers that it newly marks as
-   * leaving and that are still in the table.
+   * leaving and that are still in the table. A group runs `group_start_us`
+   * after its last lost rank is back.
    */
-  std::vector<const server*> Update(const wire::member_update& update);
+  std::vector<const server*> Update(const wire::member_update& update,
+                                    base::time_us now_us,
+                                    base::time_us group_start_us);
 
   /** Servers of a service that may get new requests, in order of id: neither
-   * leaving nor suspended nor paused. */
+   * leaving nor suspended nor paused, nor in a group that has lost a rank. */
   std::vector<server*> Usable(std::string_view service, base::time_us now_us);
 
   /** Whether the service has any server that isn't leaving. */
@@ -76,6 +80,13 @@
   std::optional<base::time_us> FirstPauseEnd(std::string_view service,
                                              base::time_us now_us) const;
 
+  /** Whether groups that have lost a rank keep the service from running. */
+  bool IsDown(std::string_view service, base::time_us now_us) const;
+
+  /** When the first group of the service runs again, if that is known. */
+  std::optional<base::time_us> FirstGroupStart(std::string_view service,
+                                               base::time_us now_us) const;
+
   /** Estimated number of requests at all servers of a pool, and how many of the
    * servers are neither leaving nor paused. */
   struct total_load {
@@ -99,6 +110,13 @@
   /** Marks this incarnation of the server as leaving. Later updates from
    * control don't undo this. */
   void NoteLeaving(server& target);
+  /**
+   * Records that a server has crashed. Returns whether this stops its group,
+   * which has been running until now.
+   */
+  bool NoteCrash(std::string_view id,
+                 std::uint64_t incarnation,
+                 base::time_us now_us);
   /** Pauses the server until `until_us`; never shortens a current pause. */
   void NotePause(server& target, base::time_us until_us);
 
@@ -115,6 +133,7 @@
 
   std::map<std::string, server, std::less<>> servers_;
   std::map<std::string, pool_load, std::less<>> pools_;
+  group_outages outages_;
   /** Ids and incarnations of servers that have announced that they leave, so
    * that late updates don't make them usable again. */
   std::set<std::pair<std::string, std::uint64_t>> leaving_incarnations_;
--- a/src/libwisteriaroute/gateway/step_context.h
+++ b/src/libwisteriaroute/gateway/step_context.h
@@ -111,6 +111,13 @@
                  std::string_view source,
                  std::string_view request);
 
+/** Keeps new work from the group of a server that has crashed. `source` tells
+ * how that is known. */
+void NoteServerCrash(step_context& step,
+                     std::string_view server,
+                     std::uint64_t incarnation,
+                     std::string_view source);
+
 /** The request of an attempt in progress, or null. */
 request_state* FindByAttempt(step_context& step, attempt_id attempt);
 
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -870,6 +870,104 @@
   }
 }
 
+// The other ranks of its group stalled requests, then refused them for seconds.
+TEST_CASE("a group that has lost a rank gets no requests") {
+  world w;
+  const auto rank = [](const std::string& group, std::uint32_t number,
+                       std::uint64_t incarnation = 1) {
+    wire::member_info info = Server(
+        group + std::to_string(number) +
+            (incarnation > 1 ? "-again" + std::to_string(incarnation) : ""),
+        incarnation);
+    info.backend.group = group;
+    info.backend.rank = number;
+    return info;
+  };
+  wire::member_update all{.full = true};
+  for (std::uint32_t number = 0; number < 3; ++number) {
+    all.changed.push_back(rank("g", number));
+    all.changed.push_back(rank("h", number));
+  }
+  w.Do(members_updated{all});
+  exchange_id next = 1;
+  const auto groups_asked = [&] {
+    std::set<std::string> groups;
+    for (int i = 0; i < 12; ++i) {
+      const std::size_t sent = w.All<start_attempt>().size();
+      w.Ask(next, "/lookup/1");
+      if (w.All<start_attempt>().size() > sent) {
+        groups.insert(w.LastAttempt().terms.expected_server.substr(0, 1));
+        w.Do(caller_left{next});
+      }
+      ++next;
+    }
+    return groups;
+  };
+  const auto crash = [&](const std::string& server) {
+    // A request that is broken off makes the gateway probe its server.
+    do {
+      w.Ask(next++, "/lookup/1");
+    } while (w.LastAttempt().terms.expected_server != server);
+    w.End(false);
+    w.Do(probe_ended{server, 1, true});
+  };
+  using groups = std::set<std::string>;
+  REQUIRE(groups_asked() == groups{"g", "h"});
+  crash("g1");
+  w.now_us += 100'000;
+  REQUIRE(groups_asked() == groups{"h"});
+
+  SUBCASE("until the rank is back, under any id, and the group has started") {
+    w.now_us += 2'000'000;
+    w.Do(members_updated{{.changed = {rank("g", 1, 2)}}});
+    CHECK(groups_asked() == groups{"h"});
+    w.now_us += w.state.options.group_start_ms * 1'000;
+    CHECK(groups_asked() == groups{"g", "h"});
+
+    SUBCASE("and late news of the first crash don't stop it again") {
+      w.Do(members_updated{all});
+      CHECK_FALSE(w.state.servers.NoteCrash("g1", 1, w.now_us));
+      CHECK(groups_asked() == groups{"g", "h"});
+    }
+    SUBCASE("but a crash of the new run does") {
+      crash("g1-again2");
+      w.Do(probe_ended{"g1-again2", 2, true});
+      CHECK(groups_asked() == groups{"h"});
+    }
+  }
+  SUBCASE("until all ranks that it lost are back") {
+    REQUIRE_FALSE(w.state.servers.NoteCrash("g2", 1, w.now_us));
+    w.Do(members_updated{{.changed = {rank("g", 1, 2)}}});
+    w.now_us += w.state.options.group_start_ms * 1'000;
+    CHECK(groups_asked() == groups{"h"});
+    w.Do(members_updated{{.changed = {rank("g", 2, 2)}}});
+    w.now_us += w.state.options.group_start_ms * 1'000;
+    CHECK(groups_asked() == groups{"g", "h"});
+  }
+  SUBCASE("or until there has been no news for long") {
+    w.now_us += 10'000'000;
+    CHECK(groups_asked() == groups{"g", "h"});
+  }
+  SUBCASE("and if all groups are down, callers are told when to retry") {
+    crash("h0");
+    w.seen.clear();
+    CHECK(groups_asked().empty());
+    CHECK(w.All<refuse>().at(0).code == "groups_down");
+    CHECK(w.All<refuse>().at(0).retry_after_ms >= 1'000);
+    w.Do(members_updated{{.changed = {rank("h", 0, 2)}}});
+    w.seen.clear();
+    CHECK(groups_asked().empty());
+    CHECK(w.All<refuse>().at(0).retry_after_ms >= 600);
+    CHECK(w.All<refuse>().at(0).retry_after_ms <= 1'000);
+  }
+  SUBCASE("and the restart of a rank whose crash wasn't seen stops it, too") {
+    w.Do(members_updated{{.changed = {rank("h", 2, 2)}}});
+    CHECK(groups_asked().empty());
+    w.now_us += w.state.options.group_start_ms * 1'000;
+    CHECK(groups_asked() == groups{"h"});
+  }
+}
+
 // A crash closed such a connection, and its caller got an empty answer.
 TEST_CASE("a stream that ends with its connection") {
   world w;
