--- a/proto/control.capnp
+++ b/proto/control.capnp
@@ -190,6 +190,11 @@
   answers @0 :List(BegunAnswer);
 }
 
+struct ServerCrash {
+  server @0 :Text;
+  incarnation @1 :UInt64;
+}
+
 struct ExpertMap {
   experts @0 :UInt32;
   ranks @1 :UInt32;
@@ -411,5 +416,6 @@
     coordinatorGrant @22 :CoordinatorGrant;
     crashReports @23 :CrashReports;
     answersBegun @24 :AnswersBegun;
+    serverCrash @25 :ServerCrash;
   }
 }
--- a/src/gateway/daemon.cc
+++ b/src/gateway/daemon.cc
@@ -160,6 +160,8 @@
   } else if (const auto* changes =
                  std::get_if<wire::quarantine_update>(&message)) {
     Handle(quarantine_changed{*changes});
+  } else if (const auto* crash = std::get_if<wire::server_crash>(&message)) {
+    Handle(server_crash_reported{*crash});
   }
   UpdateSession();
 }
--- a/src/libwisteriaroute/control/replica.cc
+++ b/src/libwisteriaroute/control/replica.cc
@@ -7,6 +7,7 @@
 #include "libwisteriaroute/control/group_controller.h"
 #include "libwisteriaroute/control/group_policy.h"
 #include "libwisteriaroute/control/proposals.h"
+#include "libwisteriaroute/control/server_reports.h"
 #include "libwisteriaroute/control/sessions.h"
 #include "libwisteriaroute/control/updates.h"
 
@@ -147,6 +148,11 @@
       Propose(state, answers, std::monostate{}, now, out);
     }
   }
+  void operator()(const wire::server_crash& crash) const {
+    if (RequireLeader()) {
+      HandleServerCrash(state, link, crash, out);
+    }
+  }
   void operator()(const wire::order_result& result) const {
     if (state.leadership) {
       HandleOrderResult(state, link, result, now, out);
--- a/src/libwisteriaroute/control/replica.h
+++ b/src/libwisteriaroute/control/replica.h
@@ -98,6 +98,9 @@
   base::time_us config_sent_us = 0;
   /** Role kServer only: highest report sequence number of its incarnation. */
   std::uint64_t report_sequence = 0;
+  /** Role kServer only: an entry has reported that this incarnation has
+   * crashed; 0: none. */
+  std::uint64_t crashed_incarnation = 0;
 };
 
 /** An unexpired lease of an earlier incarnation of a member. */
--- a/src/libwisteriaroute/control/server_reports.cc
+++ b/src/libwisteriaroute/control/server_reports.cc
@@ -1,5 +1,8 @@
 #include "libwisteriaroute/control/server_reports.h"
 
+#include <utility>
+#include <vector>
+
 #include "libwisteriaroute/control/sessions.h"
 #include "libwisteriaroute/control/updates.h"
 
@@ -68,4 +71,29 @@
   FlushMembers(state, now, out);
 }
 
+void HandleServerCrash(replica_state& state,
+                       net::link_id reporter,
+                       const wire::server_crash& crash,
+                       replica_effects& out) {
+  auto& sessions = state.leadership->sessions;
+  const auto found = sessions.find(crash.server);
+  if (found == sessions.end() ||
+      found->second.info.incarnation != crash.incarnation ||
+      found->second.crashed_incarnation == crash.incarnation) {
+    return;
+  }
+  found->second.crashed_incarnation = crash.incarnation;
+  RecordMemberEvent(found->second.info, "server_crashed", out);
+  std::vector<net::link_id> links;
+  for (const auto& [name, session] : sessions) {
+    if (session.info.role == wire::member_role::kEntry && session.link != 0 &&
+        session.link != reporter) {
+      links.push_back(session.link);
+    }
+  }
+  if (!links.empty()) {
+    out.push_back(send_to_links{std::move(links), crash});
+  }
+}
+
 }  // namespace wisteriaroute::control
--- a/src/libwisteriaroute/control/server_reports.h
+++ b/src/libwisteriaroute/control/server_reports.h
@@ -16,6 +16,15 @@
                         const step_time& now,
                         replica_effects& out);
 
+/**
+ * Tells all entries but the one that reported it that a server has crashed,
+ * once for each incarnation. `state.leadership` must be set.
+ */
+void HandleServerCrash(replica_state& state,
+                       net::link_id reporter,
+                       const wire::server_crash& crash,
+                       replica_effects& out);
+
 }  // namespace wisteriaroute::control
 
 #endif  // LIBWISTERIAROUTE_CONTROL_SERVER_REPORTS_H_
--- a/src/libwisteriaroute/gateway/crash_watch.cc
+++ b/src/libwisteriaroute/gateway/crash_watch.cc
@@ -122,6 +122,8 @@
   }
   found->second.crashed = true;
   NoteServerCrash(step, event.server, event.incarnation, "probe");
+  step.out.push_back(
+      send_control{wire::server_crash{event.server, event.incarnation}});
   step.Count("wisteriaroute_server_crashes_total", "suspects",
              found->second.suspects.empty() ? "no" : "yes");
   RecordSuspects(step, event.server, found->second);
--- a/src/libwisteriaroute/gateway/gateway.cc
+++ b/src/libwisteriaroute/gateway/gateway.cc
@@ -151,6 +151,10 @@
   void operator()(const quarantine_changed& event) const {
     HandleQuarantine(step, event.update);
   }
+  void operator()(const server_crash_reported& event) const {
+    NoteServerCrash(step, event.crash.server, event.crash.incarnation,
+                    "control");
+  }
   void operator()(const control_opened&) const { HandleControlOpened(step); }
   void operator()(const gateway_tick&) const {
     CheckTimes(step);
--- a/src/libwisteriaroute/gateway/gateway.h
+++ b/src/libwisteriaroute/gateway/gateway.h
@@ -161,6 +161,10 @@
 struct quarantine_changed {
   wire::quarantine_update update;
 };
+/** Another entry has seen that a server crashed. */
+struct server_crash_reported {
+  wire::server_crash crash;
+};
 /** A session with a leader of control was opened. */
 struct control_opened {};
 /** Due every kGatewayTickUs while NeedsTick(). */
@@ -178,6 +182,7 @@
                                    attempt_ended,
                                    probe_ended,
                                    quarantine_changed,
+                                   server_crash_reported,
                                    control_opened,
                                    gateway_tick>;
 
--- a/src/libwisteriaroute/wire/control_messages.cc
+++ b/src/libwisteriaroute/wire/control_messages.cc
@@ -387,6 +387,11 @@
   void operator()(const answers_begun& from) {
     WriteFields(from, root.initAnswersBegun());
   }
+  void operator()(const server_crash& from) {
+    auto to = root.initServerCrash();
+    to.setServer(from.server);
+    to.setIncarnation(from.incarnation);
+  }
   void operator()(const order& from) { WriteFields(from, root.initOrder()); }
   void operator()(const order_result& from) {
     WriteFields(from, root.initOrderResult());
@@ -461,6 +466,9 @@
       return ReadFields(root.getCrashReports());
     case proto::ControlMessage::ANSWERS_BEGUN:
       return ReadFields(root.getAnswersBegun());
+    case proto::ControlMessage::SERVER_CRASH:
+      return server_crash{root.getServerCrash().getServer(),
+                          root.getServerCrash().getIncarnation()};
     case proto::ControlMessage::ORDER:
       return ReadFields(root.getOrder());
     case proto::ControlMessage::ORDER_RESULT:
--- a/src/libwisteriaroute/wire/control_messages.h
+++ b/src/libwisteriaroute/wire/control_messages.h
@@ -315,6 +315,17 @@
   bool operator==(const crash_reports&) const = default;
 };
 
+/**
+ * Entry to control, and from there to all other entries: a server's process has
+ * ended unexpectedly.
+ */
+struct server_crash {
+  std::string server;
+  std::uint64_t incarnation = 0;
+
+  bool operator==(const server_crash&) const = default;
+};
+
 /** The latest answer to a request, or to any prompt with a part. */
 struct begun_answer {
   base::digest128 fingerprint;
@@ -685,7 +696,8 @@
                                      rank_presence,
                                      coordinator_grant,
                                      crash_reports,
-                                     answers_begun>;
+                                     answers_begun,
+                                     server_crash>;
 
 /** Encodes for a link. */
 std::string Encode(const control_message& message);
--- a/tests/control/server_reports_test.cc
+++ b/tests/control/server_reports_test.cc
@@ -94,6 +94,39 @@
   }
 }
 
+TEST_CASE("entries are told of a crash that another entry has seen") {
+  constexpr net::link_id kOtherLink = 6;
+  leader_world w;
+  w.state.leadership->sessions["other"].link = kOtherLink;
+  w.Handle(Report(2, 1));
+  const auto told = [&](net::link_id reporter, std::uint64_t incarnation) {
+    replica_effects out;
+    HandleServerCrash(w.state, reporter, {"i-1", incarnation}, out);
+    std::vector<net::link_id> links;
+    for (const replica_effect& effect : out) {
+      if (const auto* send = std::get_if<send_to_links>(&effect)) {
+        CHECK(std::get<wire::server_crash>(send->message).incarnation == 2);
+        links.insert(links.end(), send->links.begin(), send->links.end());
+      }
+    }
+    return links;
+  };
+  using links = std::vector<net::link_id>;
+
+  SUBCASE("once, all but the one that reports it") {
+    CHECK(told(kEntryLink, 2) == links{kOtherLink});
+    CHECK(told(kOtherLink, 2).empty());
+  }
+  SUBCASE("unless the server has started again") {
+    w.Handle(Report(3, 1));
+    CHECK(told(kEntryLink, 2).empty());
+  }
+  SUBCASE("or isn't known") {
+    w.state.leadership->sessions.erase("i-1");
+    CHECK(told(kEntryLink, 2).empty());
+  }
+}
+
 TEST_CASE("the highest version of a document wins") {
   config_history history;
   CHECK_FALSE(PublishDocument(history, {7, "seven"}).repeated);
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -948,6 +948,13 @@
     w.now_us += 10'000'000;
     CHECK(groups_asked() == groups{"g", "h"});
   }
+  SUBCASE("and other entries are told through control") {
+    const auto told = w.All<send_control>().at(0);
+    REQUIRE(std::holds_alternative<wire::server_crash>(told.message));
+    CHECK(std::get<wire::server_crash>(told.message).server == "g1");
+    w.Do(server_crash_reported{{"h2", 1}});
+    CHECK(groups_asked().empty());
+  }
   SUBCASE("and if all groups are down, callers are told when to retry") {
     crash("h0");
     w.seen.clear();
--- a/tests/wire/codec_test.cc
+++ b/tests/wire/codec_test.cc
@@ -87,6 +87,7 @@
           {{kDigest, 7, {{kAttempt, {{kDigest, true}, {kAttempt}}}, {kDigest}}},
            {kAttempt}}},
       answers_begun{{{kDigest, 8}, {kAttempt}}},
+      server_crash{"s", 1'764'871'175'000},
       sample_order,
       order_result{1, {2, 3}, order_status::kTooLate, 4, "late"},
       group_report{"g", 1, 2, 3, 4, 5, 6, 7, {8, 9}},
