--- a/src/libwisteriaroute/gateway/attempts.cc
+++ b/src/libwisteriaroute/gateway/attempts.cc
@@ -94,6 +94,8 @@
 void ForwardEvents(step_context& step,
                    request_state& request,
                    std::string_view data) {
+  // The wait for a server's first event says nothing about its pace.
+  const bool follows_event = request.attempt_events > 0;
   std::string forwarded;
   for (stream_event& event : request.framer.Feed(data)) {
     if (event.id && request.last_event_id) {
@@ -127,8 +129,10 @@
   if (forwarded.empty()) {
     return;
   }
-  if (request.phase == request_phase::kStreaming) {
+  if (follows_event) {
     RecordEventGap(step, request);
+  }
+  if (request.phase == request_phase::kStreaming) {
     step.Measure("wisteriaroute_event_gap_seconds",
                  step.now_us - request.last_event_us);
   }
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -557,6 +557,39 @@
   }
 }
 
+// Streams that moved from a crashed group made the others admit too few.
+TEST_CASE("the wait for the first event of a continued stream isn't a gap") {
+  world w;
+  config::traffic_set set = Traffic();
+  for (config::route& route : set.routes) {
+    route.gap_objective_ms = 120;
+  }
+  set.services[0].engine = config::engine_shape{
+      .slots = 8, .step_ms = 10, .step_ms_per_sequence = 1};
+  w.Do(traffic_published{
+      std::make_shared<const config::traffic_index>(std::move(set))});
+  for (exchange_id exchange = 1; exchange <= 8; ++exchange) {
+    w.Ask(exchange, "/draft/1");
+    w.Head(200, true, true);
+    w.Data("id: 0\ndata: a\n\n");
+    w.End(false);
+    w.Head(200, true, true);
+    w.now_us += 700'000;
+    w.Data("id: 1\ndata: b\n\n");
+    CHECK(w.state.stream_limits["orders"].streams == 0);
+    CHECK(w.state.slowdown_reserves["orders"].events == 0);
+    w.Do(caller_left{exchange});
+  }
+  SUBCASE("but each later one is") {
+    w.Ask(9, "/draft/1");
+    w.Head(200, true, true);
+    w.Data("id: 0\ndata: a\n\n");
+    w.Data("id: 1\ndata: b\n\n");
+    CHECK(w.state.stream_limits["orders"].streams > 0);
+    CHECK(w.state.slowdown_reserves["orders"].events == 1);
+  }
+}
+
 // Guards against a faulty server that makes the gateway buffer without bound.
 TEST_CASE("a server that sends an endless response is abandoned") {
   world w;
