gateway: a part that was never answered goes to one group only

Now such a part is refused rather than sent elsewhere while its group is full or down. It starts in another group only if its own leaves and it is no suspect. The test "and elsewhere if that group can't take it" asked for the old behaviour; it is replaced by three: leaves, is full, is down.

--- a/src/libwisteriaroute/gateway/placement.cc
+++ b/src/libwisteriaroute/gateway/placement.cc
@@ -147,15 +147,18 @@
 }
 
 /** The pool of the service that a part is first answered in, the same for all
- * entries; empty if there is none. */
+ * entries; empty if there is none. Pools that leave count only if
+ * `include_leaving` is set. */
 std::string_view TrialPool(const server_table& servers,
                            std::string_view service,
-                           const prompt_part& part) {
+                           const prompt_part& part,
+                           bool include_leaving) {
   std::string_view best;
   std::uint64_t best_hash = 0;
   for (const auto& [id, one] : servers.all()) {
     const std::string& pool = PoolOf(one.info);
-    if (one.info.backend.service != service || pool == best) {
+    if (one.info.backend.service != service || pool == best ||
+        (one.info.leaving && !include_leaving)) {
       continue;
     }
     const std::uint64_t hash = base::Hash64(pool, part.digest.low);
@@ -168,8 +171,9 @@
 }
 
 // A part that crashes servers may come so often that all groups are down before
-// any entry knows it. So a part that was never answered starts in one pool, and
-// one that may have caused a crash stays there.
+// any entry knows it. So a part that was never answered goes to one pool only,
+// even if that is full or down, and one that may have caused a crash stays
+// there even if the pool leaves.
 std::optional<std::size_t> Choose(step_context& step,
                                   const request_state& request,
                                   const std::vector<server*>& servers) {
@@ -177,16 +181,11 @@
   const prompt_part* unproven = request.phase == request_phase::kStreaming
                                     ? nullptr
                                     : FindUnprovenPart(watch, request.request);
-  if (unproven == nullptr) {
-    return ChooseInPool(step, request, servers, "");
-  }
-  const std::string_view pool =
-      TrialPool(step.state.servers, request.service, *unproven);
-  const auto chosen = ChooseInPool(step, request, servers, pool);
-  if (chosen || IsSuspect(watch, *unproven)) {
-    return chosen;
-  }
-  return ChooseInPool(step, request, servers, "");
+  return ChooseInPool(step, request, servers,
+                      unproven == nullptr
+                          ? ""
+                          : TrialPool(step.state.servers, request.service,
+                                      *unproven, IsSuspect(watch, *unproven)));
 }
 
 }  // namespace
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -878,6 +878,7 @@
     std::set<std::string> groups;
     for (int i = 0; i < 20; ++i) {
       groups.insert(ask("b" + std::to_string(i)));
+      w.Do(caller_left{next - 1});
     }
     CHECK(groups.size() == 3);
   }
@@ -886,10 +887,18 @@
     w.Data("id: 1\ndata: x\n\n");
     CHECK(groups_of("a").size() > 1);
   }
-  SUBCASE("and elsewhere if that group can't take it") {
+  SUBCASE("and elsewhere if that group leaves") {
     leave();
     CHECK_FALSE(groups_of("a").contains(""));
   }
+  SUBCASE("but not if that group is full") {
+    w.state.stream_limits[trial].streams = 0.1;
+    CHECK(groups_of("a") == std::set<std::string>{""});
+  }
+  SUBCASE("nor if it is down") {
+    w.Do(server_crash_reported{{trial + "0", 1}});
+    CHECK(groups_of("a") == std::set<std::string>{""});
+  }
   SUBCASE("but not if it may have crashed a server there") {
     SUBCASE("as this entry has seen") {
       w.End(false);
