gateway: if all groups are down, their ranks decide

Ranks serve requests that they get while their group starts, which the gateway refused until it was sure.

Now groups that are down are avoided only while another one of the service runs. The refusal `groups_down` is gone; ranks refuse what they can't run.

--- a/src/libwisteriaroute/gateway/group_outages.cc
+++ b/src/libwisteriaroute/gateway/group_outages.cc
@@ -61,17 +61,6 @@
   return found == groups_.end() || found->second.down_until_us <= now_us;
 }
 
-std::optional<base::time_us> group_outages::StartTime(
-    std::string_view name,
-    base::time_us now_us) const {
-  if (IsRunning(name, now_us)) {
-    return std::nullopt;
-  }
-  const group& target = groups_.find(name)->second;
-  return target.lost_ranks.empty() ? std::optional(target.down_until_us)
-                                   : std::nullopt;
-}
-
 void group_outages::SetDown(group& target, base::time_us until_us) {
   target.down_until_us = until_us;
   all_run_us_ = std::max(all_run_us_, until_us);
--- a/src/libwisteriaroute/gateway/group_outages.h
+++ b/src/libwisteriaroute/gateway/group_outages.h
@@ -3,7 +3,6 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -34,10 +33,6 @@
   /** Whether ranks of the group may get requests. */
   bool IsRunning(std::string_view group, base::time_us now_us) const;
 
-  /** When the group runs again; nothing if it runs or that isn't known. */
-  std::optional<base::time_us> StartTime(std::string_view group,
-                                         base::time_us now_us) const;
-
  private:
   struct group {
     /** Newest incarnation by rank; a rank may start again under a new id. */
--- a/src/libwisteriaroute/gateway/placement.cc
+++ b/src/libwisteriaroute/gateway/placement.cc
@@ -232,12 +232,6 @@
     GiveUp(step, request, "no_other_server");
   } else if (!step.state.servers.HasAny(request.service)) {
     Refuse(step, request, kUnavailable, "no_server", kNoServerRetryMs + spread);
-  } else if (step.state.servers.IsDown(request.service, step.now_us)) {
-    const auto start =
-        step.state.servers.FirstGroupStart(request.service, step.now_us);
-    Refuse(
-        step, request, kUnavailable, "groups_down",
-        spread + (start ? (*start - step.now_us) / 1'000 : kNoServerRetryMs));
   } else if (pause_ends_us) {
     Refuse(step, request, kUnavailable, "servers_paused",
            (*pause_ends_us - step.now_us) / 1'000 + spread);
--- a/src/libwisteriaroute/gateway/servers.cc
+++ b/src/libwisteriaroute/gateway/servers.cc
@@ -81,10 +81,13 @@
 std::vector<server*> server_table::Usable(std::string_view service,
                                           base::time_us now_us) {
   std::vector<server*> usable;
+  // If all groups are down, their ranks decide: they refuse requests, or run
+  // those that they get while they start.
+  const bool is_running = IsRunning(service, now_us);
   for (auto& [id, one] : servers_) {
     if (one.info.backend.service == service && !one.info.leaving &&
         one.suspended_until_us <= now_us && one.paused_until_us <= now_us &&
-        outages_.IsRunning(one.info.backend.group, now_us)) {
+        (!is_running || outages_.IsRunning(one.info.backend.group, now_us))) {
       usable.push_back(&one);
     }
   }
@@ -114,27 +117,13 @@
   return first;
 }
 
-bool server_table::IsDown(std::string_view service,
-                          base::time_us now_us) const {
-  return HasAny(service) &&
-         std::ranges::none_of(servers_, [&](const auto& item) {
-           const wire::member_info& info = item.second.info;
-           return info.backend.service == service && !info.leaving &&
-                  outages_.IsRunning(info.backend.group, now_us);
-         });
-}
-
-std::optional<base::time_us> server_table::FirstGroupStart(
-    std::string_view service,
-    base::time_us now_us) const {
-  std::optional<base::time_us> first;
-  for (const auto& [id, one] : servers_) {
-    const auto start = outages_.StartTime(one.info.backend.group, now_us);
-    if (one.info.backend.service == service && start) {
-      first = std::min(first.value_or(*start), *start);
-    }
-  }
-  return first;
+bool server_table::IsRunning(std::string_view service,
+                             base::time_us now_us) const {
+  return std::ranges::any_of(servers_, [&](const auto& item) {
+    const wire::member_info& info = item.second.info;
+    return info.backend.service == service && !info.leaving &&
+           outages_.IsRunning(info.backend.group, now_us);
+  });
 }
 
 server_table::total_load server_table::TotalLoad(std::string_view pool,
--- a/src/libwisteriaroute/gateway/servers.h
+++ b/src/libwisteriaroute/gateway/servers.h
@@ -66,7 +66,8 @@
                                     base::time_us group_start_us);
 
   /** Servers of a service that may get new requests, in order of id: neither
-   * leaving nor suspended nor paused, nor in a group that has lost a rank. */
+   * leaving nor suspended nor paused, nor in a group that has lost a rank
+   * unless all groups have. */
   std::vector<server*> Usable(std::string_view service, base::time_us now_us);
 
   /** Whether the service has any server that isn't leaving. */
@@ -80,13 +81,6 @@
   std::optional<base::time_us> FirstPauseEnd(std::string_view service,
                                              base::time_us now_us) const;
 
-  /** Whether groups that have lost a rank keep the service from running. */
-  bool IsDown(std::string_view service, base::time_us now_us) const;
-
-  /** When the first group of the service runs again, if that is known. */
-  std::optional<base::time_us> FirstGroupStart(std::string_view service,
-                                               base::time_us now_us) const;
-
   /** Estimated number of requests at all servers of a pool, and how many of the
    * servers are neither leaving nor paused. */
   struct total_load {
@@ -126,6 +120,9 @@
   }
 
  private:
+  /** Whether a group of the service, or a server outside of groups, runs. */
+  bool IsRunning(std::string_view service, base::time_us now_us) const;
+
   /** Mean load of the servers of a pool; nothing if there are too few recent
    * reports. */
   std::optional<double> MeanLoad(std::string_view pool,
