agent: at most one suspect runs at a server

The entries still count suspects that have been cleared meanwhile, so neither gets one, and after 1.5 s both may run anywhere; both choose the same server at the same tick. It crashes, and both have been in two crashes. Entries can't know each other's choices.

A submit now tells that its request is a suspect, and an agent refuses it while another one runs or waits there. The refusal doesn't count as an attempt.

--- a/proto/work.capnp
+++ b/proto/work.capnp
@@ -25,6 +25,7 @@
   resumeOffset @15 :UInt64;
   resumeText @16 :Data;
   fingerprint @17 :Common.Digest128;
+  isolated @18 :Bool;
 }
 
 struct Cancel {
--- a/src/libwisteriaroute/agent/work.cc
+++ b/src/libwisteriaroute/agent/work.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <optional>
+#include <ranges>
 
 #include "libwisteriaroute/agent/step_context.h"
 
@@ -142,6 +143,16 @@
   }
 }
 
+/** Whether the attempt may not run beside another one that is isolated. */
+bool IsBesideIsolated(const agent_state& state, const wire::submit& work) {
+  const auto is_isolated = [&](const wire::attempt_id& id) {
+    return state.attempts.at(id).body->work->isolated;
+  };
+  return work.isolated &&
+         (std::ranges::any_of(state.running, is_isolated) ||
+          std::ranges::any_of(std::views::values(state.queue), is_isolated));
+}
+
 /** Returns why a new attempt is refused now, or nullopt to accept it. */
 std::optional<wire::refusal_reason> ReasonToRefuse(const step_context& context,
                                                    const wire::submit& work) {
@@ -162,6 +173,9 @@
       SlotCount(state) + state.options.queue) {
     return wire::refusal_reason::kOverloaded;
   }
+  if (IsBesideIsolated(state, work)) {
+    return wire::refusal_reason::kSuspectRuns;
+  }
   return std::nullopt;
 }
 
--- a/src/libwisteriaroute/entry/attempts.cc
+++ b/src/libwisteriaroute/entry/attempts.cc
@@ -52,9 +52,9 @@
 
 std::string_view Name(wire::refusal_reason reason) {
   constexpr std::string_view kNames[] = {
-      "other_incarnation", "window_over", "queried_before",
-      "leaving",           "no_lease",    "unhealthy",
-      "overloaded",        "cancelled",   "deadline"};
+      "other_incarnation", "window_over", "queried_before", "leaving",
+      "no_lease",          "unhealthy",   "overloaded",     "cancelled",
+      "deadline",          "suspect_runs"};
   return kNames[static_cast<std::size_t>(reason)];
 }
 
@@ -89,6 +89,7 @@
   out.headers.emplace_back("x-request-id", request.request_id);
   out.body = request.body;
   out.fingerprint = request.fingerprint;
+  out.isolated = request.suspect;
   if (request.kind != wire::work_kind::kPlain) {
     out.resume_offset = request.response.offset;
     out.resume_text = request.response.text;
@@ -289,6 +290,10 @@
   }
   step.Emit(count_metric{"wisteriaroute_refusals_total{reason=\"" +
                          std::string(Name(message.reason)) + "\"}"});
+  // The request waits for another one to end, which may take long.
+  if (message.reason == wire::refusal_reason::kSuspectRuns) {
+    --request->attempts;
+  }
   HandleNeverRuns(step, *request, Name(message.reason), message.retry_after_ms);
 }
 
--- a/src/libwisteriaroute/wire/work_messages.cc
+++ b/src/libwisteriaroute/wire/work_messages.cc
@@ -28,6 +28,7 @@
   to.setResumeOffset(from.resume_offset);
   to.setResumeText(AsData(from.resume_text));
   Write(from.fingerprint, to.initFingerprint());
+  to.setIsolated(from.isolated);
 }
 
 submit ReadFields(proto::Submit::Reader from) {
@@ -48,7 +49,8 @@
           .body = ReadData(from.getBody()),
           .resume_offset = from.getResumeOffset(),
           .resume_text = ReadData(from.getResumeText()),
-          .fingerprint = Read(from.getFingerprint())};
+          .fingerprint = Read(from.getFingerprint()),
+          .isolated = from.getIsolated()};
 }
 
 void WriteFields(const head& from, proto::Head::Builder to) {
@@ -250,7 +252,7 @@
     case proto::WorkMessage::REFUSED: {
       const auto from = root.getRefused();
       return refused{Read(from.getAttempt()),
-                     ReadEnum<refusal_reason>(from.getReason(), 9),
+                     ReadEnum<refusal_reason>(from.getReason(), 10),
                      from.getRetryAfterMs()};
     }
     case proto::WorkMessage::FAILED:
--- a/src/libwisteriaroute/wire/work_messages.h
+++ b/src/libwisteriaroute/wire/work_messages.h
@@ -39,6 +39,9 @@
   std::string resume_text;
   /** Digest of workspace and body; identifies requests that cause crashes. */
   base::digest128 fingerprint;
+  /** The request may have crashed a server. At most one such request runs at a
+   * server at a time. */
+  bool isolated = false;
 
   bool operator==(const submit&) const = default;
 };
@@ -142,6 +145,7 @@
   kOverloaded,
   kCancelled,
   kDeadline,
+  kSuspectRuns,
 };
 
 /** Agent to entry: this attempt did not run and never will. */
--- a/tests/agent/agent_property_harness.cc
+++ b/tests/agent/agent_property_harness.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "tests/agent/agent_world.h"
 
 namespace wisteriaroute::agent {
@@ -79,6 +81,10 @@
   RC_ASSERT(!effect.is_reconnect || !Plain(*effect.work));
   call.produced = effect.resume_from;
   active_.insert(id);
+  RC_ASSERT(std::count_if(active_.begin(), active_.end(),
+                          [&](const wire::attempt_id& each) {
+                            return attempts_[each.low].work.isolated;
+                          }) <= 1);
 }
 
 void agent_world::Observe(const cancel_call& effect) {
@@ -163,7 +169,8 @@
                     .window = known_.window,
                     .claimed = next.how % 4 == 0,
                     .priority = static_cast<std::uint8_t>(next.which % 3),
-                    .deadline_ms = next.which % 7 == 0 ? 700 : 0};
+                    .deadline_ms = next.which % 7 == 0 ? 700 : 0,
+                    .isolated = next.how % 5 == 1};
   if (!Plain(work) && next.which % 3 == 0) {
     work.resume_offset = 5;
   }
--- a/tests/entry/fake_agent.h
+++ b/tests/entry/fake_agent.h
@@ -181,15 +181,21 @@
       }
       return;
     }
+    const bool beside_isolated =
+        work.isolated && std::ranges::any_of(runs, [](const auto& item) {
+          return item.second.state == phase::kRunning &&
+                 item.second.work.isolated;
+        });
     attempt_run& added = runs[work.attempt];
     added.work = work;
     const bool wrong_incarnation = work.backend_incarnation != incarnation;
-    if (wrong_incarnation || !healthy || refuse_submit()) {
+    if (wrong_incarnation || !healthy || beside_isolated || refuse_submit()) {
       added.state = phase::kNeverRuns;
-      send(link, wire::refused{work.attempt,
-                               wrong_incarnation
-                                   ? wire::refusal_reason::kOtherIncarnation
-                                   : wire::refusal_reason::kOverloaded});
+      send(link, wire::refused{
+                     work.attempt,
+                     wrong_incarnation ? wire::refusal_reason::kOtherIncarnation
+                     : beside_isolated ? wire::refusal_reason::kSuspectRuns
+                                       : wire::refusal_reason::kOverloaded});
       return;
     }
     added.links.insert(link);
