wire: headers of their own for crashes and for ranks

The messages about crashes and quarantine and those between a group's sidecars move, unchanged, to crash_messages.h and rank_messages.h, which it includes.

--- a/src/libwisteriaroute/wire/control_messages.h
+++ b/src/libwisteriaroute/wire/control_messages.h
@@ -11,6 +11,8 @@
 
 #include "libwisteriaroute/base/event_ring.h"
 #include "libwisteriaroute/wire/common.h"
+#include "libwisteriaroute/wire/crash_messages.h"
+#include "libwisteriaroute/wire/rank_messages.h"
 
 namespace wisteriaroute::wire {
 
@@ -151,28 +153,6 @@
   bool operator==(const member_update&) const = default;
 };
 
-enum class quarantine_state : std::uint8_t { kSuspect, kQuarantined };
-
-struct quarantine_entry {
-  base::digest128 fingerprint;
-  quarantine_state state = quarantine_state::kSuspect;
-  std::uint32_t crashes = 0;
-  /** Time of the replicated log, Unix ms. */
-  std::int64_t since_ms = 0;
-  /** A part of prompts, not a whole request. */
-  bool is_part = false;
-
-  bool operator==(const quarantine_entry&) const = default;
-};
-
-struct quarantine_update {
-  bool full = false;
-  std::vector<quarantine_entry> changed;
-  std::vector<base::digest128> removed;
-
-  bool operator==(const quarantine_update&) const = default;
-};
-
 /** Attempt and backend server that a claimed call is assigned to. */
 struct claim_target {
   attempt_id attempt;
@@ -262,86 +242,6 @@
   bool operator==(const claim_reply&) const = default;
 };
 
-/** Agent to control: requests that ran when the backend server was lost. */
-struct suspect_report {
-  std::string agent;
-  std::uint64_t backend_incarnation = 0;
-  std::vector<base::digest128> running;
-
-  bool operator==(const suspect_report&) const = default;
-};
-
-/** Entry to control: a suspect request ran to its end; clears the suspicion. */
-struct suspect_cleared {
-  base::digest128 fingerprint;
-
-  bool operator==(const suspect_cleared&) const = default;
-};
-
-/** A part of a prompt that a suspect request shares with other requests. */
-struct suspect_part {
-  base::digest128 fingerprint;
-  /** Whether a server has begun to answer a prompt with this part, as far as
-   * the reporting entry knows. */
-  bool answered = false;
-
-  bool operator==(const suspect_part&) const = default;
-};
-
-/** A request that a server had not begun to answer when it crashed. */
-struct suspect_request {
-  base::digest128 fingerprint;
-  /** In the order of the prompt. */
-  std::vector<suspect_part> parts;
-
-  bool operator==(const suspect_request&) const = default;
-};
-
-/** A server's crash as one entry has seen it. */
-struct crash_report {
-  /** Of the server's name and incarnation: the same for all entries. */
-  base::digest128 id;
-  /** Time since the crash. */
-  std::int64_t age_ms = 0;
-  std::vector<suspect_request> suspects;
-
-  bool operator==(const crash_report&) const = default;
-};
-
-/** Entry or agent to control; may be sent again. */
-struct crash_reports {
-  std::vector<crash_report> crashes;
-
-  bool operator==(const crash_reports&) const = default;
-};
-
-/**
- * Entry to control, and from there to all other entries: a server's process has
- * ended unexpectedly.
- */
-struct server_crash {
-  std::string server;
-  std::uint64_t incarnation = 0;
-
-  bool operator==(const server_crash&) const = default;
-};
-
-/** The latest answer to a request, or to any prompt with a part. */
-struct begun_answer {
-  base::digest128 fingerprint;
-  /** Time since the answer began. */
-  std::int64_t age_ms = 0;
-
-  bool operator==(const begun_answer&) const = default;
-};
-
-/** Entry to control: answers that concern suspects or quarantined ones. */
-struct answers_begun {
-  std::vector<begun_answer> answers;
-
-  bool operator==(const answers_begun&) const = default;
-};
-
 /** Experts in the slots of each layer and rank, flattened. */
 struct expert_map {
   std::uint32_t experts = 0;
@@ -494,117 +394,6 @@
   bool operator==(const rebalance_request&) const = default;
 };
 
-/** Experts of one rank in one set. */
-using expert_list = std::vector<std::uint16_t>;
-/** Experts by set and rank. */
-using expert_placement = std::vector<std::vector<expert_list>>;
-
-/**
- * Sidecar to its group's coordinator: the state of its rank. Versions and
- * steps are 0 if there is none.
- */
-struct rank_status {
-  std::string service;
-  std::string group;
-  /** Number that the platform gives to this formation of the group. */
-  std::uint64_t formation = 0;
-  std::uint32_t rank = 0;
-  std::uint32_t ranks = 0;
-  /** Whether the group runs. */
-  bool group_running = false;
-  /** Last step that the rank started. */
-  std::uint64_t step = 0;
-  std::uint64_t map_version = 0;
-  std::uint64_t prepared_version = 0;
-  std::uint64_t armed_version = 0;
-  std::uint64_t armed_step = 0;
-  std::uint64_t held_step = 0;
-  /** Tokens of the last count window by set and expert; may be empty. */
-  std::vector<std::uint32_t> expert_tokens;
-  /** Experts of this rank by set, in the map in use; empty: as sent before. */
-  std::vector<expert_list> experts;
-  /** Highest coordinator term that the sidecar has received. */
-  std::uint64_t term = 0;
-  /** `IP:port` of the rank's server. */
-  std::string server;
-
-  bool operator==(const rank_status&) const = default;
-};
-
-enum class rank_order_kind : std::uint8_t {
-  /** Refuse orders of older terms. Not passed on to the rank's server. */
-  kFence,
-  /** Copy the experts that the map needs. */
-  kPrepare,
-  /** Switch to the prepared map at the start of the step. */
-  kArm,
-  /** Revoke an arm order that can't be completed. */
-  kDisarm,
-  /** The group doesn't start the step before kRelease reaches this rank. */
-  kHold,
-  kRelease,
-};
-
-/**
- * Coordinator to the sidecar of a rank. Resent until the rank's status shows
- * that it was executed.
- */
-struct rank_order {
-  rank_order_kind kind = rank_order_kind::kPrepare;
-  /** Term of the coordinator's grant; lower terms are refused. */
-  std::uint64_t term = 0;
-  std::uint64_t formation = 0;
-  std::uint64_t version = 0;
-  std::uint64_t step = 0;
-  expert_placement placement;
-
-  bool operator==(const rank_order&) const = default;
-};
-
-/** Sidecar to control: its rank is present. Sent every few seconds. */
-struct rank_presence {
-  std::string service;
-  std::string group;
-  std::uint32_t rank = 0;
-  std::uint32_t ranks = 0;
-  /** Highest coordinator term that the sidecar has received. */
-  std::uint64_t term = 0;
-  /** Whether the link to the coordinator is up, or went down within 1 s. */
-  bool coordinator_linked = false;
-
-  bool operator==(const rank_presence&) const = default;
-};
-
-/** Dimensions and limits of a group's expert placement. */
-struct placement_shape {
-  std::uint32_t sets = 0;
-  std::uint32_t experts = 0;
-  /** Maximum number of experts of a set on one rank. */
-  std::uint32_t slots = 0;
-  /** Maximum number of experts of a set that a rank receives in one change. */
-  std::uint32_t spare_slots = 0;
-  /** Time to copy one expert to a rank. */
-  std::uint64_t copy_us = 0;
-
-  bool operator==(const placement_shape&) const = default;
-};
-
-/** Control to the sidecars of a group: the group's coordinator. */
-struct coordinator_grant {
-  std::string group;
-  /** Increases with each grant; 0: the group has no coordinator. */
-  std::uint64_t term = 0;
-  std::string name;
-  /** Link address. */
-  std::string address;
-  /** Run of the coordinator's process; a later run doesn't hold the grant. */
-  std::uint64_t incarnation = 0;
-  /** Empty while no configuration defines it. */
-  std::optional<placement_shape> shape;
-
-  bool operator==(const coordinator_grant&) const = default;
-};
-
 /**
  * A whole configuration in the operator's format. The highest version wins; an
  * older one or the one in force is acknowledged and changes nothing.
