--- a/src/libwisteriaroute/entry/quarantine.cc
+++ b/src/libwisteriaroute/entry/quarantine.cc
@@ -15,6 +15,8 @@
 // other suspect.
 constexpr base::time_us kIsolationWaitUs = 1'500'000;
 constexpr std::size_t kMaxRecentCrashes = 64;
+// Older reports aren't sent again; control has them unless it was down as long.
+constexpr base::time_us kReportRetentionUs = 60'000'000;
 
 std::uint64_t RendezvousHash(const base::digest128& suspect,
                              const agent& peer) {
@@ -69,6 +71,11 @@
   }
   const base::digest128 id = policy::CrashId(
       request.current->agent, request.current->backend_incarnation);
+  auto& reported = step.state.reported_crashes;
+  if (reported.size() >= kMaxRecentCrashes) {
+    reported.pop_front();
+  }
+  reported.push_back({id, step.now_us, suspect});
   step.Emit(send_control{
       wire::crash_reports{{{.id = id, .suspects = {std::move(suspect)}}}}});
 }
@@ -169,6 +176,22 @@
   step.Emit(count_metric{"wisteriaroute_suspects_total"});
 }
 
+void ResendCrashReports(step_context& step) {
+  auto& reported = step.state.reported_crashes;
+  std::erase_if(reported, [&](const reported_crash& one) {
+    return step.now_us - one.at_us > kReportRetentionUs;
+  });
+  wire::crash_reports reports;
+  for (const reported_crash& one : reported) {
+    reports.crashes.push_back({.id = one.id,
+                               .age_ms = (step.now_us - one.at_us) / 1'000,
+                               .suspects = {one.suspect}});
+  }
+  if (!reports.crashes.empty()) {
+    step.Emit(send_control{std::move(reports)});
+  }
+}
+
 void NoteAnswerBegun(step_context& step, const request_state& request) {
   for (const base::digest128& message : request.shared_messages) {
     step.state.answered_parts.Add(message, step.now_us);
--- a/src/libwisteriaroute/entry/quarantine.h
+++ b/src/libwisteriaroute/entry/quarantine.h
@@ -35,6 +35,9 @@
                  request_state& request,
                  std::span<const base::digest128> ran_beside);
 
+/** Reports the latest crashes again, to a new leader that may not know them. */
+void ResendCrashReports(step_context& step);
+
 /** Records that a server has begun to answer the request. */
 void NoteAnswerBegun(step_context& step, const request_state& request);
 
--- a/src/libwisteriaroute/entry/step.cc
+++ b/src/libwisteriaroute/entry/step.cc
@@ -113,7 +113,10 @@
           [&](const agent_link_down& e) { HandleLinkDown(step, e); },
           [&](const work_received& e) { HandleWork(step, e); },
           [&](const control_received& e) { HandleControl(step, e); },
-          [&](const control_opened&) { ResendClaims(step, true); },
+          [&](const control_opened&) {
+            ResendClaims(step, true);
+            ResendCrashReports(step);
+          },
           [&](const control_dropped& e) {
             HandleClaimDropped(step, e.message);
           },
--- a/tests/entry/entry_test.cc
+++ b/tests/entry/entry_test.cc
@@ -131,4 +131,44 @@
   CHECK(sim.runs_of_request.empty());
 }
 
+// A leader that failed right after a crash took the evidence with it.
+TEST_CASE("crashes are reported again to a new leader") {
+  world sim(1, 1, 4);
+  sim.on_run = [&](const std::string& agent, const wire::submit&) {
+    sim.At(1, [&sim, agent] { sim.Crash(agent, 500'000); });
+  };
+  sim.Send(0, "POST", "/v1/chat/completions",
+           R"({"model":"m","messages":[{"role":"system","content":"s"},)"
+           R"({"role":"user","content":"u"}]})");
+  sim.RunFor(300'000);
+  const auto reports = [&] {
+    std::vector<wire::crash_reports> sent;
+    for (const wire::control_message& message : sim.to_control) {
+      if (const auto* one = std::get_if<wire::crash_reports>(&message)) {
+        sent.push_back(*one);
+      }
+    }
+    return sent;
+  };
+  const std::vector<wire::crash_reports> first = reports();
+  REQUIRE(!first.empty());
+
+  SUBCASE("as the same crashes, with their age") {
+    sim.Feed(0, control_opened{});
+    REQUIRE(reports().size() == first.size() + 1);
+    const wire::crash_reports again = reports().back();
+    REQUIRE(again.crashes.size() == first.size());
+    CHECK(again.crashes[0].id == first[0].crashes[0].id);
+    CHECK(again.crashes[0].suspects == first[0].crashes[0].suspects);
+    CHECK(again.crashes[0].age_ms > 0);
+  }
+  SUBCASE("but not once they are old") {
+    sim.RunFor(100'000'000);
+    const std::size_t sent = reports().size();
+    sim.RunFor(100'000'000);
+    sim.Feed(0, control_opened{});
+    CHECK(reports().size() == sent);
+  }
+}
+
 }  // namespace wisteriaroute::entry_test
