--- a/src/libwisteriaroute/agent/work.cc
+++ b/src/libwisteriaroute/agent/work.cc
@@ -1,6 +1,5 @@
 #include <algorithm>
 #include <optional>
-#include <ranges>
 
 #include "libwisteriaroute/agent/step_context.h"
 
@@ -150,7 +149,9 @@
   };
   return work.isolated &&
          (std::ranges::any_of(state.running, is_isolated) ||
-          std::ranges::any_of(std::views::values(state.queue), is_isolated));
+          std::ranges::any_of(state.queue, [&](const auto& item) {
+            return is_isolated(item.second);
+          }));
 }
 
 /** Returns why a new attempt is refused now, or nullopt to accept it. */
