gateway, control: names and places after a second reading

NoteServerCrash stands with the other functions about crashes; control has one function that lists the links of a role. The comments on the server at fault say what was seen. No change of behaviour.

--- a/src/libwisteriaroute/control/server_reports.cc
+++ b/src/libwisteriaroute/control/server_reports.cc
@@ -84,13 +84,9 @@
   }
   found->second.crashed_incarnation = crash.incarnation;
   RecordMemberEvent(found->second.info, "server_crashed", out);
-  std::vector<net::link_id> links;
-  for (const auto& [name, session] : sessions) {
-    if (session.info.role == wire::member_role::kEntry && session.link != 0 &&
-        session.link != reporter) {
-      links.push_back(session.link);
-    }
-  }
+  std::vector<net::link_id> links =
+      LinksOf(*state.leadership, wire::member_role::kEntry);
+  std::erase(links, reporter);
   if (!links.empty()) {
     out.push_back(send_to_links{std::move(links), crash});
   }
--- a/src/libwisteriaroute/control/updates.cc
+++ b/src/libwisteriaroute/control/updates.cc
@@ -10,17 +10,6 @@
 
 using wire::member_role;
 
-std::vector<net::link_id> LinksOf(const leader_state& leader,
-                                  member_role role) {
-  std::vector<net::link_id> links;
-  for (const auto& [name, session] : leader.sessions) {
-    if (session.link != 0 && session.info.role == role) {
-      links.push_back(session.link);
-    }
-  }
-  return links;
-}
-
 std::vector<std::string> DrainedServers(const replica_state& state) {
   return {state.durable.drained.begin(), state.durable.drained.end()};
 }
@@ -56,6 +45,17 @@
 
 }  // namespace
 
+std::vector<net::link_id> LinksOf(const leader_state& leader,
+                                  member_role role) {
+  std::vector<net::link_id> links;
+  for (const auto& [name, session] : leader.sessions) {
+    if (session.link != 0 && session.info.role == role) {
+      links.push_back(session.link);
+    }
+  }
+  return links;
+}
+
 void SendConfig(replica_state& state,
                 member_session& session,
                 const step_time& now,
--- a/src/libwisteriaroute/control/updates.h
+++ b/src/libwisteriaroute/control/updates.h
@@ -1,12 +1,18 @@
 #ifndef LIBWISTERIAROUTE_CONTROL_UPDATES_H_
 #define LIBWISTERIAROUTE_CONTROL_UPDATES_H_
 
+#include <vector>
+
 #include "libwisteriaroute/control/replica.h"
 
 namespace wisteriaroute::control {
 
 // Updates that the leader sends to members. `state.leadership` must be set.
 
+/** Links of the members with this role. */
+std::vector<net::link_id> LinksOf(const leader_state& leader,
+                                  wire::member_role role);
+
 /** Sends the changes that a member lacks up to the newest revision. */
 void SendConfig(replica_state& state,
                 member_session& session,
--- a/src/libwisteriaroute/entry/attempts.cc
+++ b/src/libwisteriaroute/entry/attempts.cc
@@ -290,7 +290,8 @@
   }
   step.Emit(count_metric{"wisteriaroute_refusals_total{reason=\"" +
                          std::string(Name(message.reason)) + "\"}"});
-  // The request waits for another one to end, which may take long.
+  // The request waits for another one to end, which may take long, so this
+  // doesn't count as an attempt.
   if (message.reason == wire::refusal_reason::kSuspectRuns) {
     --request->attempts;
   }
--- a/src/libwisteriaroute/gateway/attempts.cc
+++ b/src/libwisteriaroute/gateway/attempts.cc
@@ -320,21 +320,6 @@
              {"in_flight", std::to_string(target.in_flight)}});
 }
 
-void NoteServerCrash(step_context& step,
-                     std::string_view server,
-                     std::uint64_t incarnation,
-                     std::string_view source) {
-  if (!step.state.servers.NoteCrash(server, incarnation, step.now_us)) {
-    return;
-  }
-  const auto* crashed = step.state.servers.Find(server);
-  step.Count("wisteriaroute_group_outages_total", "source", source);
-  step.Note("group_down", {{"group", crashed->info.backend.group},
-                           {"server", std::string(server)},
-                           {"incarnation", std::to_string(incarnation)},
-                           {"source", std::string(source)}});
-}
-
 request_state* FindByAttempt(step_context& step, attempt_id attempt) {
   const auto exchange = step.state.attempts.find(attempt);
   return exchange == step.state.attempts.end()
--- a/src/libwisteriaroute/gateway/crash_watch.cc
+++ b/src/libwisteriaroute/gateway/crash_watch.cc
@@ -105,6 +105,21 @@
   }
 }
 
+void NoteServerCrash(step_context& step,
+                     std::string_view server,
+                     std::uint64_t incarnation,
+                     std::string_view source) {
+  if (!step.state.servers.NoteCrash(server, incarnation, step.now_us)) {
+    return;
+  }
+  const auto* crashed = step.state.servers.Find(server);
+  step.Count("wisteriaroute_group_outages_total", "source", source);
+  step.Note("group_down", {{"group", crashed->info.backend.group},
+                           {"server", std::string(server)},
+                           {"incarnation", std::to_string(incarnation)},
+                           {"source", std::string(source)}});
+}
+
 void HandleProbe(step_context& step, const probe_ended& event) {
   crash_watch& watch = step.state.crashes;
   const auto found = watch.broken.find(event.server);
--- a/src/libwisteriaroute/gateway/http_codec.h
+++ b/src/libwisteriaroute/gateway/http_codec.h
@@ -37,7 +37,7 @@
   std::string_view server_load;
   /** Present, and not 0, in every response of a server that is leaving. */
   std::string_view server_leaving;
-  /** Id of the server that is the reason for a status of 421 or 503. */
+  /** The server that is the reason for a status of 421 or 503. */
   std::string_view server_at_fault;
 };
 
--- a/src/libwisteriaroute/gateway/messages.h
+++ b/src/libwisteriaroute/gateway/messages.h
@@ -70,8 +70,8 @@
   std::optional<server_load> load;
   /** The server is leaving and must get no new requests. */
   bool leaving = false;
-  /** Only with status 503: id of the server that is the reason, which may be
-   * another rank of the group; empty if not given. */
+  /** Only with status 503: the server that the response names as the reason;
+   * empty if none. */
   std::string server_at_fault;
   /** Only with status 503: time for which the server must get no request. */
   std::optional<base::time_ms> pause_ms;
--- a/src/libwisteriaroute/gateway/step_context.h
+++ b/src/libwisteriaroute/gateway/step_context.h
@@ -93,6 +93,13 @@
 bool IsSuspect(const crash_watch& watch, const prompt_part& part);
 /** Whether the request or a part of its prompt may not run; logs the cause. */
 bool IsQuarantined(step_context& step, const request_state& request);
+/** Keeps new work from the group of a server that has crashed. `source` tells
+ * how that is known. */
+void NoteServerCrash(step_context& step,
+                     std::string_view server,
+                     std::uint64_t incarnation,
+                     std::string_view source);
+
 void HandleProbe(step_context& step, const probe_ended& event);
 void HandleQuarantine(step_context& step,
                       const wire::quarantine_update& update);
@@ -111,13 +118,6 @@
                  std::string_view source,
                  std::string_view request);
 
-/** Keeps new work from the group of a server that has crashed. `source` tells
- * how that is known. */
-void NoteServerCrash(step_context& step,
-                     std::string_view server,
-                     std::uint64_t incarnation,
-                     std::string_view source);
-
 /** The request of an attempt in progress, or null. */
 request_state* FindByAttempt(step_context& step, attempt_id attempt);
 
