entry, gateway, policy: one way to keep and report crashes

A second reading found that the entry kept its reports in a struct of its own, with constants and a conversion that the gateway had already, and without what the gateway does with answers: a message that was answered after its crash was reported again as a suspect. Both use policy::crash, MakeReport, ApplyAnswer and the same bounds now; the new case of entry_test fails without ApplyAnswer.

No check is loosened.

--- a/src/libwisteriaroute/entry/quarantine.cc
+++ b/src/libwisteriaroute/entry/quarantine.cc
@@ -15,8 +15,7 @@
 // other suspect.
 constexpr base::time_us kIsolationWaitUs = 1'500'000;
 constexpr std::size_t kMaxRecentCrashes = 64;
-// Older reports aren't sent again; control has them unless it was down as long.
-constexpr base::time_us kReportRetentionUs = 60'000'000;
+constexpr base::time_us kUsPerMs = 1'000;
 
 std::uint64_t RendezvousHash(const base::digest128& suspect,
                              const agent& peer) {
@@ -72,12 +71,14 @@
   const base::digest128 id = policy::CrashId(
       request.current->agent, request.current->backend_incarnation);
   auto& reported = step.state.reported_crashes;
-  if (reported.size() >= kMaxRecentCrashes) {
-    reported.pop_front();
-  }
-  reported.push_back({id, step.now_us, suspect});
-  step.Emit(send_control{
-      wire::crash_reports{{{.id = id, .suspects = {std::move(suspect)}}}}});
+  if (reported.size() >= policy::kMaxReportedCrashes) {
+    reported.erase(reported.begin());
+  }
+  reported.push_back({.id = id,
+                      .at_ms = step.now_us / kUsPerMs,
+                      .suspects = {std::move(suspect)}});
+  step.Emit(send_control{wire::crash_reports{
+      {policy::MakeReport(reported.back(), step.now_us / kUsPerMs)}}});
 }
 
 void HandlePart(step_context& step, const wire::quarantine_entry& part) {
@@ -177,15 +178,14 @@
 }
 
 void ResendCrashReports(step_context& step) {
+  const base::time_ms now_ms = step.now_us / kUsPerMs;
   auto& reported = step.state.reported_crashes;
-  std::erase_if(reported, [&](const reported_crash& one) {
-    return step.now_us - one.at_us > kReportRetentionUs;
+  std::erase_if(reported, [&](const policy::crash& one) {
+    return now_ms - one.at_ms > policy::kReportRetentionMs;
   });
   wire::crash_reports reports;
-  for (const reported_crash& one : reported) {
-    reports.crashes.push_back({.id = one.id,
-                               .age_ms = (step.now_us - one.at_us) / 1'000,
-                               .suspects = {one.suspect}});
+  for (const policy::crash& one : reported) {
+    reports.crashes.push_back(policy::MakeReport(one, now_ms));
   }
   if (!reports.crashes.empty()) {
     step.Emit(send_control{std::move(reports)});
@@ -195,6 +195,8 @@
 void NoteAnswerBegun(step_context& step, const request_state& request) {
   for (const base::digest128& message : request.shared_messages) {
     step.state.answered_parts.Add(message, step.now_us);
+    policy::ApplyAnswer(step.state.reported_crashes, message,
+                        step.now_us / kUsPerMs);
     if (step.state.suspect_parts.contains(message)) {
       step.Emit(send_control{wire::answers_begun{{{message}}}});
     }
--- a/src/libwisteriaroute/entry/state.h
+++ b/src/libwisteriaroute/entry/state.h
@@ -17,6 +17,7 @@
 #include "libwisteriaroute/entry/request.h"
 #include "libwisteriaroute/entry/settings.h"
 #include "libwisteriaroute/policy/answered_parts.h"
+#include "libwisteriaroute/policy/crash_evidence.h"
 
 namespace wisteriaroute::entry {
 
@@ -88,13 +89,6 @@
   std::vector<base::digest128> suspects_before;
 };
 
-/** What this entry has told control of a crash. */
-struct reported_crash {
-  base::digest128 id;
-  base::time_us at_us = 0;
-  wire::suspect_request suspect;
-};
-
 struct entry_state {
   entry_settings settings;
   std::string name;
@@ -139,8 +133,8 @@
   policy::answered_parts answered_parts;
   /** The latest crashes, oldest first. */
   std::deque<crash> recent_crashes;
-  /** Oldest first. */
-  std::deque<reported_crash> reported_crashes;
+  /** What this entry has reported to control, oldest first; monotonic ms. */
+  std::vector<policy::crash> reported_crashes;
   /** Retry budget: requests and retries of the last 10 s, by second. */
   std::map<base::time_us, std::pair<std::uint32_t, std::uint32_t>>
       retry_budget_counts;
--- a/src/libwisteriaroute/gateway/crash_watch.cc
+++ b/src/libwisteriaroute/gateway/crash_watch.cc
@@ -43,7 +43,7 @@
   std::ranges::move(std::exchange(crashed.suspects, {}),
                     std::back_inserter(found->suspects));
   watch.unreported.insert(id);
-  if (watch.crashes.size() > kMaxOwnCrashes) {
+  if (watch.crashes.size() > policy::kMaxReportedCrashes) {
     watch.unreported.erase(watch.crashes.front().id);
     watch.crashes.erase(watch.crashes.begin());
   }
@@ -189,14 +189,13 @@
 void SendReports(step_context& step) {
   crash_watch& watch = step.state.crashes;
   std::erase_if(watch.crashes, [&](const policy::crash& one) {
-    return step.now_us - one.at_ms * kUsPerMs > kOwnCrashRetentionUs;
+    return step.now_us / kUsPerMs - one.at_ms > policy::kReportRetentionMs;
   });
   wire::crash_reports reports;
   for (const policy::crash& one : watch.crashes) {
     if (watch.unreported.contains(one.id)) {
-      reports.crashes.push_back({.id = one.id,
-                                 .age_ms = step.now_us / kUsPerMs - one.at_ms,
-                                 .suspects = one.suspects});
+      reports.crashes.push_back(
+          policy::MakeReport(one, step.now_us / kUsPerMs));
     }
   }
   watch.unreported.clear();
@@ -216,8 +215,8 @@
   }
 }
 
-const prompt_part* FindUnprovenPart(const crash_watch& watch,
-                                    const caller_request& request) {
+const prompt_part* FindUnansweredPart(const crash_watch& watch,
+                                      const caller_request& request) {
   const auto found =
       std::find_if(request.shared_parts.rbegin(), request.shared_parts.rend(),
                    [&](const prompt_part& part) {
--- a/src/libwisteriaroute/gateway/crash_watch.h
+++ b/src/libwisteriaroute/gateway/crash_watch.h
@@ -15,10 +15,6 @@
 
 namespace wisteriaroute::gateway {
 
-/** Crashes that an entry keeps, to report them again to a new leader. */
-inline constexpr std::size_t kMaxOwnCrashes = 64;
-inline constexpr base::time_us kOwnCrashRetentionUs = 60'000'000;
-
 /** A server whose connections broke before it had answered. */
 struct broken_server {
   std::uint64_t incarnation = 0;
--- a/src/libwisteriaroute/gateway/placement.cc
+++ b/src/libwisteriaroute/gateway/placement.cc
@@ -178,14 +178,16 @@
                                   const request_state& request,
                                   const std::vector<server*>& servers) {
   const crash_watch& watch = step.state.crashes;
-  const prompt_part* unproven = request.phase == request_phase::kStreaming
-                                    ? nullptr
-                                    : FindUnprovenPart(watch, request.request);
-  return ChooseInPool(step, request, servers,
-                      unproven == nullptr
-                          ? ""
-                          : TrialPool(step.state.servers, request.service,
-                                      *unproven, IsSuspect(watch, *unproven)));
+  const prompt_part* unanswered =
+      request.phase == request_phase::kStreaming
+          ? nullptr
+          : FindUnansweredPart(watch, request.request);
+  return ChooseInPool(
+      step, request, servers,
+      unanswered == nullptr
+          ? ""
+          : TrialPool(step.state.servers, request.service, *unanswered,
+                      IsSuspect(watch, *unanswered)));
 }
 
 }  // namespace
--- a/src/libwisteriaroute/gateway/servers.cc
+++ b/src/libwisteriaroute/gateway/servers.cc
@@ -83,7 +83,7 @@
   std::vector<server*> usable;
   // If all groups are down, their ranks decide: they refuse requests, or run
   // those that they get while they start.
-  const bool is_running = IsRunning(service, now_us);
+  const bool is_running = HasRunningGroup(service, now_us);
   for (auto& [id, one] : servers_) {
     if (one.info.backend.service == service && !one.info.leaving &&
         one.suspended_until_us <= now_us && one.paused_until_us <= now_us &&
@@ -117,8 +117,8 @@
   return first;
 }
 
-bool server_table::IsRunning(std::string_view service,
-                             base::time_us now_us) const {
+bool server_table::HasRunningGroup(std::string_view service,
+                                   base::time_us now_us) const {
   return std::ranges::any_of(servers_, [&](const auto& item) {
     const wire::member_info& info = item.second.info;
     return info.backend.service == service && !info.leaving &&
--- a/src/libwisteriaroute/gateway/servers.h
+++ b/src/libwisteriaroute/gateway/servers.h
@@ -121,7 +121,7 @@
 
  private:
   /** Whether a group of the service, or a server outside of groups, runs. */
-  bool IsRunning(std::string_view service, base::time_us now_us) const;
+  bool HasRunningGroup(std::string_view service, base::time_us now_us) const;
 
   /** Mean load of the servers of a pool; nothing if there are too few recent
    * reports. */
--- a/src/libwisteriaroute/gateway/step_context.h
+++ b/src/libwisteriaroute/gateway/step_context.h
@@ -87,8 +87,8 @@
 void NoteAnswerBegun(step_context& step, const request_state& request);
 /** The last part of the prompt that no server is known to have answered; null
  * if there is none. */
-const prompt_part* FindUnprovenPart(const crash_watch& watch,
-                                    const caller_request& request);
+const prompt_part* FindUnansweredPart(const crash_watch& watch,
+                                      const caller_request& request);
 /** Whether the part may have caused a crash. */
 bool IsSuspect(const crash_watch& watch, const prompt_part& part);
 /** Whether the request or a part of its prompt may not run; logs the cause. */
--- a/src/libwisteriaroute/policy/crash_evidence.cc
+++ b/src/libwisteriaroute/policy/crash_evidence.cc
@@ -224,6 +224,10 @@
                          std::to_string(incarnation));
 }
 
+wire::crash_report MakeReport(const crash& one, base::time_ms now_ms) {
+  return {.id = one.id, .age_ms = now_ms - one.at_ms, .suspects = one.suspects};
+}
+
 bool HasAny(const crash& one, const std::set<base::digest128>& fingerprints) {
   return HasRequest(one, fingerprints) || HasPart(one, fingerprints);
 }
--- a/src/libwisteriaroute/policy/crash_evidence.h
+++ b/src/libwisteriaroute/policy/crash_evidence.h
@@ -1,6 +1,7 @@
 #ifndef LIBWISTERIAROUTE_POLICY_CRASH_EVIDENCE_H_
 #define LIBWISTERIAROUTE_POLICY_CRASH_EVIDENCE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <set>
 #include <span>
@@ -9,13 +10,17 @@
 
 #include "libwisteriaroute/base/clock.h"
 #include "libwisteriaroute/base/digest.h"
-#include "libwisteriaroute/wire/control_messages.h"
+#include "libwisteriaroute/wire/crash_messages.h"
 
 namespace wisteriaroute::policy {
 
 /** Crashes that begin within this time of the first one may have one cause. */
 inline constexpr base::time_ms kCrashWindowMs = 1'000;
 
+/** Crashes that an entry keeps, to report them again to a new leader. */
+inline constexpr std::size_t kMaxReportedCrashes = 64;
+inline constexpr base::time_ms kReportRetentionMs = 60'000;
+
 /** A crash of a server, and the requests that may have caused it. */
 struct crash {
   base::digest128 id;
@@ -28,6 +33,9 @@
 /** Id of the crash of one incarnation of a server. */
 base::digest128 CrashId(std::string_view server, std::uint64_t incarnation);
 
+/** The report of a crash to control. */
+wire::crash_report MakeReport(const crash& one, base::time_ms now_ms);
+
 /** Whether one of the requests or parts is a suspect of the crash. */
 bool HasAny(const crash& one, const std::set<base::digest128>& fingerprints);
 
--- a/tests/entry/entry_test.cc
+++ b/tests/entry/entry_test.cc
@@ -162,6 +162,18 @@
     CHECK(again.crashes[0].suspects == first[0].crashes[0].suspects);
     CHECK(again.crashes[0].age_ms > 0);
   }
+  SUBCASE("without the messages that were answered since") {
+    REQUIRE(first[0].crashes[0].suspects[0].parts.size() == 1);
+    sim.on_run = nullptr;
+    sim.RunFor(1'000'000);
+    sim.Send(0, "POST", "/v1/chat/completions",
+             R"({"model":"m","messages":[{"role":"system","content":"s"},)"
+             R"({"role":"user","content":"other"}]})");
+    sim.RunFor(3'000'000);
+    sim.Feed(0, control_opened{});
+    REQUIRE(reports().size() == first.size() + 1);
+    CHECK(reports().back().crashes[0].suspects[0].parts.empty());
+  }
   SUBCASE("but not once they are old") {
     sim.RunFor(100'000'000);
     const std::size_t sent = reports().size();
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -768,7 +768,7 @@
       w.Do(control_opened{});
       tick();
       CHECK(reports().size() == 2);
-      w.now_us += kOwnCrashRetentionUs;
+      w.now_us += policy::kReportRetentionMs * 1'000;
       w.Do(control_opened{});
       tick();
       CHECK(reports().size() == 2);
