review: case 4, a core machine killed as it starts with an empty disk never comes back

Cause: Initialize writes the first segment before the metadata, and a folder with a segment and no metadata counts as damaged, so the process ends at each start. Added: a script (disk lost, kill during the start, later another disk lost) and the seeds of a platform that has replaced a machine.

--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -468,13 +468,23 @@
   }
 
   process& StartControl(unsigned index, bool bootstrap) {
+    return Start(index, "target/wisteriaroute-control", WriteControl(index, bootstrap));
+  }
+  /** The platform names other seeds in the settings of the core machines `of`,
+   * from now on, while they run. */
+  void ChangeSeeds(std::vector<unsigned> seeds, const std::vector<unsigned>& of) {
+    seeds_ = std::move(seeds);
+    for (const unsigned index : of) WriteControl(index, false);
+  }
+  std::string WriteControl(unsigned index, bool bootstrap) {
     const std::string file = folder + "/control-" + std::to_string(index) + ".toml";
-    std::ofstream(file) << Process(index, false) << "\n[control]\ndata_dir = \"" << DataFolder(index)
+    std::ofstream(file + ".new") << Process(index, false) << "\n[control]\ndata_dir = \"" << DataFolder(index)
                         << "\"\nbootstrap = " << (bootstrap ? "true" : "false")
                         << "\nlisten_http = \"" << ControlAddress(index)
                         << "\"\nreplicas_from_controls = true\nsnapshot_entries = 100\n"
                            "kept_entries = 32\njoin_automatically = true\ntolerated_losses = 1\n";
-    return Start(index, "target/wisteriaroute-control", file);
+    std::filesystem::rename(file + ".new", file);
+    return file;
   }
   process& StartGateway(unsigned index) {
     const std::string file = folder + "/gateway-" + std::to_string(index) + ".toml";
@@ -516,7 +526,9 @@
  private:
   std::string Process(unsigned index, bool learns) const {
     std::string seeds;
-    for (unsigned i = 0; i < 3; ++i) seeds += (i == 0 ? "\"" : ", \"") + ControlAddress(i) + "\"";
+    for (const unsigned i : seeds_) {
+      seeds += (seeds.empty() ? "\"" : ", \"") + ControlAddress(i) + "\"";
+    }
     return "[process]\nname = \"" + Ip(index) + "\"\nregion = \"r\"\ndata_center = \"z" +
            std::to_string(index % 3) + "\"\nlisten = \"" + Ip(index) + ":" +
            std::to_string(internal_) + "\"\ncontrols = [" + seeds +
@@ -535,6 +547,7 @@
   }
 
   record& out_;
+  std::vector<unsigned> seeds_ = {0, 1, 2};
   int internal_;
   int control_;
   int metrics_;
@@ -552,10 +565,11 @@
   using handler = std::function<bool(runner&, stream&, const message&)>;
 
   runner(std::string id, std::string service, unsigned ip_index,
-         std::vector<std::string> controls, unsigned slots, handler handle)
+         std::vector<std::string> controls, unsigned slots, handler handle,
+         std::int64_t born = WallMs(), const std::string& address = "")
       : id_(std::move(id)), service_(std::move(service)), slots_(slots),
-        born_(WallMs()), handle_(std::move(handle)), caller_(std::move(controls)) {
-    listener_ = Listen(Ip(ip_index) + ":0");
+        born_(born), handle_(std::move(handle)), caller_(std::move(controls)) {
+    listener_ = Listen(address.empty() ? Ip(ip_index) + ":0" : address);
     if (listener_ < 0) throw cannot_run("a runner can't listen");
     address_ = LocalAddress(listener_);
     accept_thread_ = std::thread([this] { AcceptAll(); });
@@ -570,6 +584,13 @@
     while (open_ > 0) SleepMs(10);
   }
   const std::string& id() const { return id_; }
+  const std::string& address() const { return address_; }
+  /** As a crash begins: no more connections are accepted. */
+  void StopListening() { shutdown(listener_, SHUT_RDWR); }
+  /** From the next heartbeat on, sent at once, the state is `draining`. */
+  void Drain() { draining_ = true; }
+  /** When a `draining` heartbeat was acknowledged first; 0: not yet. */
+  std::int64_t drain_acked_ms() const { return drain_acked_ms_; }
   bool stopping() const { return stopping_; }
   unsigned slots() const { return slots_; }
   std::atomic<int> running{0};
@@ -626,14 +647,18 @@
   }
   void Beat() {
     while (!stopping_) {
+      const bool draining = draining_;
       const std::string body =
           "{\"service\":\"" + service_ + "\",\"address\":\"" + address_ +
           "\",\"zone\":\"z0\",\"version\":\"v1\",\"slots\":" + std::to_string(slots_) +
-          ",\"state\":\"ready\",\"warmup_left_ms\":0,\"born\":" + std::to_string(born_) +
+          ",\"state\":\"" + (draining ? "draining" : "ready") + "\",\"warmup_left_ms\":0,\"born\":" + std::to_string(born_) +
           ",\"sequence\":" + std::to_string(++sequence_) + "}";
       const bool acked =
           caller_.Once("POST", "/instances/" + id_ + "/heartbeat", body).status / 100 == 2;
-      for (int i = 0; i < (acked ? 60 : 5) && !stopping_; ++i) SleepMs(20);
+      if (acked && draining && drain_acked_ms_ == 0) drain_acked_ms_ = NowMs();
+      for (int i = 0; i < (acked ? 60 : 5) && !stopping_ && draining == draining_; ++i) {
+        SleepMs(20);
+      }
     }
   }
 
@@ -647,6 +672,8 @@
   int listener_ = -1;
   std::uint64_t sequence_ = 0;
   std::atomic<bool> stopping_{false};
+  std::atomic<bool> draining_{false};
+  std::atomic<std::int64_t> drain_acked_ms_{0};
   std::atomic<int> open_{0};
   std::thread accept_thread_;
   std::thread beat_thread_;
