--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -62,6 +62,7 @@
   if (WithTrouble()) {
     nodes[2] = machines.ControlAddress(3);  // the operator's list from now on
     out.Line("platform: machine 3 is added, at a new address and with an empty disk");
+    machines.ChangeSeeds({0, 1, 3}, {0, 1, 2});
     machines.StartControl(3, false);
     SleepMs(2 * kCatchUpMs);
     out.Line("platform: machine 2, its predecessor, is removed for good");
