--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -585,8 +585,13 @@
   }
   const std::string& id() const { return id_; }
   const std::string& address() const { return address_; }
-  /** As a crash begins: no more connections are accepted. */
-  void StopListening() { shutdown(listener_, SHUT_RDWR); }
+  /** The runner exits: all of its connections end at once. */
+  void Exit() {
+    stopping_ = true;
+    shutdown(listener_, SHUT_RDWR);
+    const std::lock_guard lock(mutex_);
+    for (const int fd : fds_) shutdown(fd, SHUT_RDWR);
+  }
   /** From the next heartbeat on, sent at once, the state is `draining`. */
   void Drain() { draining_ = true; }
   /** When a `draining` heartbeat was acknowledged first; 0: not yet. */
@@ -609,6 +614,10 @@
       const int fd = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
       if (fd < 0) continue;
       ++open_;
+      {
+        const std::lock_guard lock(mutex_);
+        fds_.insert(fd);
+      }
       std::thread([this, fd] {
         Serve(fd);
         --open_;
@@ -616,7 +625,13 @@
     }
   }
   void Serve(int fd) {
-    stream conn(fd);
+    ServeConnection(fd);
+    const std::lock_guard lock(mutex_);
+    fds_.erase(fd);
+    close(fd);
+  }
+  void ServeConnection(int fd) {
+    stream conn(dup(fd));
     while (!stopping_) {
       message request;
       int got = -2;
@@ -675,6 +690,8 @@
   std::atomic<bool> draining_{false};
   std::atomic<std::int64_t> drain_acked_ms_{0};
   std::atomic<int> open_{0};
+  std::mutex mutex_;
+  std::set<int> fds_;
   std::thread accept_thread_;
   std::thread beat_thread_;
 };
