storage: a first start may be cut short after any of its steps

Cause: log_store::Initialize wrote the first segment before the metadata. A segment without metadata counts as damage, since it isn't known how such a replica voted, so a start that was cut in between could never be repeated.

Change: all files of a new directory go into one file, `initial`, first, which is replaced atomically. Opening the directory writes them out from there, and removes `initial` durably before the replica runs. A directory without metadata never voted if and only if it has `initial`; any other is refused as before.

--- a/src/control/bootstrap.cc
+++ b/src/control/bootstrap.cc
@@ -19,12 +19,19 @@
 }
 
 void Bootstrap(const control_settings& settings) {
+  const raft::stored_state voters =
+      raft::MakeBootstrapped(FirstVoters(settings));
   storage::log_store store(settings.data_dir);
   if (!store.empty()) {
+    const raft::stored_state found = store.TakeContent();
+    if (found.metadata == voters.metadata && !found.latest_snapshot &&
+        found.entries == voters.entries) {
+      return;
+    }
     throw std::runtime_error(settings.data_dir +
                              " already contains replica data");
   }
-  store.Initialize(raft::MakeBootstrapped(FirstVoters(settings)));
+  store.Initialize(voters);
 }
 
 }  // namespace wisteriaroute::control
--- a/src/control/bootstrap.h
+++ b/src/control/bootstrap.h
@@ -11,7 +11,9 @@
 
 /**
  * Creates the data directory of one of the first voters of a new cluster.
- * Throws std::runtime_error if it already contains replica data.
+ * Changes nothing if it already has just this content, so that a call that was
+ * cut short can be repeated. Throws std::runtime_error if it contains other
+ * replica data.
  */
 void Bootstrap(const control_settings& settings);
 
--- a/src/control/raft_runner.cc
+++ b/src/control/raft_runner.cc
@@ -31,6 +31,9 @@
       tick_(event_loop.ev(), [this] { Post(raft::tick{}); }) {}
 
 raft::stored_state raft_runner::Open(const control_settings& settings) {
+  if (store_.completed_initialization()) {
+    base::LogInfo("data_directory_completed", {{"path", settings.data_dir}});
+  }
   if (!store_.empty()) {
     return store_.TakeContent();
   }
@@ -40,18 +43,16 @@
         return replica.name == settings.process.name;
       });
   if (first_voter) {
-    raft::stored_state voters = raft::MakeBootstrapped(FirstVoters(settings));
-    store_.Initialize(voters);
+    store_.Initialize(raft::MakeBootstrapped(FirstVoters(settings)));
     base::LogInfo("data_directory_created",
                   {{"path", settings.data_dir}, {"voter", "first"}});
-    return voters;
+    return store_.TakeContent();
   }
-  raft::stored_state initial = raft::MakeEmpty(base::RandomU64());
-  store_.Initialize(initial);
+  store_.Initialize(raft::MakeEmpty(base::RandomU64()));
   base::LogInfo("data_directory_created",
                 {{"path", settings.data_dir},
                  {"voter", "after it has received the log"}});
-  return initial;
+  return store_.TakeContent();
 }
 
 void raft_runner::Start() {
--- a/src/libwisteriaroute/storage/file.cc
+++ b/src/libwisteriaroute/storage/file.cc
@@ -17,9 +17,27 @@
                           std::string("can't ") + operation + " " + path);
 }
 
+change_observer& Observer() {
+  static change_observer observer;
+  return observer;
+}
+
+void Announce(file_change change, const std::filesystem::path& path) {
+  if (const change_observer& observer = Observer()) {
+    observer(change, path);
+  }
+}
+
 }  // namespace
 
+void SetChangeObserver(change_observer observer) {
+  Observer() = std::move(observer);
+}
+
 file::file(const std::filesystem::path& path, int flags) : path_(path) {
+  if ((flags & O_CREAT) != 0) {
+    Announce(file_change::kCreate, path);
+  }
   descriptor_ = open(path_.c_str(), flags | O_CLOEXEC, 0600);
   if (descriptor_ < 0) {
     ThrowErrno("open", path_);
@@ -50,6 +68,7 @@
 }
 
 void file::WriteAt(std::string_view data, std::uint64_t offset) {
+  Announce(file_change::kWrite, path_);
   while (!data.empty()) {
     const ssize_t written = pwrite(descriptor_, data.data(), data.size(),
                                    static_cast<off_t>(offset));
@@ -64,12 +83,14 @@
 }
 
 void file::Truncate(std::uint64_t size) {
+  Announce(file_change::kTruncate, path_);
   if (ftruncate(descriptor_, static_cast<off_t>(size)) != 0) {
     ThrowErrno("truncate", path_);
   }
 }
 
 void file::Sync() {
+  Announce(file_change::kSync, path_);
   if (fdatasync(descriptor_) != 0) {
     ThrowErrno("sync", path_);
   }
@@ -108,18 +129,42 @@
   }
 }
 
+void WriteNewFile(const std::filesystem::path& path, std::string_view content) {
+  file output(path, O_WRONLY | O_CREAT | O_TRUNC);
+  output.WriteAt(content, 0);
+  output.Sync();
+}
+
+void RemoveFile(const std::filesystem::path& path) {
+  Announce(file_change::kRemove, path);
+  if (unlink(path.c_str()) != 0) {
+    ThrowErrno("remove", path);
+  }
+}
+
+void SyncDirectory(const std::filesystem::path& path) {
+  file(path, O_RDONLY | O_DIRECTORY).Sync();
+}
+
+void CreateDirectories(const std::filesystem::path& path) {
+  if (path.empty() || std::filesystem::is_directory(path)) {
+    return;
+  }
+  const std::filesystem::path parent = path.parent_path();
+  CreateDirectories(parent);
+  std::filesystem::create_directory(path);
+  SyncDirectory(parent.empty() ? "." : parent);
+}
+
 void ReplaceFile(const std::filesystem::path& path, std::string_view content) {
   std::filesystem::path temporary = path;
-  temporary += ".tmp";
-  {
-    file output(temporary, O_WRONLY | O_CREAT | O_TRUNC);
-    output.WriteAt(content, 0);
-    output.Sync();
-  }
+  temporary += kTemporarySuffix;
+  WriteNewFile(temporary, content);
+  Announce(file_change::kRename, path);
   if (rename(temporary.c_str(), path.c_str()) != 0) {
     ThrowErrno("rename", temporary);
   }
-  file(path.parent_path(), O_RDONLY | O_DIRECTORY).Sync();
+  SyncDirectory(path.parent_path());
 }
 
 }  // namespace wisteriaroute::storage
--- a/src/libwisteriaroute/storage/log_store.cc
+++ b/src/libwisteriaroute/storage/log_store.cc
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr std::string_view kMetadataName = "metadata";
+/** Holds all files of a new directory until they are complete. */
+constexpr std::string_view kInitialName = "initial";
 constexpr std::string_view kSegmentPrefix = "log-";
 constexpr std::string_view kSnapshotPrefix = "snapshot-";
 constexpr std::size_t kBufferBytes = 1 << 20;
@@ -34,7 +36,7 @@
   numbered_files found;
   for (const auto& entry : std::filesystem::directory_iterator(directory)) {
     const std::string name = entry.path().filename();
-    if (!name.starts_with(prefix) || name.ends_with(".tmp")) {
+    if (!name.starts_with(prefix) || name.ends_with(kTemporarySuffix)) {
       continue;
     }
     std::uint64_t number = 0;
@@ -55,11 +57,79 @@
 log_store::log_store(std::filesystem::path directory,
                      const store_options& options)
     : directory_(std::move(directory)), options_(options) {
-  std::filesystem::create_directories(directory_);
+  CreateDirectories(directory_);
   lock_ = file(directory_ / "lock", O_RDWR | O_CREAT);
   if (!lock_.TryLock()) {
     throw std::runtime_error("another process uses " + directory_.string());
   }
+  RemoveTemporaryFiles();
+  completed_initialization_ = CompleteInitialization();
+  Load();
+}
+
+void log_store::Initialize(const raft::stored_state& content) {
+  if (!empty_) {
+    throw std::logic_error("the data directory holds a log");
+  }
+  initial_files files;
+  std::uint64_t first_index = 1;
+  if (content.latest_snapshot) {
+    const raft::snapshot& base = *content.latest_snapshot;
+    files.emplace_back(NumberedName(kSnapshotPrefix, base.last_index),
+                       EncodeSnapshot(base));
+    first_index = base.last_index + 1;
+  }
+  if (!content.entries.empty()) {
+    first_index = content.entries.front().index;
+  }
+  std::string segment = EncodeSegmentHeader(first_index);
+  for (const wire::log_entry& entry : content.entries) {
+    AppendRecord(entry, first_index - 1, {first_index, segment.size()},
+                 segment);
+  }
+  files.emplace_back(NumberedName(kSegmentPrefix, first_index),
+                     std::move(segment));
+  files.emplace_back(kMetadataName, EncodeMetadata(content.metadata));
+  ReplaceFile(directory_ / kInitialName, EncodeInitialFiles(files));
+  CompleteInitialization();
+  Load();
+}
+
+bool log_store::CompleteInitialization() {
+  const std::filesystem::path initial = directory_ / kInitialName;
+  if (!std::filesystem::exists(initial)) {
+    return false;
+  }
+  // The metadata is written last, so without it other files may be incomplete.
+  if (!std::filesystem::exists(directory_ / kMetadataName)) {
+    for (const auto& [name, content] :
+         ParseInitialFiles(initial, ReadFile(initial))) {
+      if (name == kMetadataName) {
+        SyncDirectory(directory_);
+        ReplaceFile(directory_ / name, content);
+      } else {
+        WriteNewFile(directory_ / name, content);
+      }
+    }
+  }
+  // Must be durable before the replica votes: a directory without metadata
+  // that has this file counts as one that never voted.
+  RemoveFile(initial);
+  SyncDirectory(directory_);
+  return true;
+}
+
+void log_store::RemoveTemporaryFiles() const {
+  // Left by a process that ended while it wrote one. They would take up space,
+  // which may be what the writing failed for.
+  for (const auto& entry : std::filesystem::directory_iterator(directory_)) {
+    if (entry.path().filename().string().ends_with(kTemporarySuffix)) {
+      RemoveFile(entry.path());
+    }
+  }
+}
+
+void log_store::Load() {
   const numbered_files snapshots = FindFiles(directory_, kSnapshotPrefix);
   const numbered_files segments = FindFiles(directory_, kSegmentPrefix);
   const std::filesystem::path metadata = directory_ / kMetadataName;
@@ -79,25 +149,6 @@
   ReadSegments(segments);
 }
 
-void log_store::Initialize(const raft::stored_state& content) {
-  if (!empty_) {
-    throw std::logic_error("the data directory holds a log");
-  }
-  if (content.latest_snapshot) {
-    WriteSnapshot(*content.latest_snapshot);
-  }
-  StartSegment(content.entries.empty() ? snapshot_index_ + 1
-                                       : content.entries.front().index);
-  for (const wire::log_entry& entry : content.entries) {
-    Append(entry);
-  }
-  Sync();
-  // Written last, because a directory with metadata counts as initialized.
-  ReplaceFile(directory_ / kMetadataName, EncodeMetadata(content.metadata));
-  content_ = content;
-  empty_ = false;
-}
-
 raft::stored_state log_store::TakeContent() {
   return std::exchange(content_, {});
 }
@@ -147,10 +198,6 @@
   return directory_ / NumberedName(kSegmentPrefix, first_index);
 }
 
-void log_store::SyncDirectory() const {
-  file(directory_, O_RDONLY | O_DIRECTORY).Sync();
-}
-
 void log_store::ReadSnapshot(const numbered_files& found) {
   if (found.empty()) {
     return;
@@ -166,7 +213,7 @@
   // Older snapshots remain after a crash between writing the new one and
   // removing them.
   for (auto older = found.begin(); older != std::prev(found.end()); ++older) {
-    std::filesystem::remove(older->second);
+    RemoveFile(older->second);
   }
 }
 
@@ -177,7 +224,9 @@
     // with an incomplete header has no records.
     if (is_last && std::filesystem::file_size(path) <= kSegmentHeaderBytes &&
         ReadFile(path) != EncodeSegmentHeader(first_index)) {
-      std::filesystem::remove(path);
+      RemoveFile(path);
+      // If the file came back after a power loss, it wouldn't be the last one.
+      SyncDirectory(directory_);
       break;
     }
     if (!segments_.empty() && first_index != last_index_ + 1) {
@@ -240,7 +289,7 @@
 void log_store::WriteSnapshot(const raft::snapshot& content) {
   ReplaceFile(SnapshotPath(content.last_index), EncodeSnapshot(content));
   if (snapshot_index_ != 0 && snapshot_index_ != content.last_index) {
-    std::filesystem::remove(SnapshotPath(snapshot_index_));
+    RemoveFile(SnapshotPath(snapshot_index_));
   }
   snapshot_index_ = content.last_index;
 }
@@ -252,7 +301,7 @@
   tail_ = file(segments_.back().path, O_WRONLY | O_CREAT | O_TRUNC);
   tail_.WriteAt(EncodeSegmentHeader(first_index), 0);
   tail_.Sync();
-  SyncDirectory();
+  SyncDirectory(directory_);
   last_index_ = first_index - 1;
   synced_index_ = last_index_;
 }
@@ -290,9 +339,9 @@
 
 void log_store::RemoveLastSegment() {
   tail_.Close();
-  std::filesystem::remove(segments_.back().path);
+  RemoveFile(segments_.back().path);
   segments_.pop_back();
-  SyncDirectory();
+  SyncDirectory(directory_);
 }
 
 void log_store::ResetTo(std::uint64_t next_index) {
@@ -334,8 +383,8 @@
   // Removes only entries that the snapshot covers.
   const std::uint64_t limit = std::min(index, snapshot_index_ + 1);
   while (segments_.size() > 1 && segments_[1].first_index <= limit) {
-    std::filesystem::remove(segments_.front().path);
-    SyncDirectory();
+    RemoveFile(segments_.front().path);
+    SyncDirectory(directory_);
     segments_.pop_front();
   }
 }
--- a/src/libwisteriaroute/storage/log_store.h
+++ b/src/libwisteriaroute/storage/log_store.h
@@ -27,8 +27,9 @@
  public:
   /**
    * Opens or creates the directory and locks it. Removes a torn tail, that is,
-   * records that were never synced. Throws damaged_storage for any other damage
-   * and std::runtime_error for I/O errors and a directory that is in use.
+   * records that were never synced, and completes an initialization that was
+   * cut short. Throws damaged_storage for any other damage and
+   * std::runtime_error for I/O errors and a directory that is in use.
    */
   explicit log_store(std::filesystem::path directory,
                      const store_options& options = {});
@@ -38,7 +39,14 @@
   /** Whether the directory has no content yet and needs Initialize. */
   bool empty() const { return empty_; }
 
-  /** Writes and syncs the initial content. Throws if the store isn't empty. */
+  /** Whether opening has completed an initialization that was cut short. */
+  bool completed_initialization() const { return completed_initialization_; }
+
+  /**
+   * Writes and syncs the initial content. If it is cut short, the directory is
+   * still empty, or the next opening completes it. Throws if the store isn't
+   * empty.
+   */
   void Initialize(const raft::stored_state& content);
 
   /** Returns the content read on opening. Call once, before the first Write. */
@@ -67,8 +75,11 @@
 
   std::filesystem::path SnapshotPath(std::uint64_t index) const;
   std::filesystem::path SegmentPath(std::uint64_t first_index) const;
-  void SyncDirectory() const;
 
+  /** Returns whether there was an initialization to complete. */
+  bool CompleteInitialization();
+  void RemoveTemporaryFiles() const;
+  void Load();
   void ReadSnapshot(
       const std::map<std::uint64_t, std::filesystem::path>& found);
   void ReadSegments(
@@ -99,6 +110,7 @@
   std::uint64_t synced_index_ = 0;
   std::uint64_t snapshot_index_ = 0;
   bool empty_ = true;
+  bool completed_initialization_ = false;
   raft::stored_state content_;
 };
 
--- a/src/libwisteriaroute/storage/snapshot_file.cc
+++ b/src/libwisteriaroute/storage/snapshot_file.cc
@@ -12,6 +12,7 @@
 
 constexpr std::string_view kMetadataMagic = "WRMETA01";
 constexpr std::string_view kSnapshotMagic = "WRSNAP01";
+constexpr std::string_view kInitialMagic = "WRINIT01";
 constexpr std::uint64_t kMagicBytes = 8;
 
 /** Returns the magic, the XXH3-64 of the body, and the body. */
@@ -99,4 +100,37 @@
       .data = std::make_shared<const std::string>(rest.substr(replicas_bytes))};
 }
 
+std::string EncodeInitialFiles(const initial_files& files) {
+  std::string body;
+  for (const auto& [name, content] : files) {
+    for (const std::string* part : {&name, &content}) {
+      AppendNumber(static_cast<std::uint64_t>(part->size()), body);
+      body += *part;
+    }
+  }
+  return AddChecksum(kInitialMagic, body);
+}
+
+initial_files ParseInitialFiles(const std::filesystem::path& path,
+                                std::string_view bytes) {
+  std::string_view rest = VerifyChecksum(path, kInitialMagic, bytes, 0);
+  const auto take = [&] {
+    const std::uint64_t size = rest.size() < sizeof(std::uint64_t)
+                                   ? rest.size()
+                                   : NumberAt<std::uint64_t>(rest, 0);
+    if (size > rest.size() - std::min(rest.size(), sizeof size)) {
+      throw damaged_storage(path.string() + " has an impossible length field");
+    }
+    const std::string part(rest.substr(sizeof size, size));
+    rest.remove_prefix(sizeof size + size);
+    return part;
+  };
+  initial_files files;
+  while (!rest.empty()) {
+    std::string name = take();
+    files.emplace_back(std::move(name), take());
+  }
+  return files;
+}
+
 }  // namespace wisteriaroute::storage
