gateway: an attempt in progress counts as one that may have run

Cause: LeaveSilentServer took the retry before it cancelled the attempt, and only cancelling set may_have_run, so the check for requests that may run once always passed.

Change: MayHaveRun counts the attempt in progress unless its server declared that it didn't run it, and MayRetry decides for all retries. A stream of whose events one had no id isn't run again either: the events of two runs can be joined only by their ids.

--- a/src/libwisteriaroute/gateway/attempts.cc
+++ b/src/libwisteriaroute/gateway/attempts.cc
@@ -15,8 +15,22 @@
   return status >= kOkFirst && status <= kOkLast;
 }
 
-bool IsRepeatable(const request_state& request) {
-  return request.route->repeats == config::repetition::kRepeatable;
+/** Whether a server may have run the request; an attempt in progress counts. */
+bool MayHaveRun(const request_state& request) {
+  const bool runs_now =
+      request.attempt != 0 && !(request.head && request.head->not_run);
+  return request.may_have_run || runs_now;
+}
+
+/** Whether the request may be sent to one more server, as far as its route and
+ * the runs that may have begun allow it. */
+bool MayRetry(const request_state& request) {
+  // The events of two runs can be joined only by their ids.
+  const bool may_run_again =
+      request.route->repeats == config::repetition::kRepeatable &&
+      !request.has_unnumbered_events;
+  return request.attempts < request.route->max_attempts &&
+         (may_run_again || !MayHaveRun(request));
 }
 
 /** Removes the current attempt from the state. Returns its server, or null if
@@ -55,15 +69,9 @@
 
 /** Whether the request may be sent to one more server. If so, takes a retry
  * from the budget of its service. */
-bool TakeRetry(step_context& step, request_state& request) {
-  if (request.attempts >= request.route->max_attempts) {
-    return false;
-  }
-  if (request.may_have_run && !IsRepeatable(request)) {
-    return false;
-  }
-  return step.state.budgets[request.service].Take(step.now_us,
-                                                  step.state.options.retries);
+bool TakeRetry(step_context& step, const request_state& request) {
+  return MayRetry(request) && step.state.budgets[request.service].Take(
+                                  step.now_us, step.state.options.retries);
 }
 
 void RecordEventGap(step_context& step, const request_state& request) {
@@ -114,6 +122,8 @@
     }
     if (event.id) {
       request.last_event_id = event.id;
+    } else if (!event.is_comment) {
+      request.has_unnumbered_events = true;
     }
     forwarded += event.text;
     ++request.events;
@@ -158,7 +168,7 @@
       step, target,
       server_error ? attempt_verdict::kFailed : attempt_verdict::kGood, request,
       "status " + std::to_string(request.head->status));
-  if (server_error && IsRepeatable(request) && TakeRetry(step, request)) {
+  if (server_error && TakeRetry(step, request)) {
     request.failure_head = std::move(request.head);
     request.failure_body = std::move(request.body);
     Dispatch(step, request);
@@ -405,8 +415,8 @@
 }
 
 void LeaveSilentServer(step_context& step, request_state& request) {
-  // If no other attempt is possible, the silent server may still continue the
-  // stream.
+  // If no other attempt is possible or allowed, the silent server may still
+  // continue the stream.
   if (!HasOtherServer(step, request) || !TakeRetry(step, request)) {
     return;
   }
@@ -422,9 +432,8 @@
                  std::string_view cause) {
   NoteFailure(step, request, verdict, cause);
   // Nothing reached the server, so this doesn't count against the retry budget.
-  const bool no_retry_needed = verdict == attempt_verdict::kUnreachable &&
-                               request.attempts < request.route->max_attempts &&
-                               (!request.may_have_run || IsRepeatable(request));
+  const bool no_retry_needed =
+      verdict == attempt_verdict::kUnreachable && MayRetry(request);
   if (no_retry_needed || TakeRetry(step, request)) {
     Dispatch(step, request);
     return;
--- a/src/libwisteriaroute/gateway/event_framer.cc
+++ b/src/libwisteriaroute/gateway/event_framer.cc
@@ -17,11 +17,30 @@
   return lf < crlf ? lf + 2 : crlf + 4;
 }
 
+/** Removes the first line from `text` and returns it without its line break. */
+std::string_view NextLine(std::string_view& text) {
+  const std::size_t end = std::min(text.find('\n'), text.size());
+  std::string_view line = text.substr(0, end);
+  text.remove_prefix(std::min(end + 1, text.size()));
+  if (line.ends_with('\r')) {
+    line.remove_suffix(1);
+  }
+  return line;
+}
+
+bool IsComment(std::string_view event) {
+  while (!event.empty()) {
+    const std::string_view line = NextLine(event);
+    if (!line.empty() && !line.starts_with(':')) {
+      return false;
+    }
+  }
+  return true;
+}
+
 std::optional<std::uint64_t> ParseId(std::string_view event) {
   while (!event.empty()) {
-    const std::size_t end = std::min(event.find('\n'), event.size());
-    std::string_view line = event.substr(0, end);
-    event.remove_prefix(std::min(end + 1, event.size()));
+    std::string_view line = NextLine(event);
     if (!line.starts_with("id:")) {
       continue;
     }
@@ -51,8 +70,10 @@
     if (length == 0) {
       break;
     }
-    events.push_back({.text = std::string(text.substr(0, length)),
-                      .id = ParseId(text.substr(0, length))});
+    const std::string_view event = text.substr(0, length);
+    events.push_back({.text = std::string(event),
+                      .id = ParseId(event),
+                      .is_comment = IsComment(event)});
     used += length;
   }
   buffer_.erase(0, used);
--- a/src/libwisteriaroute/gateway/event_framer.h
+++ b/src/libwisteriaroute/gateway/event_framer.h
@@ -13,6 +13,8 @@
 struct stream_event {
   std::string text;
   std::optional<std::uint64_t> id;
+  /** Has comment lines only. */
+  bool is_comment = false;
 };
 
 /** Splits the bytes of a `text/event-stream` into complete events. */
--- a/src/libwisteriaroute/gateway/gateway.h
+++ b/src/libwisteriaroute/gateway/gateway.h
@@ -93,6 +93,8 @@
 
   event_framer framer;
   std::optional<std::uint64_t> last_event_id;
+  /** Whether the caller has been sent an event without an id. */
+  bool has_unnumbered_events = false;
   base::time_us last_event_us = 0;
   std::uint64_t events = 0;
   /** Events of the current attempt. */
