raft: half of an even number of voters decide after a lost disk

What callers saw: a control host was replaced as planned, and within 4 s of its removal another one lost its disk.

Cause: until its silence shows that it is gone, a removed host keeps its vote, so four replicas vote and three must agree. With the lost disk two are left. What the wiped host says of itself was of use to a leader only.

Change: half of an even number of voters decide, in elections, commits and reads, if another voter is known to have lost its disk: the other half can't decide any more. The proof is the lost voter's reply, which now names the identity that was asked for beside its own; votes and replies count for a half only if they answer a request sent after the loss was known. While a change of the replica set isn't known to be committed, a half of the new set needs a majority of the old one, too, and a majority of the new set the agreement of an even old one. The leader repeats each changed set in the log. A voter is demoted only by that proof, no longer by any reply of another identity, which may be a late one.

--- a/proto/raft.capnp
+++ b/proto/raft.capnp
@@ -31,6 +31,7 @@
   voterIdentity @3 :UInt64;
   lastIndex @4 :UInt64;
   lastTerm @5 :UInt64;
+  knownLosses @6 :UInt32;
 }
 
 struct VoteReply {
@@ -38,6 +39,8 @@
   preVote @1 :Bool;
   granted @2 :Bool;
   identity @3 :UInt64;
+  askedIdentity @4 :UInt64;
+  knownLosses @5 :UInt32;
 }
 
 struct AppendRequest {
@@ -47,6 +50,7 @@
   previousTerm @3 :UInt64;
   commitIndex @4 :UInt64;
   entries @5 :List(LogEntry);
+  receiverIdentity @6 :UInt64;
 }
 
 struct AppendReply {
@@ -57,6 +61,7 @@
   matchIndex @4 :UInt64;
   rejectedIndex @5 :UInt64;
   hintIndex @6 :UInt64;
+  askedIdentity @7 :UInt64;
 }
 
 struct SnapshotChunk {
--- a/src/libwisteriaroute/raft/election.cc
+++ b/src/libwisteriaroute/raft/election.cc
@@ -10,7 +10,7 @@
 
 void RequestVotes(step_context& step, bool pre_vote) {
   const raft_state& state = step.state;
-  for (const wire::replica& one : Replicas(state)) {
+  const auto request = [&](const wire::replica& one) {
     if (one.voter && one.name != state.self) {
       Send(step, one.name,
            wire::vote_request{
@@ -19,14 +19,20 @@
                .transfer = !pre_vote && state.transfer_election,
                .voter_identity = one.identity,
                .last_index = state.log.last_index(),
-               .last_term = state.log.last_term()});
+               .last_term = state.log.last_term(),
+               .known_losses =
+                   static_cast<std::uint32_t>(state.lost_voters.size())});
     }
-  }
+  };
+  ForEachReplica(state, request);
 }
 
 bool HasVotes(const raft_state& state) {
-  return QuorumValue(Replicas(state), [&](const wire::replica& one) {
-           return state.votes.contains(one.name) ? 1 : 0;
+  return QuorumValue(state, [&](const wire::replica& one) {
+           return contribution{
+               .value = state.votes.contains(one.name) ? 1 : 0,
+               .after_loss = one.name == state.self ||
+                             state.votes_after_loss.contains(one.name)};
          }) > 0;
 }
 
@@ -34,6 +40,7 @@
   step.state.current_role = role::kPreCandidate;
   step.state.leader_name.clear();
   step.state.votes = {step.state.self};
+  step.state.votes_after_loss.clear();
   ResetElectionDeadline(step);
   if (HasVotes(step.state)) {
     StartElection(step, false);
@@ -89,7 +96,9 @@
            .term = granted ? message.term : step.state.metadata.term,
            .pre_vote = message.pre_vote,
            .granted = granted,
-           .identity = step.state.metadata.identity});
+           .identity = step.state.metadata.identity,
+           .asked_identity = message.voter_identity,
+           .known_losses = message.known_losses});
 }
 
 void Vote(step_context& step,
@@ -115,6 +124,7 @@
     SendVoteReply(step, from, message, true);
   } else {
     state.pending_vote_to = from;
+    state.pending_vote_known_losses = message.known_losses;
   }
 }
 
@@ -137,6 +147,7 @@
   state.metadata.voted_for = state.self;
   state.pending_vote_to.clear();
   state.votes.clear();
+  state.votes_after_loss.clear();
   state.transfer_election = transfer;
   MarkMetadata(step);
   ResetElectionDeadline(step);
@@ -148,7 +159,9 @@
     Send(step, state.pending_vote_to,
          wire::vote_reply{.term = state.metadata.term,
                           .granted = true,
-                          .identity = state.metadata.identity});
+                          .identity = state.metadata.identity,
+                          .asked_identity = state.metadata.identity,
+                          .known_losses = state.pending_vote_known_losses});
     state.pending_vote_to.clear();
   }
   if (state.current_role == role::kCandidate &&
@@ -167,8 +180,9 @@
   const raft_state& state = step.state;
   // The candidate knows this voter by the identity of a data directory that was
   // replaced since. This replica may have voted in this term before, and it may
-  // lack entries that it acknowledged.
+  // lack entries that it acknowledged. The reply says so.
   if (message.voter_identity != state.metadata.identity) {
+    SendVoteReply(step, from, message, false);
     return;
   }
   if (message.pre_vote) {
@@ -187,22 +201,38 @@
                  const std::string& from,
                  const wire::vote_reply& message) {
   raft_state& state = step.state;
+  if (message.asked_identity != 0 &&
+      message.asked_identity != message.identity) {
+    const bool is_news = NoteLostVoter(state, from, message.asked_identity);
+    // Only votes that are given from now on show that their senders had not
+    // lost anything when this was known.
+    if (is_news && state.current_role == role::kPreCandidate) {
+      RequestVotes(step, true);
+    } else if (is_news && state.current_role == role::kCandidate &&
+               MetadataSynced(state)) {
+      RequestVotes(step, false);
+    }
+    return;
+  }
   if (!message.granted) {
     if (message.term > state.metadata.term) {
       BecomeFollower(step, message.term, {});
     }
     return;
   }
-  const wire::replica* voter = FindReplica(state, from);
   const bool expected = message.pre_vote
                             ? state.current_role == role::kPreCandidate &&
                                   message.term == state.metadata.term + 1
                             : state.current_role == role::kCandidate &&
                                   message.term == state.metadata.term;
+  const wire::replica* voter = FindDecider(state, from);
   if (!expected || voter == nullptr || voter->identity != message.identity) {
     return;
   }
   state.votes.insert(from);
+  if (message.known_losses == state.lost_voters.size()) {
+    state.votes_after_loss.insert(from);
+  }
   if (!HasVotes(state)) {
     return;
   }
--- a/src/libwisteriaroute/raft/follower.cc
+++ b/src/libwisteriaroute/raft/follower.cc
@@ -82,7 +82,8 @@
                             .identity = state.metadata.identity,
                             .round = state.last_leader_round,
                             .rejected_index = message.previous_index,
-                            .hint_index = hint});
+                            .hint_index = hint,
+                            .asked_identity = state.asked_identity});
   }
 }
 
@@ -173,6 +174,7 @@
       !AcceptLeader(step, from, message.term, message.round)) {
     return;
   }
+  state.asked_identity = message.receiver_identity;
   if (!MatchesPrevious(state, message)) {
     Reject(step, from, message);
     return;
@@ -233,7 +235,8 @@
                           .identity = state.metadata.identity,
                           .round = state.last_leader_round,
                           .success = true,
-                          .match_index = match});
+                          .match_index = match,
+                          .asked_identity = state.asked_identity});
 }
 
 }  // namespace wisteriaroute::raft
--- a/src/libwisteriaroute/raft/membership.cc
+++ b/src/libwisteriaroute/raft/membership.cc
@@ -39,6 +39,20 @@
                         wire::EncodeReplicas(replicas));
 }
 
+/**
+ * Whether the log itself shows that the replica set is committed: it repeats
+ * the voters of the set before it. The commit index isn't on disk, so after a
+ * restart quorums of both sets would be needed, and the old one may be gone.
+ */
+bool IsKnownCommitted(const raft_state& state) {
+  const std::uint64_t changed_at = state.log.replicas_index();
+  if (changed_at < state.log.first_index()) {
+    return true;
+  }
+  const wire::replica_list& previous = state.log.ReplicasAt(changed_at - 1);
+  return previous.empty() || HaveSameVoters(previous, Replicas(state));
+}
+
 struct change_error {
   std::string reason;
   bool permanent = false;
@@ -72,8 +86,12 @@
     }
     replicas.erase(found);
     // While another voter is lost, the removal might never commit and would
-    // block the repair of that voter.
-    if (!IsQuorumActive(step, replicas)) {
+    // block the repair of that voter. Both sets may have to agree, without the
+    // removed voter, unless that is the leader.
+    const std::string_view without =
+        event.name == step.state.self ? std::string_view() : event.name;
+    if (!IsQuorumActive(step, replicas, {}) ||
+        !IsQuorumActive(step, Replicas(step.state), without)) {
       return {"no quorum of the remaining voters is reachable"};
     }
     return {};
@@ -127,12 +145,16 @@
     return;
   }
   wire::replica_list replicas = Replicas(state);
+  if (!IsKnownCommitted(state)) {
+    AppendReplicas(step, replicas);
+    return;
+  }
   for (wire::replica& one : replicas) {
     if (one.name == state.self) {
       continue;
     }
     const peer_progress& peer = PeerOf(step, one.name);
-    if (one.voter && peer.identity != 0 && peer.identity != one.identity) {
+    if (one.voter && state.lost_voters.contains({one.name, one.identity})) {
       one.voter = false;
       one.identity = 0;
       one.promote_when_ready = true;
--- a/src/libwisteriaroute/raft/peer.cc
+++ b/src/libwisteriaroute/raft/peer.cc
@@ -16,6 +16,12 @@
           .commit_index_at_first_reply = step.state.commit_index};
 }
 
+/** The identity that a voter has in the replica set; 0 for others. */
+std::uint64_t VoterIdentity(const raft_state& state, std::string_view name) {
+  const wire::replica* replica = FindDecider(state, name);
+  return replica != nullptr && replica->voter ? replica->identity : 0;
+}
+
 void SendChunk(step_context& step,
                const std::string& name,
                peer_progress& peer) {
@@ -48,12 +54,35 @@
       .previous_index = peer.next_index - 1,
       .previous_term = state.log.TermAt(peer.next_index - 1),
       .commit_index = state.commit_index,
-      .entries = state.log.Slice(peer.next_index, end,
-                                 state.options.max_append_bytes)};
+      .entries =
+          state.log.Slice(peer.next_index, end, state.options.max_append_bytes),
+      .receiver_identity = VoterIdentity(state, name)};
   peer.next_index += message.entries.size();
   Send(step, name, std::move(message));
 }
 
+/** The times of the voters' last replies, without one of them. */
+contribution_of LastReplies(const step_context& step,
+                            std::string_view without) {
+  return [&step, without](const wire::replica& one) -> contribution {
+    const raft_state& state = step.state;
+    if (one.name == without) {
+      return {};
+    }
+    if (one.name == state.self) {
+      return {.value = step.now_us, .after_loss = true};
+    }
+    const peer_progress* peer = FindQuorumPeer(state, one);
+    return {.value =
+                peer == nullptr ? state.leader.elected_us : peer->last_reply_us,
+            .after_loss = true};
+  };
+}
+
+bool WasRecent(const step_context& step, base::time_us quorum_reply_us) {
+  return step.now_us - quorum_reply_us < step.state.options.election_max_us;
+}
+
 }  // namespace
 
 peer_progress& PeerOf(step_context& step, const std::string& name) {
@@ -70,46 +99,50 @@
   return counted ? &found->second : nullptr;
 }
 
+bool IsQuorumActive(const step_context& step) {
+  return WasRecent(step, QuorumValue(step.state, LastReplies(step, {})));
+}
+
 bool IsQuorumActive(const step_context& step,
-                    const wire::replica_list& replicas) {
-  const raft_state& state = step.state;
-  const base::time_us quorum_reply_us =
-      QuorumValue(replicas, [&](const wire::replica& one) -> std::int64_t {
-        if (one.name == state.self) {
-          return step.now_us;
-        }
-        const peer_progress* peer = FindQuorumPeer(state, one);
-        return peer == nullptr ? state.leader.elected_us : peer->last_reply_us;
-      });
-  return step.now_us - quorum_reply_us < state.options.election_max_us;
+                    const wire::replica_list& replicas,
+                    std::string_view without) {
+  return WasRecent(step, QuorumOf(step.state, replicas, quorum::kHalfAfterLoss,
+                                  LastReplies(step, without)));
 }
 
 peer_progress* RecordReply(step_context& step,
                            const std::string& from,
                            std::uint64_t identity,
+                           std::uint64_t asked_identity,
                            std::uint64_t round) {
-  const wire::replica* replica = FindReplica(step.state, from);
+  raft_state& state = step.state;
+  if (asked_identity != 0 && asked_identity != identity) {
+    NoteLostVoter(state, from, asked_identity);
+  }
+  const wire::replica* replica = FindDecider(state, from);
   if (replica == nullptr) {
     return nullptr;
   }
+  // Replies of a voter don't count if they were sent before it lost its data
+  // directory. Those of another identity count once it is certain that the
+  // voter's is lost; others are from before its time.
+  if (replica->voter && state.lost_voters.contains({from, replica->identity}) ==
+                            (identity == replica->identity)) {
+    return nullptr;
+  }
   peer_progress& peer = PeerOf(step, from);
   if (peer.identity != identity) {
-    // After a reply with another identity, the old data directory of the voter
-    // is gone, so delayed replies from before its loss must not count.
-    if (peer.identity != 0 && replica->voter && identity == replica->identity) {
-      return nullptr;
-    }
     // Keeps next_index on the first reply: append requests may have advanced
     // it.
     if (peer.identity == 0) {
       peer.identity = identity;
-      peer.commit_index_at_first_reply = step.state.commit_index;
+      peer.commit_index_at_first_reply = state.commit_index;
     } else {
       peer = NewProgress(step, identity);
     }
   }
   peer.last_reply_us = step.now_us;
-  peer.round = std::max(peer.round, std::min(round, step.state.leader.round));
+  peer.round = std::max(peer.round, std::min(round, state.leader.round));
   return &peer;
 }
 
@@ -128,7 +161,8 @@
            .round = state.leader.round,
            .previous_index = previous,
            .previous_term = previous == 0 ? 0 : state.log.TermAt(previous),
-           .commit_index = state.commit_index});
+           .commit_index = state.commit_index,
+           .receiver_identity = VoterIdentity(state, name)});
 }
 
 void SendEntries(step_context& step,
--- a/src/libwisteriaroute/raft/peer.h
+++ b/src/libwisteriaroute/raft/peer.h
@@ -2,6 +2,7 @@
 #define LIBWISTERIAROUTE_RAFT_PEER_H_
 
 #include <string>
+#include <string_view>
 
 #include "libwisteriaroute/raft/step_context.h"
 
@@ -20,18 +21,22 @@
                                     const wire::replica& voter);
 
 /**
- * Records a reply that `from` sent with `identity`. A changed identity resets
- * the progress, because that replica lost its log. Returns null if the reply
- * must be ignored.
+ * Records a reply that `from` sent with `identity`; the request asked for
+ * `asked_identity`. A changed identity resets the progress, because that
+ * replica lost its log. Returns null if the reply must be ignored.
  */
 peer_progress* RecordReply(step_context& step,
                            const std::string& from,
                            std::uint64_t identity,
+                           std::uint64_t asked_identity,
                            std::uint64_t round);
 
 /** Whether a quorum replied within the longest election timeout. */
+bool IsQuorumActive(const step_context& step);
+/** The same for one replica set, not counting `without`. */
 bool IsQuorumActive(const step_context& step,
-                    const wire::replica_list& replicas);
+                    const wire::replica_list& replicas,
+                    std::string_view without);
 
 /**
  * Sends an append request without entries. Its reply confirms leadership and
--- a/src/libwisteriaroute/raft/replication.cc
+++ b/src/libwisteriaroute/raft/replication.cc
@@ -13,11 +13,16 @@
 /** Calls `function(name, progress)` for every replica but this one. */
 template <typename Function>
 void ForEachPeer(step_context& step, Function function) {
-  for (const wire::replica& one : Replicas(step.state)) {
+  ForEachReplica(step.state, [&](const wire::replica& one) {
     if (one.name != step.state.self) {
       function(one.name, PeerOf(step, one.name));
     }
-  }
+  });
+}
+
+/** Whether the voter has replied since the latest known loss of another. */
+bool RepliedAfterLoss(const raft_state& state, const peer_progress& peer) {
+  return peer.round >= state.leader.round_after_loss;
 }
 
 /**
@@ -58,13 +63,18 @@
 void AnswerReads(step_context& step) {
   raft_state& state = step.state;
   leader_state& leader = state.leader;
-  const std::int64_t confirmed = QuorumValue(
-      Replicas(state), [&](const wire::replica& one) -> std::int64_t {
+  const std::int64_t confirmed =
+      QuorumValue(state, [&](const wire::replica& one) -> contribution {
         if (one.name == state.self) {
-          return static_cast<std::int64_t>(leader.round);
+          return {.value = static_cast<std::int64_t>(leader.round),
+                  .after_loss = true};
         }
         const peer_progress* peer = FindQuorumPeer(state, one);
-        return peer == nullptr ? 0 : static_cast<std::int64_t>(peer->round);
+        return peer == nullptr
+                   ? contribution{}
+                   : contribution{
+                         .value = static_cast<std::int64_t>(peer->round),
+                         .after_loss = RepliedAfterLoss(state, *peer)};
       });
   leader.confirmed_round =
       std::max(leader.confirmed_round, static_cast<std::uint64_t>(confirmed));
@@ -82,8 +92,9 @@
   if (!leader.reads.empty() && leader.reads.back().round > leader.round &&
       leader.confirmed_round == leader.round) {
     StartRound(step);
-    if (QuorumValue(Replicas(state), [&](const wire::replica& one) {
-          return IsCurrentSelf(state, one) ? 1 : 0;
+    if (QuorumValue(state, [&](const wire::replica& one) {
+          return contribution{.value = IsCurrentSelf(state, one) ? 1 : 0,
+                              .after_loss = true};
         }) > 0) {
       AnswerReads(step);
     }
@@ -137,7 +148,7 @@
 
 void LeaderTick(step_context& step) {
   raft_state& state = step.state;
-  if (!IsQuorumActive(step, Replicas(state))) {
+  if (!IsQuorumActive(step)) {
     BecomeFollower(step, state.metadata.term, {});
     return;
   }
@@ -175,14 +186,18 @@
 
 void AdvanceCommit(step_context& step) {
   raft_state& state = step.state;
-  const auto synced = static_cast<std::uint64_t>(QuorumValue(
-      Replicas(state), [&](const wire::replica& one) -> std::int64_t {
+  const auto synced = static_cast<std::uint64_t>(
+      QuorumValue(state, [&](const wire::replica& one) -> contribution {
         if (IsCurrentSelf(state, one)) {
-          return static_cast<std::int64_t>(state.synced_index);
+          return {.value = static_cast<std::int64_t>(state.synced_index),
+                  .after_loss = true};
         }
         const peer_progress* peer = FindQuorumPeer(state, one);
-        return peer == nullptr ? 0
-                               : static_cast<std::int64_t>(peer->match_index);
+        return peer == nullptr
+                   ? contribution{}
+                   : contribution{
+                         .value = static_cast<std::int64_t>(peer->match_index),
+                         .after_loss = RepliedAfterLoss(state, *peer)};
       }));
   // An entry of an older term can still be overwritten although a quorum has
   // it. It commits together with a later entry of the current term.
@@ -245,8 +260,8 @@
   if (!CheckReplyTerm(step, message.term)) {
     return;
   }
-  peer_progress* peer =
-      RecordReply(step, from, message.identity, message.round);
+  peer_progress* peer = RecordReply(step, from, message.identity,
+                                    message.asked_identity, message.round);
   if (peer == nullptr) {
     return;
   }
@@ -265,7 +280,7 @@
     return;
   }
   peer_progress* peer =
-      RecordReply(step, from, message.identity, message.round);
+      RecordReply(step, from, message.identity, 0, message.round);
   if (peer != nullptr) {
     UpdateChunk(step, from, *peer, message);
     AnswerReads(step);
--- a/src/libwisteriaroute/raft/state.cc
+++ b/src/libwisteriaroute/raft/state.cc
@@ -80,6 +80,32 @@
   return found == replicas.end() ? nullptr : &*found;
 }
 
+const wire::replica_list* PreviousReplicas(const raft_state& state) {
+  const std::uint64_t changed_at = state.log.replicas_index();
+  if (changed_at <= state.commit_index ||
+      changed_at < state.log.first_index()) {
+    return nullptr;
+  }
+  const wire::replica_list& previous = state.log.ReplicasAt(changed_at - 1);
+  // The first set has none before it.
+  return previous.empty() || HaveSameVoters(previous, Replicas(state))
+             ? nullptr
+             : &previous;
+}
+
+bool HaveSameVoters(const wire::replica_list& a, const wire::replica_list& b) {
+  const auto voters = [](const wire::replica_list& replicas) {
+    std::set<std::pair<std::string, std::uint64_t>> found;
+    for (const wire::replica& one : replicas) {
+      if (one.voter) {
+        found.emplace(one.name, one.identity);
+      }
+    }
+    return found;
+  };
+  return voters(a) == voters(b);
+}
+
 bool IsVoter(const raft_state& state) {
   const wire::replica* self = FindReplica(state, state.self);
   return self != nullptr && self->voter &&
--- a/src/libwisteriaroute/raft/state.h
+++ b/src/libwisteriaroute/raft/state.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "libwisteriaroute/base/clock.h"
@@ -95,6 +96,8 @@
   std::map<std::string, peer_progress> peers;
   std::uint64_t round = 0;
   std::uint64_t confirmed_round = 0;
+  /** The first round that began after the latest known loss of a voter. */
+  std::uint64_t round_after_loss = 1;
   base::time_us next_heartbeat_us = 0;
   base::time_us elected_us = 0;
   std::uint64_t noop_index = 0;
@@ -135,9 +138,18 @@
   base::time_us election_deadline_us = 0;
   base::time_us last_leader_message_us = 0;
   std::set<std::string> votes;
+  /** Of these, the votes that answer a request sent after the latest loss of a
+   * voter was known. */
+  std::set<std::string> votes_after_loss;
   bool transfer_election = false;
   /** Candidate whose vote is sent once the metadata is synced; empty: none. */
   std::string pending_vote_to;
+  /** As in the request of that candidate. */
+  std::uint32_t pending_vote_known_losses = 0;
+  /** Name and identity of voters whose data directories are lost for certain:
+   * under the same name, another identity has answered to a request that named
+   * them. */
+  std::set<std::pair<std::string, std::uint64_t>> lost_voters;
 
   // Follower.
   /** The log is known to match the leader's up to this index. */
@@ -145,6 +157,8 @@
   std::uint64_t reported_match = 0;
   std::uint64_t last_leader_round = 0;
   std::uint64_t reported_round = 0;
+  /** This replica's identity in the leader's replica set. */
+  std::uint64_t asked_identity = 0;
   /** Snapshot being received; `data` holds the bytes received so far. */
   std::optional<wire::snapshot_chunk> incoming_snapshot;
 
@@ -189,6 +203,15 @@
 const wire::replica* FindReplica(const raft_state& state,
                                  std::string_view name);
 
+/** Whether both sets have the same voters, with the same identities. */
+bool HaveSameVoters(const wire::replica_list& a, const wire::replica_list& b);
+
+/**
+ * The replica set before the latest change, if it isn't known that the change
+ * is committed; otherwise null.
+ */
+const wire::replica_list* PreviousReplicas(const raft_state& state);
+
 /** Whether this replica, with its current identity, is a voter. */
 bool IsVoter(const raft_state& state);
 
--- a/src/libwisteriaroute/raft/step_context.cc
+++ b/src/libwisteriaroute/raft/step_context.cc
@@ -34,6 +34,21 @@
   }
 }
 
+std::ptrdiff_t VoterCount(const wire::replica_list& replicas) {
+  return std::ranges::count_if(
+      replicas, [](const wire::replica& one) { return one.voter; });
+}
+
+/** The nth largest value; 0 if there are fewer. */
+std::int64_t NthLargest(std::vector<std::int64_t> values, std::size_t n) {
+  if (n == 0 || n > values.size()) {
+    return 0;
+  }
+  const auto nth = values.begin() + static_cast<long>(n - 1);
+  std::nth_element(values.begin(), nth, values.end(), std::greater<>());
+  return *nth;
+}
+
 }  // namespace
 
 void Send(step_context& step, std::string_view to, wire::raft_message message) {
@@ -138,6 +153,8 @@
   state.current_role = role::kFollower;
   state.leader_name = leader;
   state.votes.clear();
+  state.votes_after_loss.clear();
+  state.asked_identity = 0;
   state.leader_match = 0;
   state.reported_match = 0;
   state.last_leader_round = 0;
@@ -146,21 +163,86 @@
   ResetElectionDeadline(step);
 }
 
-std::int64_t QuorumValue(
-    const wire::replica_list& replicas,
-    const std::function<std::int64_t(const wire::replica&)>& value) {
-  std::vector<std::int64_t> values;
+// Half of an even number of voters decide if one of the others is lost: the
+// other half then has too few voters to decide anything. This holds also while
+// both halves lose voters, because a decision of one half needs contributions
+// that were given after it knew of a loss in the other: if both halves had
+// decided, each loss would have come before the other.
+std::int64_t QuorumOf(const raft_state& state,
+                      const wire::replica_list& replicas,
+                      quorum kind,
+                      const contribution_of& of) {
+  std::vector<std::int64_t> all;
+  std::vector<std::int64_t> after_loss;
+  bool has_lost = false;
   for (const wire::replica& one : replicas) {
-    if (one.voter) {
-      values.push_back(value(one));
+    if (!one.voter) {
+      continue;
+    }
+    const contribution given = of(one);
+    all.push_back(given.value);
+    if (state.lost_voters.contains({one.name, one.identity})) {
+      has_lost = true;
+    } else if (given.after_loss) {
+      after_loss.push_back(given.value);
     }
   }
-  if (values.empty()) {
-    return 0;
+  const std::int64_t value = NthLargest(all, all.size() / 2 + 1);
+  const bool half_decides =
+      kind == quorum::kHalfAfterLoss && has_lost && all.size() % 2 == 0;
+  return half_decides ? std::max(value, NthLargest(after_loss, all.size() / 2))
+                      : value;
+}
+
+// Majorities of two sets that differ by one voter have a voter in common, but a
+// half of one set and a majority of the other may have none. So until a change
+// is certain, a half of the new set needs a majority of the old one besides,
+// and a majority of the new set the agreement of an even old one. Of the two
+// sets, one is even.
+std::int64_t QuorumValue(const raft_state& state, const contribution_of& of) {
+  const wire::replica_list& current = Replicas(state);
+  const wire::replica_list* previous = PreviousReplicas(state);
+  if (previous == nullptr) {
+    return QuorumOf(state, current, quorum::kHalfAfterLoss, of);
+  }
+  const std::int64_t majority = QuorumOf(state, current, quorum::kMajority, of);
+  if (VoterCount(*previous) % 2 == 0) {
+    return std::min(majority,
+                    QuorumOf(state, *previous, quorum::kHalfAfterLoss, of));
+  }
+  return std::max(majority,
+                  std::min(QuorumOf(state, current, quorum::kHalfAfterLoss, of),
+                           QuorumOf(state, *previous, quorum::kMajority, of)));
+}
+
+const wire::replica* FindDecider(const raft_state& state,
+                                 std::string_view name) {
+  const wire::replica* found = nullptr;
+  ForEachReplica(state, [&](const wire::replica& one) {
+    found = one.name == name ? &one : found;
+  });
+  return found;
+}
+
+bool NoteLostVoter(raft_state& state,
+                   const std::string& name,
+                   std::uint64_t asked) {
+  const auto is_voter = [&](const wire::replica_list& replicas) {
+    return std::ranges::any_of(replicas, [&](const wire::replica& one) {
+      return one.voter && one.name == name && one.identity == asked;
+    });
+  };
+  const wire::replica_list* previous = PreviousReplicas(state);
+  if (!is_voter(Replicas(state)) &&
+      (previous == nullptr || !is_voter(*previous))) {
+    return false;
+  }
+  if (!state.lost_voters.emplace(name, asked).second) {
+    return false;
   }
-  const auto quorum = values.begin() + static_cast<long>(values.size() / 2);
-  std::nth_element(values.begin(), quorum, values.end(), std::greater<>());
-  return *quorum;
+  state.votes_after_loss.clear();
+  state.leader.round_after_loss = state.leader.round + 1;
+  return true;
 }
 
 }  // namespace wisteriaroute::raft
--- a/src/libwisteriaroute/raft/step_context.h
+++ b/src/libwisteriaroute/raft/step_context.h
@@ -56,13 +56,64 @@
                     std::uint64_t term,
                     const std::string& leader);
 
+/** What a voter contributes to a decision. */
+struct contribution {
+  std::int64_t value = 0;
+  /** Whether it was given to this replica after this one knew of each voter in
+   * `lost_voters`. */
+  bool after_loss = false;
+};
+
+using contribution_of = std::function<contribution(const wire::replica&)>;
+
+/** What counts as a quorum of a replica set. */
+enum class quorum : std::uint8_t {
+  kMajority,
+  /** Also half of an even number of voters if one of the others is lost. */
+  kHalfAfterLoss
+};
+
 /**
- * Returns the largest v for which a quorum of voters has `value(voter) >= v`;
- * 0 without voters.
+ * Returns the largest v for which a quorum of the set's voters contributes a
+ * value of at least v; 0 without voters.
  */
-std::int64_t QuorumValue(
-    const wire::replica_list& replicas,
-    const std::function<std::int64_t(const wire::replica&)>& value);
+std::int64_t QuorumOf(const raft_state& state,
+                      const wire::replica_list& replicas,
+                      quorum kind,
+                      const contribution_of& of);
+
+/**
+ * As QuorumOf, of the replica sets that decide: the current one, and the one
+ * before it while the change isn't known to be committed.
+ */
+std::int64_t QuorumValue(const raft_state& state, const contribution_of& of);
+
+/**
+ * Handles that `name`, asked for the identity `asked`, has another one, so its
+ * data directory is lost. Returns whether this was news.
+ */
+bool NoteLostVoter(raft_state& state,
+                   const std::string& name,
+                   std::uint64_t asked);
+
+/** Finds a member of the sets that decide; null if there is none. */
+const wire::replica* FindDecider(const raft_state& state,
+                                 std::string_view name);
+
+/** Calls `function(replica)` for each member of the sets that decide. */
+template <typename Function>
+void ForEachReplica(const raft_state& state, Function function) {
+  for (const wire::replica& one : Replicas(state)) {
+    function(one);
+  }
+  if (const wire::replica_list* previous = PreviousReplicas(state)) {
+    for (const wire::replica& one : *previous) {
+      if (FindReplica(state, one.name) == nullptr) {
+        function(one);
+      }
+    }
+  }
+}
 
 }  // namespace wisteriaroute::raft
 
--- a/src/libwisteriaroute/wire/raft_messages.cc
+++ b/src/libwisteriaroute/wire/raft_messages.cc
@@ -39,6 +39,7 @@
   to.setVoterIdentity(from.voter_identity);
   to.setLastIndex(from.last_index);
   to.setLastTerm(from.last_term);
+  to.setKnownLosses(from.known_losses);
 }
 
 vote_request ReadFields(proto::VoteRequest::Reader from) {
@@ -47,7 +48,8 @@
           .transfer = from.getTransfer(),
           .voter_identity = from.getVoterIdentity(),
           .last_index = from.getLastIndex(),
-          .last_term = from.getLastTerm()};
+          .last_term = from.getLastTerm(),
+          .known_losses = from.getKnownLosses()};
 }
 
 void WriteFields(const vote_reply& from, proto::VoteReply::Builder to) {
@@ -55,13 +57,17 @@
   to.setPreVote(from.pre_vote);
   to.setGranted(from.granted);
   to.setIdentity(from.identity);
+  to.setAskedIdentity(from.asked_identity);
+  to.setKnownLosses(from.known_losses);
 }
 
 vote_reply ReadFields(proto::VoteReply::Reader from) {
   return {.term = from.getTerm(),
           .pre_vote = from.getPreVote(),
           .granted = from.getGranted(),
-          .identity = from.getIdentity()};
+          .identity = from.getIdentity(),
+          .asked_identity = from.getAskedIdentity(),
+          .known_losses = from.getKnownLosses()};
 }
 
 void WriteFields(const append_request& from, proto::AppendRequest::Builder to) {
@@ -70,6 +76,7 @@
   to.setPreviousIndex(from.previous_index);
   to.setPreviousTerm(from.previous_term);
   to.setCommitIndex(from.commit_index);
+  to.setReceiverIdentity(from.receiver_identity);
   auto entries = to.initEntries(static_cast<unsigned>(from.entries.size()));
   for (unsigned i = 0; i < from.entries.size(); ++i) {
     entries[i].setTerm(from.entries[i].term);
@@ -84,7 +91,8 @@
                         .round = from.getRound(),
                         .previous_index = from.getPreviousIndex(),
                         .previous_term = from.getPreviousTerm(),
-                        .commit_index = from.getCommitIndex()};
+                        .commit_index = from.getCommitIndex(),
+                        .receiver_identity = from.getReceiverIdentity()};
   result.entries.reserve(from.getEntries().size());
   for (const auto entry : from.getEntries()) {
     result.entries.push_back({.term = entry.getTerm(),
@@ -107,6 +115,7 @@
   to.setMatchIndex(from.match_index);
   to.setRejectedIndex(from.rejected_index);
   to.setHintIndex(from.hint_index);
+  to.setAskedIdentity(from.asked_identity);
 }
 
 append_reply ReadFields(proto::AppendReply::Reader from) {
@@ -116,7 +125,8 @@
           .success = from.getSuccess(),
           .match_index = from.getMatchIndex(),
           .rejected_index = from.getRejectedIndex(),
-          .hint_index = from.getHintIndex()};
+          .hint_index = from.getHintIndex(),
+          .asked_identity = from.getAskedIdentity()};
 }
 
 void WriteFields(const snapshot_chunk& from, proto::SnapshotChunk::Builder to) {
--- a/src/libwisteriaroute/wire/raft_messages.h
+++ b/src/libwisteriaroute/wire/raft_messages.h
@@ -51,6 +51,8 @@
   std::uint64_t voter_identity = 0;
   std::uint64_t last_index = 0;
   std::uint64_t last_term = 0;
+  /** Number of voters whose data directories the candidate knows to be lost. */
+  std::uint32_t known_losses = 0;
 
   bool operator==(const vote_request&) const = default;
 };
@@ -61,6 +63,11 @@
   bool pre_vote = false;
   bool granted = false;
   std::uint64_t identity = 0;
+  /** The identity that the request asked for. If it isn't the sender's, the
+   * sender's earlier data directory is lost. */
+  std::uint64_t asked_identity = 0;
+  /** As in the request. */
+  std::uint32_t known_losses = 0;
 
   bool operator==(const vote_reply&) const = default;
 };
@@ -73,6 +80,8 @@
   std::uint64_t previous_term = 0;
   std::uint64_t commit_index = 0;
   std::vector<log_entry> entries;
+  /** The receiver's identity in the leader's replica set; 0: not a voter. */
+  std::uint64_t receiver_identity = 0;
 
   bool operator==(const append_request&) const = default;
 };
@@ -88,6 +97,8 @@
   std::uint64_t rejected_index = 0;
   /** Failure: the leader resumes replication after this index. */
   std::uint64_t hint_index = 0;
+  /** As in vote_reply; 0: none. */
+  std::uint64_t asked_identity = 0;
 
   bool operator==(const append_reply&) const = default;
 };
