control: a pause of the leader isn't silence of the voters

What callers could see: a leader that had been suspended for more than 4 s took a voter for silent whose answer it hadn't read yet, and removed it while enough others were live.

Cause: silence was the time since the last answer on a clock that counts the process's own suspension.

Change: silence_clock counts from the end of the last pause of the process.

--- a/src/control/daemon.cc
+++ b/src/control/daemon.cc
@@ -12,7 +12,6 @@
 
 namespace {
 
-constexpr base::time_us kReportPeriodUs = 500'000;
 // A leadership transfer takes a few round trips. If it fails, the other
 // replicas elect a leader by themselves, so waiting longer gains nothing.
 constexpr base::time_us kShutdownLimitUs = 2'000'000;
--- a/src/control/daemon.h
+++ b/src/control/daemon.h
@@ -14,6 +14,7 @@
 #include "libwisteriaroute/base/hlc.h"
 #include "libwisteriaroute/base/metrics.h"
 #include "libwisteriaroute/control/replica.h"
+#include "libwisteriaroute/control/replica_membership.h"
 #include "libwisteriaroute/control/settings.h"
 #include "libwisteriaroute/control/snapshot_schedule.h"
 #include "libwisteriaroute/net/link_hub.h"
@@ -125,7 +126,9 @@
 
   std::map<net::exchange_id, pending_call> calls_;
   net::timer tick_;
+  static constexpr base::time_us kReportPeriodUs = 500'000;
   net::timer report_timer_;
+  silence_clock silence_;
   net::timer shutdown_timer_;
   std::map<net::link_id, net::peer_identity> peers_;
   /** Links to the other replicas by name, the newest link last. */
--- a/src/control/daemon_effects.cc
+++ b/src/control/daemon_effects.cc
@@ -2,7 +2,6 @@
 
 #include "control/daemon.h"
 #include "libwisteriaroute/base/log.h"
-#include "libwisteriaroute/control/replica_membership.h"
 
 namespace wisteriaroute::control {
 
@@ -161,6 +160,8 @@
 void daemon::ReportReplicas() {
   const raft::raft_state& raft = raft_.state();
   const bool is_leader = raft.current_role == raft::role::kLeader;
+  const base::time_us now_us = base::MonotonicUs();
+  silence_.Tick(now_us, kReportPeriodUs);
   replicas_updated update;
   for (const wire::replica& replica : raft::Replicas(raft)) {
     replica_view view{.name = replica.name,
@@ -175,8 +176,7 @@
       const auto peer = raft.leader.peers.find(replica.name);
       if (peer != raft.leader.peers.end()) {
         view.match_index = peer->second.match_index;
-        view.silent_ms =
-            (base::MonotonicUs() - peer->second.last_reply_us) / 1'000;
+        view.silent_ms = silence_.SilentMs(peer->second.last_reply_us, now_us);
       }
     }
     update.replicas.push_back(std::move(view));
--- a/src/libwisteriaroute/control/replica_membership.cc
+++ b/src/libwisteriaroute/control/replica_membership.cc
@@ -12,8 +12,23 @@
 // A live voter answers every heartbeat, sent each 100 ms.
 constexpr base::time_ms kMaxLiveSilenceMs = 1'000;
 
+// Ticks that are later than this many periods show a pause.
+constexpr base::time_us kLatePeriods = 2;
+
 }  // namespace
 
+void silence_clock::Tick(base::time_us now_us, base::time_us period_us) {
+  if (now_us - last_tick_us_ > kLatePeriods * period_us) {
+    running_since_us_ = now_us;
+  }
+  last_tick_us_ = now_us;
+}
+
+base::time_ms silence_clock::SilentMs(base::time_us last_reply_us,
+                                      base::time_us now_us) const {
+  return (now_us - std::max(last_reply_us, running_since_us_)) / 1'000;
+}
+
 std::optional<raft::change_replicas> NextReplicaChange(
     std::span<const replica_view> replicas,
     std::span<const replica_address> connected,
--- a/src/libwisteriaroute/control/replica_membership.h
+++ b/src/libwisteriaroute/control/replica_membership.h
@@ -11,6 +11,22 @@
 
 namespace wisteriaroute::control {
 
+/**
+ * Measures the silence of other replicas without the pauses of this process,
+ * which may be suspended: answers that came meanwhile are still to be read.
+ */
+class silence_clock {
+ public:
+  /** To be called at least every `period_us` while the process runs. */
+  void Tick(base::time_us now_us, base::time_us period_us);
+  base::time_ms SilentMs(base::time_us last_reply_us,
+                         base::time_us now_us) const;
+
+ private:
+  base::time_us last_tick_us_ = 0;
+  base::time_us running_since_us_ = 0;
+};
+
 /**
  * The change of the replica set that the leader should make next on a platform
  * that replaces hosts automatically. A connected replica that isn't in the set
