gateway: a stream is continued only by events that follow the last one

What callers would see: a stream broke off, the next server answered with an error, and its text stood in the stream; a success that isn't a stream (204) left the stream open for good; an empty stream ended it as complete; a run that began again was joined to the first one. Events before a gap in the first piece of a stream were written before the head.

Cause: events were judged one by one, and an answer by its type as a whole, never by whether it continues what the caller has.

Change: a continued attempt ends unless it is an event stream whose first event follows the last one sent; a continued stream that ends before any event is broken; events are written with the head before a gap ends the attempt.

--- a/src/libwisteriaroute/gateway/attempts.cc
+++ b/src/libwisteriaroute/gateway/attempts.cc
@@ -99,25 +99,28 @@
   }
 }
 
-void ForwardEvents(step_context& step,
-                   request_state& request,
-                   std::string_view data) {
-  // The wait for a server's first event says nothing about its pace.
-  const bool follows_event = request.attempt_events > 0;
-  std::string forwarded;
+/** Takes the complete events of the current attempt that the caller lacks.
+ * Returns why the attempt can't go on after them; null if it can. */
+const char* TakeEvents(request_state& request,
+                       std::size_t max_event_bytes,
+                       std::string_view data,
+                       std::string& forwarded) {
   for (stream_event& event : request.framer.Feed(data)) {
+    // A run that doesn't go on after the last event isn't the same answer.
+    const bool must_continue =
+        request.events > 0 && request.attempt_events == 0;
+    if (must_continue && !event.id && !event.is_comment) {
+      return "event without an id in a continued stream";
+    }
     if (event.id && request.last_event_id) {
+      if (*event.id <= *request.last_event_id && must_continue) {
+        return "stream not continued after its last event";
+      }
       if (*event.id <= *request.last_event_id) {
         continue;
       }
       if (*event.id != *request.last_event_id + 1) {
-        if (!forwarded.empty()) {
-          step.out.push_back(write_stream{request.exchange, forwarded});
-        }
-        CancelAttempt(step, request);
-        FailAttempt(step, request, attempt_verdict::kFailed,
-                    "event missing from stream");
-        return;
+        return "event missing from stream";
       }
     }
     if (event.id) {
@@ -129,19 +132,14 @@
     ++request.events;
     ++request.attempt_events;
   }
-  if (request.framer.partial_event_bytes() >
-      step.state.options.max_event_bytes) {
-    CancelAttempt(step, request);
-    FailAttempt(step, request, attempt_verdict::kFailed,
-                "event exceeds size limit");
-    return;
-  }
-  if (forwarded.empty()) {
-    return;
-  }
-  if (follows_event) {
-    RecordEventGap(step, request);
-  }
+  return request.framer.partial_event_bytes() > max_event_bytes
+             ? "event exceeds size limit"
+             : nullptr;
+}
+
+void WriteEvents(step_context& step,
+                 request_state& request,
+                 std::string forwarded) {
   if (request.phase == request_phase::kStreaming) {
     step.Measure("wisteriaroute_event_gap_seconds",
                  step.now_us - request.last_event_us);
@@ -159,6 +157,26 @@
   step.out.push_back(write_stream{request.exchange, std::move(forwarded)});
 }
 
+void ForwardEvents(step_context& step,
+                   request_state& request,
+                   std::string_view data) {
+  // The wait for a server's first event says nothing about its pace.
+  const bool follows_event = request.attempt_events > 0;
+  std::string forwarded;
+  const char* broken =
+      TakeEvents(request, step.state.options.max_event_bytes, data, forwarded);
+  if (!forwarded.empty()) {
+    if (follows_event) {
+      RecordEventGap(step, request);
+    }
+    WriteEvents(step, request, std::move(forwarded));
+  }
+  if (broken != nullptr) {
+    CancelAttempt(step, request);
+    FailAttempt(step, request, attempt_verdict::kFailed, broken);
+  }
+}
+
 /** Handles a complete response with a status outside 2xx. */
 void HandleFailureResponse(step_context& step, request_state& request) {
   server* target = RemoveAttempt(step, request);
@@ -191,6 +209,10 @@
   if (request.head->ends_with_connection && request.attempt_events == 0) {
     return "stream ended with its connection before an event";
   }
+  // Whether the first server had sent all events isn't known.
+  if (request.events > request.attempt_events && request.attempt_events == 0) {
+    return "continued stream ended before an event";
+  }
   return nullptr;
 }
 
@@ -355,10 +377,19 @@
     HandleNotRun(step, *request);
     return;
   }
-  if (IsSuccess(head.status) && (!head.sealed || head.encoded)) {
+  if (!IsSuccess(head.status)) {
+    return;
+  }
+  const char* unusable = nullptr;
+  if (!head.sealed || head.encoded) {
+    unusable = "response without server seal or encoded";
+  } else if (request->phase == request_phase::kStreaming &&
+             !head.event_stream) {
+    unusable = "continued stream answered without events";
+  }
+  if (unusable != nullptr) {
     CancelAttempt(step, *request);
-    FailAttempt(step, *request, attempt_verdict::kFailed,
-                "response without server seal or encoded");
+    FailAttempt(step, *request, attempt_verdict::kFailed, unusable);
   }
 }
 
