--- a/tests/raft/replacement_test.cc
+++ b/tests/raft/replacement_test.cc
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 #include "tests/raft/cluster.h"
 
 namespace wisteriaroute::raft {
@@ -229,6 +231,59 @@
   CHECK(Decides(replicas));
 }
 
+void ConnectOnly(cluster& replicas, const std::vector<std::string>& pairs) {
+  Cut(replicas, "");
+  for (const auto& a : replicas.nodes) {
+    for (const auto& b : replicas.nodes) {
+      if (std::ranges::none_of(pairs, [&](const std::string& pair) {
+            return pair == a.name + b.name || pair == b.name + a.name;
+          })) {
+        replicas.cut_links.insert({a.name, b.name});
+      }
+    }
+  }
+}
+
+// Both halves lose a disk, one after the other. If what the lost voter had
+// acknowledged before counted for its half, both would decide.
+TEST_CASE("only replies that follow a loss count for a half") {
+  cluster replicas(3, 1, {});
+  cluster::node& a = replicas.Get("a");
+  cluster::node& c = replicas.Get("c");
+  replicas.RunFor(2 * kSecond);
+  AddHost(replicas, "d");
+  replicas.Run(*replicas.Leader(), transfer_leadership{"a"});
+  replicas.RunFor(kSecond);
+  REQUIRE(replicas.Leader() == &a);
+  Cut(replicas, "ab");
+  replicas.Propose(a);
+  replicas.SyncAndDeliverAll();
+  REQUIRE(replicas.Get("b").state.log.last_index() == a.state.log.last_index());
+
+  LoseDisk(replicas, "b");
+  replicas.Start(replicas.Get("b"));
+  ConnectOnly(replicas, {"bc", "cd"});
+  for (int i = 0; i < 200 && c.state.current_role != role::kLeader; ++i) {
+    replicas.now_us += kTickPeriodUs;
+    replicas.Run(c, tick{});
+    replicas.SyncAndDeliverAll();
+  }
+  REQUIRE(c.state.current_role == role::kLeader);
+  replicas.Propose(c);
+  replicas.SyncAndDeliverAll();
+  REQUIRE(c.state.commit_index == c.state.log.last_index());
+
+  LoseDisk(replicas, "d");
+  replicas.Start(replicas.Get("d"));
+  ConnectOnly(replicas, {"ad"});
+  REQUIRE(a.state.current_role == role::kLeader);
+  const std::uint64_t committed = a.state.commit_index;
+  replicas.Propose(a);
+  replicas.SyncAndDeliverAll();
+  CHECK(a.state.lost_voters.size() == 1);
+  CHECK(a.state.commit_index == committed);
+}
+
 // A reply of an earlier identity that arrives late says nothing of the current
 // one.
 TEST_CASE("a late reply of an earlier identity doesn't demote a voter") {
