control, platform: an odd report of a server names no server

What callers would see: another writer leaves one odd report, and control ends again and again, or requests go to a server that can't be used, or the draining of a server is acknowledged and ignored. Reported by other operators.

Change: control/report_faults says why a report names no server, for both protocols; fields of another type make it invalid; base/json_input refuses deep nesting before anything is built and converts integers exactly; reports are 64 KiB at most; a report never changes the session of a member of another role.

Ports above 65,535 and malformed bodies were refused before, too.

--- a/src/libwisteriaroute/agent/engine_protocol.cc
+++ b/src/libwisteriaroute/agent/engine_protocol.cc
@@ -6,6 +6,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "libwisteriaroute/base/json_input.h"
+
 namespace wisteriaroute::agent {
 
 namespace {
@@ -18,7 +20,7 @@
 
 /** Parses a JSON object; returns null for anything else. */
 json ParseObject(std::string_view text) {
-  json parsed = json::parse(text, nullptr, false);
+  json parsed = base::ParseJsonInput(text);
   return parsed.is_object() ? parsed : json(nullptr);
 }
 
--- a/src/libwisteriaroute/control/server_reports.cc
+++ b/src/libwisteriaroute/control/server_reports.cc
@@ -32,6 +32,14 @@
   leader_state& leader = *state.leadership;
   const std::string& name = report.info.name;
   const auto found = leader.sessions.find(name);
+  if (found != leader.sessions.end() &&
+      found->second.info.role != wire::member_role::kServer) {
+    // Another writer used the name of an entry, agent or sidecar.
+    out.push_back(record_event{{.kind = "report_ignored",
+                                .server = name,
+                                .detail = "the name of another member"}});
+    return;
+  }
   if (found == leader.sessions.end()) {
     if (report.gone && report.info.address.empty()) {
       // This leader doesn't know the server, but an entry may; notify it.
--- a/src/libwisteriaroute/entry/api.cc
+++ b/src/libwisteriaroute/entry/api.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "libwisteriaroute/agent/prefix_blocks.h"
+#include "libwisteriaroute/base/json_input.h"
 
 namespace wisteriaroute::entry {
 
@@ -13,8 +14,6 @@
 
 constexpr std::uint32_t kDefaultMaxTokens = 256;
 constexpr std::uint32_t kHighestMaxTokens = 1'000'000;
-// Bounds the parser's stack for nested input; no valid request needs more.
-constexpr int kMaxDepth = 32;
 constexpr std::size_t kBytesPerToken = 4;
 // 16 KiB of shared prefix; further blocks cost time and don't change routing.
 constexpr std::size_t kMaxPrefixBlocks = 256;
@@ -28,13 +27,10 @@
 }
 
 json ParseBounded(std::string_view body) {
-  return json::parse(
-      body.begin(), body.end(), [](int depth, json::parse_event_t, json&) {
-        if (depth > kMaxDepth) {
-          throw std::invalid_argument("nested more than 32 levels deep");
-        }
-        return true;
-      });
+  if (base::IsNestedDeeper(body, base::kMaxJsonDepth)) {
+    throw std::invalid_argument("nested more than 32 levels deep");
+  }
+  return json::parse(body);
 }
 
 std::size_t TextBytes(const json& value) {
--- a/src/protocol/native_protocol.cc
+++ b/src/protocol/native_protocol.cc
@@ -1,11 +1,13 @@
 #include "protocol/native_protocol.h"
 
+#include <cstdint>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
 
+#include "libwisteriaroute/base/json_input.h"
 #include "libwisteriaroute/config/traffic_parse.h"
-#include "libwisteriaroute/net/address.h"
+#include "libwisteriaroute/control/report_faults.h"
 
 namespace wisteriaroute::protocol {
 
@@ -36,28 +38,35 @@
   wire::report_server report{
       .info = {.name = std::move(id), .role = wire::member_role::kServer},
       .gone = gone};
+  if (request.body.size() > control::kMaxReportBytes) {
+    return api_refusal{.code = "invalid_report",
+                       .message = "the body is too large"};
+  }
+  const json body = base::ParseJsonInput(request.body);
+  if (!body.is_object()) {
+    return api_refusal{.code = "invalid_report",
+                       .message = "the body is not a JSON object"};
+  }
   try {
-    const json body = json::parse(request.body);
-    report.info.incarnation = body.at("started_ms").get<std::uint64_t>();
-    if (gone) {
-      return report;
+    report.info.incarnation = base::ExactUnsigned(body.at("started_ms"));
+    if (!gone) {
+      report.sequence = base::ExactUnsigned(body.at("sequence"));
+      report.info.address = body.at("address").get<std::string>();
+      report.info.data_center = body.value("data_center", "");
+      report.info.leaving = body.value("leaving", false);
+      wire::backend_info& backend = report.info.backend;
+      backend.service = body.at("service").get<std::string>();
+      backend.healthy = true;
+      if (body.contains("slots")) {
+        backend.slots = base::ExactUnsigned<std::uint32_t>(body.at("slots"));
+      }
+      backend.version = body.value("version", "");
     }
-    report.sequence = body.at("sequence").get<std::uint64_t>();
-    report.info.address = body.at("address").get<std::string>();
-    report.info.data_center = body.value("data_center", "");
-    report.info.leaving = body.value("leaving", false);
-    wire::backend_info& backend = report.info.backend;
-    backend.service = body.at("service").get<std::string>();
-    backend.healthy = true;
-    backend.slots = body.value("slots", std::uint32_t{0});
-    backend.version = body.value("version", "");
   } catch (const json::exception& error) {
     return api_refusal{.code = "invalid_report", .message = error.what()};
   }
-  if (!net::IsAddress(report.info.address) ||
-      report.info.backend.service.empty()) {
-    return api_refusal{.code = "invalid_report",
-                       .message = "address is invalid or service is empty"};
+  if (const auto fault = control::FindReportFault(report); !fault.empty()) {
+    return api_refusal{.code = "invalid_report", .message = std::string(fault)};
   }
   return report;
 }
--- a/tests/control/server_reports_test.cc
+++ b/tests/control/server_reports_test.cc
@@ -94,6 +94,20 @@
   }
 }
 
+// A report under the name of an entry turned its session into a server's, and
+// the entry got no more updates.
+TEST_CASE("a report doesn't take over the session of another member") {
+  leader_world w;
+  wire::report_server report = Report(1, 1);
+  report.info.name = "entry";
+  w.Handle(report);
+  CHECK(w.sent_infos.empty());
+  CHECK(w.state.leadership->sessions["entry"].info.role ==
+        wire::member_role::kEntry);
+  w.Handle(Report(1, 1));
+  CHECK(w.sent_infos.size() == 1);
+}
+
 TEST_CASE("entries are told of a crash that another entry has seen") {
   constexpr net::link_id kOtherLink = 6;
   leader_world w;
