net: no connection is shared by a request that its response can't name

Responses are matched to requests by their ids, so this could happen to requests without an id only. An invalid IP or port, which reaches an entry only past control's check, ended the process.

Cause: without an id nothing was compared; the address was parsed by a function that throws.

Change: a request without an id gets a connection of its own; an invalid address fails the transfer before anything is sent.

Evidence: http_test; on the earlier client the first new case throws and the second finds one connection where two are expected (not run: by reading).

--- a/src/libwisteriaroute/net/http_client.cc
+++ b/src/libwisteriaroute/net/http_client.cc
@@ -181,6 +181,10 @@
         target.match_value = value;
       }
     }
+    // On a kept connection, its response couldn't be told from a late one.
+    if (target.match_value.empty()) {
+      target.request.reuse_connection = false;
+    }
   }
   transfers_[target.id] = std::move(owned);
   std::string error;
@@ -273,6 +277,11 @@
 
 http_client::connection* http_client::Connect(const std::string& address,
                                               std::string& error) {
+  if (!IsAddress(address)) {
+    error = "invalid address";
+    errno = EINVAL;
+    return nullptr;
+  }
   const socket_address to = ParseAddress(address);
   const int fd = socket(to.storage.ss_family,
                         SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
--- a/src/libwisteriaroute/net/http_client.h
+++ b/src/libwisteriaroute/net/http_client.h
@@ -40,7 +40,8 @@
    * Lower-case name of a header whose value must be equal in request and
    * response; empty: none. Responses with another value are discarded, because
    * they answer an earlier request of the connection. A response without the
-   * header fails the transfer.
+   * header fails the transfer. A request without it gets a connection of its
+   * own.
    */
   std::string match_header;
   /** Only makes a new connection and closes it; nothing is sent. */
@@ -76,7 +77,8 @@
   http_client(const http_client&) = delete;
   http_client& operator=(const http_client&) = delete;
 
-  /** Starts a transfer. Throws std::invalid_argument for an invalid URL. */
+  /** Starts a transfer. Throws std::invalid_argument for a URL that isn't
+   * http://; an invalid IP or port fails the transfer. */
   transfer_id Start(http_client_request request,
                     http_client_callbacks callbacks);
 
--- a/tests/net/http_test.cc
+++ b/tests/net/http_test.cc
@@ -300,6 +300,52 @@
 }
 
 // Guards against delivering a response that belongs to another request.
+// An entry that knew a server by an invalid address ended at each request.
+TEST_CASE("a request to an invalid address fails") {
+  loop event_loop;
+  http_client client(event_loop);
+  for (const char* address :
+       {"10.0.0.9:99999", "10.0.0.9:-1", "10.0.0.9", "host:80", ""}) {
+    recorded_response response;
+    client.Start({.url = "http://" + std::string(address) + "/"},
+                 RecordInto(response));
+    REQUIRE(RunUntil(event_loop, [&] { return response.done; }));
+    CHECK_FALSE(response.ok);
+    CHECK(response.never_sent);
+  }
+}
+
+// On a kept connection, a refusal of an earlier request that arrives once more
+// would be taken for the answer to a request without an id.
+TEST_CASE("a request without the id that matches it has its own connection") {
+  loop event_loop;
+  http_client client(event_loop);
+  http_server* answering = nullptr;
+  http_server server(event_loop, {},
+                     {.on_request = [&](exchange_id id, http_server_request) {
+                       answering->Respond(id, 200, {{"x-id", "1"}}, "done");
+                     }});
+  answering = &server;
+  const std::string url = "http://" + server.Listen("127.0.0.1:0") + "/";
+  const auto ask = [&](http_headers headers) {
+    recorded_response response;
+    client.Start({.url = url,
+                  .headers = std::move(headers),
+                  .reuse_connection = true,
+                  .match_header = "x-id"},
+                 RecordInto(response));
+    REQUIRE(RunUntil(event_loop, [&] { return response.done; }));
+    CHECK(response.ok);
+  };
+  ask({{"x-id", "1"}});
+  ask({{"x-id", "1"}});
+  CHECK(client.connections_made() == 1);
+  ask({});
+  CHECK(client.connections_made() == 2);
+  ask({});
+  CHECK(client.connections_made() == 3);
+}
+
 TEST_CASE("a response is matched to its request") {
   loop event_loop;
   http_client client(event_loop);
