--- a/src/libwisteriaroute/storage/snapshot_file.cc
+++ b/src/libwisteriaroute/storage/snapshot_file.cc
@@ -121,7 +121,7 @@
     if (size > rest.size() - std::min(rest.size(), sizeof size)) {
       throw damaged_storage(path.string() + " has an impossible length field");
     }
-    const std::string part(rest.substr(sizeof size, size));
+    std::string part(rest.substr(sizeof size, size));
     rest.remove_prefix(sizeof size + size);
     return part;
   };
