control: a server's later run may have a lower start time

What callers saw: after the time of day had jumped back on a server's host, the server restarted under its id.

Cause: reports of a run with a lower start time than the known one count as late until the known run's session expires, for up to 30 s, and are acknowledged.

Change: such a run becomes current if it goes on to report for 2.5 s while the known run is silent; until then its draining and its goodbye are answered 503. Control numbers the runs that entries are told of in the order in which they became current.

Evidence: the new case of server_reports_test, with two schedules in which a late report must change nothing.

--- a/src/libwisteriaroute/control/admin.cc
+++ b/src/libwisteriaroute/control/admin.cc
@@ -98,7 +98,13 @@
   void operator()(const wire::report_server& report) const {
     // The entries are notified before the quorum round ends. The reply then
     // confirms that this replica was still the leader.
-    HandleServerReport(state, report, now, out);
+    if (!HandleServerReport(state, report, now, out)) {
+      out.push_back(send_to_links{
+          {link},
+          wire::admin_reply{.correlation = correlation,
+                            .result = wire::admin_result::kUnavailable}});
+      return;
+    }
     state.leadership->next_batch.reads.push_back({link, correlation, report});
     BeginConfirm(state, now, out);
   }
--- a/src/libwisteriaroute/control/replica.h
+++ b/src/libwisteriaroute/control/replica.h
@@ -82,6 +82,14 @@
   traffic_decoder decode_traffic;
 };
 
+/** A run of a server that seems to have begun before the known one: a late
+ * report, or the time of day has jumped back on its host. */
+struct earlier_run {
+  std::uint64_t incarnation = 0;
+  std::uint64_t sequence = 0;
+  base::time_us first_report_us = 0;
+};
+
 /** The leader's view of one member. */
 struct member_session {
   /** 0 while the member has no link; its lease may still be valid. */
@@ -98,6 +106,11 @@
   base::time_us config_sent_us = 0;
   /** Role kServer only: highest report sequence number of its incarnation. */
   std::uint64_t report_sequence = 0;
+  /** Role kServer only: the incarnation as the server reports it. That in
+   * `info` is higher than those of all earlier runs. */
+  std::uint64_t reported_incarnation = 0;
+  /** Role kServer only: not current, but it may turn out to be. */
+  earlier_run earlier;
   /** Role kServer only: an entry has reported that this incarnation has
    * crashed; 0: none. */
   std::uint64_t crashed_incarnation = 0;
--- a/src/libwisteriaroute/control/server_reports.cc
+++ b/src/libwisteriaroute/control/server_reports.cc
@@ -1,5 +1,6 @@
 #include "libwisteriaroute/control/server_reports.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -10,22 +11,56 @@
 
 namespace {
 
-bool IsOutdated(const member_session& known,
-                const wire::report_server& report) {
+enum class report_kind : std::uint8_t { kCurrent, kOutdated, kUncertain };
+
+/**
+ * Whether a run with a lower incarnation than the known one is current. An
+ * incarnation is the time of day of a start, so that of a later run is lower if
+ * the time of day has jumped back. A late report of an ended run looks the
+ * same, but its server doesn't go on to report, and the known run does.
+ */
+report_kind JudgeEarlierRun(member_session& known,
+                            const wire::report_server& report,
+                            base::time_us now_us) {
+  earlier_run& earlier = known.earlier;
+  const bool leaves = report.gone || report.info.leaving;
+  const report_kind uncertain =
+      leaves ? report_kind::kUncertain : report_kind::kOutdated;
+  if (earlier.incarnation != report.info.incarnation ||
+      known.last_message_us >= earlier.first_report_us) {
+    earlier = {.incarnation = report.info.incarnation,
+               .sequence = report.sequence,
+               .first_report_us = now_us};
+    return uncertain;
+  }
+  if (now_us - earlier.first_report_us < kRunSilenceUs) {
+    earlier.sequence = std::max(earlier.sequence, report.sequence);
+    return uncertain;
+  }
+  return report.gone || report.sequence > earlier.sequence
+             ? report_kind::kCurrent
+             : uncertain;
+}
+
+report_kind Judge(member_session& known,
+                  const wire::report_server& report,
+                  base::time_us now_us) {
   if (report.gone && report.info.incarnation == 0) {
     // The goodbye doesn't name the incarnation.
-    return false;
+    return report_kind::kCurrent;
   }
-  if (known.info.incarnation != report.info.incarnation) {
-    return report.info.incarnation < known.info.incarnation;
+  if (report.info.incarnation < known.reported_incarnation) {
+    return JudgeEarlierRun(known, report, now_us);
   }
   // A goodbye carries no sequence number.
-  return !report.gone && report.sequence <= known.report_sequence;
+  const bool repeats = known.reported_incarnation == report.info.incarnation &&
+                       !report.gone && report.sequence <= known.report_sequence;
+  return repeats ? report_kind::kOutdated : report_kind::kCurrent;
 }
 
 }  // namespace
 
-void HandleServerReport(replica_state& state,
+bool HandleServerReport(replica_state& state,
                         const wire::report_server& report,
                         const step_time& now,
                         replica_effects& out) {
@@ -38,21 +73,31 @@
     out.push_back(record_event{{.kind = "report_ignored",
                                 .server = name,
                                 .detail = "the name of another member"}});
-    return;
+    return true;
   }
   if (found == leader.sessions.end()) {
     if (report.gone && report.info.address.empty()) {
       // This leader doesn't know the server, but an entry may; notify it.
       leader.removed_members.insert(name);
-      return;
+      return true;
     }
     RecordMemberEvent(report.info, "server_opened", out);
-  } else if (IsOutdated(found->second, report)) {
-    return;
+  } else if (const report_kind kind = Judge(found->second, report, now.now_us);
+             kind != report_kind::kCurrent) {
+    if (kind == report_kind::kUncertain) {
+      RecordMemberEvent(report.info, "server_run_uncertain", out);
+    }
+    return kind == report_kind::kOutdated;
   }
+  const bool is_new = found == leader.sessions.end();
   member_session& session = leader.sessions[name];
-  const bool same_run = session.info.incarnation == report.info.incarnation;
+  const bool same_run = session.reported_incarnation == report.info.incarnation;
   wire::member_info info = report.info;
+  if (!is_new) {
+    info.incarnation =
+        same_run ? session.info.incarnation
+                 : std::max(info.incarnation, session.info.incarnation + 1);
+  }
   if (report.gone) {
     info = session.info;
     info.leaving = true;
@@ -61,11 +106,13 @@
     info.leaving = true;
   }
   session.last_message_us = now.now_us;
+  session.earlier = {};
   if (!report.gone) {
     session.report_sequence = report.sequence;
+    session.reported_incarnation = report.info.incarnation;
   }
   if (session.info == info) {
-    return;
+    return true;
   }
   if (info.leaving) {
     RecordMemberEvent(info, report.gone ? "server_gone" : "server_leaving",
@@ -77,6 +124,7 @@
   // Sent immediately, because new work must stop soon after the report is
   // acknowledged.
   FlushMembers(state, now, out);
+  return true;
 }
 
 void HandleServerCrash(replica_state& state,
--- a/src/libwisteriaroute/control/server_reports.h
+++ b/src/libwisteriaroute/control/server_reports.h
@@ -5,13 +5,22 @@
 
 namespace wisteriaroute::control {
 
+/**
+ * A server's run with a lower incarnation becomes the current one if it goes on
+ * to report for this long while the known run is silent. Longer than servers
+ * leave between two reports.
+ */
+inline constexpr base::time_us kRunSilenceUs = 2'500'000;
+
 /**
  * Records the report of a backend server without an agent and notifies the
  * entries of changes. Reports of an older incarnation or without a higher
- * sequence number are ignored. A goodbye has no sequence number.
- * `state.leadership` must be set.
+ * sequence number are ignored. A goodbye has no sequence number. Returns false
+ * if the server says that it leaves and it isn't known yet whether that is its
+ * current run; it must not be acknowledged then. `state.leadership` must be
+ * set.
  */
-void HandleServerReport(replica_state& state,
+bool HandleServerReport(replica_state& state,
                         const wire::report_server& report,
                         const step_time& now,
                         replica_effects& out);
--- a/src/libwisteriaroute/gateway/servers.cc
+++ b/src/libwisteriaroute/gateway/servers.cc
@@ -41,7 +41,9 @@
     }
     named.insert(info.name);
     const auto found = servers_.find(info.name);
-    if (found != servers_.end() &&
+    // A full list is what a leader knows that was just elected; an earlier one
+    // may have numbered the runs higher.
+    if (found != servers_.end() && !update.full &&
         found->second.info.incarnation > info.incarnation) {
       continue;
     }
--- a/tests/control/server_reports_test.cc
+++ b/tests/control/server_reports_test.cc
@@ -28,6 +28,7 @@
 /** A leader with one entry; collects the member updates sent to the entry. */
 struct leader_world {
   replica_state state;
+  step_time now = kNow;
   std::vector<wire::member_info> sent_infos;
 
   leader_world() {
@@ -39,9 +40,10 @@
     state.leadership->full_list_sent = true;
   }
 
-  void Handle(const wire::report_server& report) {
+  /** Returns whether the report is acknowledged. */
+  bool Handle(const wire::report_server& report) {
     replica_effects out;
-    HandleServerReport(state, report, kNow, out);
+    const bool acknowledged = HandleServerReport(state, report, now, out);
     for (const replica_effect& effect : out) {
       const auto* send = std::get_if<send_to_links>(&effect);
       if (send == nullptr) {
@@ -51,6 +53,7 @@
       sent_infos.insert(sent_infos.end(), update.changed.begin(),
                         update.changed.end());
     }
+    return acknowledged;
   }
 };
 
@@ -94,6 +97,61 @@
   }
 }
 
+// Guards against review/5: the time of day had jumped back on a server's host,
+// so its new run had a lower incarnation, and its draining was acknowledged and
+// ignored.
+TEST_CASE("a server's run may have a lower incarnation than the one before") {
+  constexpr base::time_us kBeatUs = 1'200'000;
+  leader_world w;
+  w.Handle(Report(5'000, 7));
+  REQUIRE(w.sent_infos.size() == 1);
+  w.now.now_us += kBeatUs;
+  CHECK(w.Handle(Report(2'600, 1)));
+  CHECK(w.sent_infos.size() == 1);
+
+  SUBCASE("it is current once the earlier one has been silent") {
+    for (std::uint64_t sequence = 2; sequence <= 4; ++sequence) {
+      w.now.now_us += kBeatUs;
+      CHECK(w.Handle(Report(2'600, sequence)));
+    }
+    REQUIRE(w.sent_infos.size() == 2);
+    CHECK(w.sent_infos.back().incarnation > 5'000);
+    w.now.now_us += kBeatUs;
+    CHECK(w.Handle(Report(2'600, 5, true)));
+    REQUIRE(w.sent_infos.size() == 3);
+    CHECK(w.sent_infos.back().leaving);
+  }
+
+  SUBCASE("until then its draining isn't acknowledged") {
+    w.now.now_us += kBeatUs;
+    CHECK_FALSE(w.Handle(Report(2'600, 2, true)));
+    w.now.now_us += kBeatUs;
+    CHECK_FALSE(w.Handle(Report(2'600, 3, true)));
+    w.now.now_us += kBeatUs;
+    CHECK(w.Handle(Report(2'600, 4, true)));
+    REQUIRE(w.sent_infos.size() == 2);
+    CHECK(w.sent_infos.back().leaving);
+  }
+
+  SUBCASE("but late reports of an ended run change nothing") {
+    for (std::uint64_t beat = 0; beat < 5; ++beat) {
+      w.now.now_us += kBeatUs;
+      CHECK(w.Handle(Report(5'000, 8 + beat)));
+      CHECK(w.Handle(Report(2'600, 2 + beat)));
+    }
+    CHECK_FALSE(w.Handle(Report(2'600, 9, true)));
+    CHECK(w.sent_infos.size() == 1);
+  }
+
+  SUBCASE("nor does the same late report, again and again") {
+    for (int i = 0; i < 5; ++i) {
+      w.now.now_us += kBeatUs;
+      w.Handle(Report(2'600, 1));
+    }
+    CHECK(w.sent_infos.size() == 1);
+  }
+}
+
 // A report under the name of an entry turned its session into a server's, and
 // the entry got no more updates.
 TEST_CASE("a report doesn't take over the session of another member") {
