--- a/src/control/raft_runner.cc
+++ b/src/control/raft_runner.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 #include "control/bootstrap.h"
 #include "libwisteriaroute/base/digest.h"
@@ -78,7 +79,10 @@
 }
 
 void raft_runner::Handle(const raft::event& event) {
-  for (raft::effect& effect : raft::Step(state_, event, base::MonotonicUs())) {
+  std::vector<raft::effect> effects =
+      raft::Step(state_, event, base::MonotonicUs());
+  LogLostVoters();
+  for (raft::effect& effect : effects) {
     if (auto* batch = std::get_if<raft::persist>(&effect)) {
       writer_.Submit(std::move(*batch));
     } else {
@@ -87,4 +91,17 @@
   }
 }
 
+void raft_runner::LogLostVoters() {
+  if (logged_losses_.size() == state_.lost_voters.size()) {
+    return;
+  }
+  for (const auto& [name, identity] : state_.lost_voters) {
+    if (logged_losses_.emplace(name, identity).second) {
+      base::LogInfo("voter_lost_disk", {{"name", name},
+                                        {"identity", identity},
+                                        {"term", state_.metadata.term}});
+    }
+  }
+}
+
 }  // namespace wisteriaroute::control
--- a/src/control/raft_runner.h
+++ b/src/control/raft_runner.h
@@ -1,9 +1,12 @@
 #ifndef CONTROL_RAFT_RUNNER_H_
 #define CONTROL_RAFT_RUNNER_H_
 
+#include <cstdint>
 #include <deque>
 #include <functional>
+#include <set>
 #include <string>
+#include <utility>
 
 #include "libwisteriaroute/control/settings.h"
 #include "libwisteriaroute/net/loop.h"
@@ -48,6 +51,7 @@
  private:
   raft::stored_state Open(const control_settings& settings);
   void Handle(const raft::event& event);
+  void LogLostVoters();
 
   raft_runner_callbacks callbacks_;
   storage::log_store store_;
@@ -56,6 +60,7 @@
   net::timer tick_;
   std::deque<raft::event> queue_;
   bool handling_events_ = false;
+  std::set<std::pair<std::string, std::uint64_t>> logged_losses_;
 };
 
 }  // namespace wisteriaroute::control
