gateway: the more urgent requests get the capacity under contention

Change: policy/contention thins the less urgent levels to the rate that the more urgent ones leave, except kinds and workspaces that fall far behind, and gives each refused caller a time of its own, spaced by the rate of admission.

Without MayCompete the tests of the burst, the wave and the evacuated data centre fail (seen).

--- a/src/libwisteriaroute/gateway/gateway.h
+++ b/src/libwisteriaroute/gateway/gateway.h
@@ -18,6 +18,7 @@
 #include "libwisteriaroute/gateway/messages.h"
 #include "libwisteriaroute/gateway/retry_budget.h"
 #include "libwisteriaroute/gateway/servers.h"
+#include "libwisteriaroute/policy/contention.h"
 #include "libwisteriaroute/policy/slowdown_reserve.h"
 #include "libwisteriaroute/policy/stream_limit.h"
 
@@ -114,6 +115,8 @@
   /** Reserves of pools whose servers run in passes. */
   std::map<std::string, policy::slowdown_reserve, std::less<>>
       slowdown_reserves;
+  /** Competition for the capacity of each service. */
+  std::map<std::string, policy::contention, std::less<>> contentions;
   crash_watch crashes;
   attempt_id next_attempt = 1;
   std::uint64_t random = 1;
--- a/src/libwisteriaroute/gateway/placement.cc
+++ b/src/libwisteriaroute/gateway/placement.cc
@@ -13,8 +13,6 @@
 
 // Assumed for servers that don't declare their slots.
 constexpr double kDefaultSlots = 8;
-// Time after which a caller may retry: about the time until a slot is free.
-constexpr base::time_ms kFullRetryMs = 400;
 constexpr base::time_ms kNoServerRetryMs = 1'000;
 // An earlier retry would be refused, too.
 constexpr base::time_ms kQuarantinedRetryMs = 60'000;
@@ -22,6 +20,13 @@
 // time don't retry at the same time.
 constexpr base::time_ms kRetrySpreadMs = 400;
 
+policy::contender Contender(const request_state& request) {
+  return {.urgency = policy::UrgencyOf(request.priority.value_or(0),
+                                       request.route->priority),
+          .kind = request.route->name,
+          .workspace = request.workspace};
+}
+
 /** Usable servers that the request hasn't been sent to. */
 std::vector<server*> Candidates(step_context& step,
                                 const request_state& request) {
@@ -50,6 +55,10 @@
   request.framer = {};
   request.attempt_events = 0;
   ++request.attempts;
+  if (request.tried_servers.size() == 1) {
+    NoteAdmitted(step.state.contentions[request.service], Contender(request),
+                 step.now_us);
+  }
   step.Count("wisteriaroute_attempts_total", "repeat",
              request.attempts > 1 ? "yes" : "no");
   ++to.in_flight;
@@ -190,6 +199,19 @@
                       IsSuspect(watch, *unanswered)));
 }
 
+/** Refuses a request because more urgent ones or earlier ones have the
+ * capacity. */
+void RefuseForCapacity(step_context& step,
+                       request_state& request,
+                       std::string_view code) {
+  constexpr unsigned kUnavailable = 503;
+  Refuse(
+      step, request, kUnavailable, code,
+      ReturnDelayMs(step.state.contentions[request.service], Contender(request),
+                    (request.deadline_us - step.now_us) / 1'000, step.Random(),
+                    step.now_us));
+}
+
 }  // namespace
 
 bool HasOtherServer(step_context& step, const request_state& request) {
@@ -220,6 +242,17 @@
     }
     return;
   }
+  // What has been admitted is finished before new work, so only a first attempt
+  // competes.
+  policy::contention& contention = step.state.contentions[request.service];
+  if (request.tried_servers.empty()) {
+    const policy::contender contender = Contender(request);
+    NoteDemand(contention, contender, step.now_us);
+    if (!MayCompete(contention, contender, step.now_us)) {
+      RefuseForCapacity(step, request, "more_urgent_requests");
+      return;
+    }
+  }
   const std::vector<server*> servers = Candidates(step, request);
   const auto chosen = Choose(step, request, servers);
   if (chosen) {
@@ -238,7 +271,8 @@
     Refuse(step, request, kUnavailable, "servers_paused",
            (*pause_ends_us - step.now_us) / 1'000 + spread);
   } else {
-    Refuse(step, request, kUnavailable, "servers_full", kFullRetryMs + spread);
+    NoteFull(contention, step.now_us);
+    RefuseForCapacity(step, request, "servers_full");
   }
 }
 
