gateway: limits of concurrent requests per server (server_limits)

A server that was 4 to 12 times slower than its peers kept its share up to its slots, until it failed three times in a row. With server_limits (off by default) a gateway places requests within the estimated limits of servers outside of groups, and within the declared slots once all limits are reached, so an estimate alone refuses nothing that can be served in time.

Sharing estimates through control isn't built.

--- a/src/gateway/main.cc
+++ b/src/gateway/main.cc
@@ -21,7 +21,7 @@
 [gateway]  listen_http, listen_ready; optional: max_connections,
            serve_without_quorum, settle_ms, drain_limit_ms, retry_ratio,
            retry_floor, retry_window_ms, server_queue, silent_stream_ms,
-           group_start_ms
+           group_start_ms, server_limits
 
 SIGHUP, or a change of the settings file, reloads the settings; those that can
 change at run time take effect at once, the log names those that need a restart.
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -46,6 +46,8 @@
       reader.Number("server_queue", options.server_queue, -1'000, 1'000);
   options.group_start_ms =
       reader.Integer("group_start_ms", options.group_start_ms, 0, 600'000);
+  options.server_limits =
+      reader.Boolean("server_limits", options.server_limits);
   options.silent_stream_ms =
       reader.Integer("silent_stream_ms", options.silent_stream_ms, 10, 600'000);
   options.max_response_bytes = static_cast<std::size_t>(
--- a/src/libwisteriaroute/gateway/attempts.cc
+++ b/src/libwisteriaroute/gateway/attempts.cc
@@ -52,6 +52,7 @@
   if (target == nullptr) {
     return;
   }
+  NoteVerdictForLimit(step, *target, verdict, request);
   const bool was_usable = target->suspended_until_us <= step.now_us;
   step.state.servers.NoteVerdict(*target, verdict, step.now_us);
   if (was_usable && target->suspended_until_us > step.now_us &&
@@ -235,6 +236,7 @@
     EndStream(step, request);
     return;
   }
+  NoteResponseTime(step, request);
   RecordVerdict(step, RemoveAttempt(step, request), attempt_verdict::kGood,
                 request, "");
   NoteAnswerBegun(step, request);
@@ -390,6 +392,8 @@
   if (unusable != nullptr) {
     CancelAttempt(step, *request);
     FailAttempt(step, *request, attempt_verdict::kFailed, unusable);
+  } else if (request->route->streams && head.event_stream) {
+    NoteResponseTime(step, *request);
   }
 }
 
--- a/src/libwisteriaroute/gateway/gateway.cc
+++ b/src/libwisteriaroute/gateway/gateway.cc
@@ -84,13 +84,17 @@
   request.service = ChooseTarget(step, *request.route);
   state.budgets[request.service].CountRequest(step.now_us,
                                               state.options.retries);
+  if (state.options.server_limits) {
+    NoteRequest(state.peer_capacities[request.service]);
+  }
   Dispatch(step, request);
 }
 
 void CheckTimes(step_context& step) {
   std::vector<exchange_id> late;
   std::vector<exchange_id> silent;
-  for (const auto& [exchange, request] : step.state.requests) {
+  for (auto& [exchange, request] : step.state.requests) {
+    NoteOverdue(step, request);
     if (request.deadline_us <= step.now_us) {
       late.push_back(exchange);
     } else if (request.phase == request_phase::kStreaming &&
--- a/src/libwisteriaroute/gateway/gateway.h
+++ b/src/libwisteriaroute/gateway/gateway.h
@@ -42,6 +42,9 @@
   base::time_ms silent_stream_ms = 1'800;
   /** Time that a group needs to run again once its last lost rank is back. */
   base::time_ms group_start_ms = 600;
+  /** Whether servers outside of groups get only as many concurrent requests as
+   * they are observed to handle well. */
+  bool server_limits = false;
   /** Maximum size of a response that isn't a stream, and of one event of a
    * stream. A faulty server may send an unlimited number of bytes. */
   std::size_t max_response_bytes = 8 * 1024 * 1024;
@@ -76,6 +79,9 @@
   /** Incarnation of the server that the attempt was sent to. */
   std::uint64_t server_incarnation = 0;
   base::time_us attempt_started_us = 0;
+  /** When the attempt has run for several times the usual time; 0: unknown, or
+   * the server has responded. */
+  base::time_us overdue_us = 0;
   /** Servers that the request was sent to. */
   std::set<std::string> tried_servers;
   /** Attempts that may have reached a server. */
@@ -114,6 +120,8 @@
   /** Reserves of pools whose servers run in passes. */
   std::map<std::string, policy::slowdown_reserve, std::less<>>
       slowdown_reserves;
+  /** By service; only where server_limits applies. */
+  std::map<std::string, policy::peer_capacity, std::less<>> peer_capacities;
   crash_watch crashes;
   attempt_id next_attempt = 1;
   std::uint64_t random = 1;
--- a/src/libwisteriaroute/gateway/gauges.cc
+++ b/src/libwisteriaroute/gateway/gauges.cc
@@ -59,6 +59,10 @@
             static_cast<double>(
                 std::max<base::time_us>(0, one.paused_until_us - now_us)) /
                 kUsPerSecond);
+    if (state.options.server_limits && one.info.backend.group.empty()) {
+      out.Set(Labelled("wisteriaroute_server_limit", "server", id),
+              SlotsHandledWell(one.capacity, DeclaredSlots(one), now_us));
+    }
   }
 }
 
--- a/src/libwisteriaroute/gateway/placement.cc
+++ b/src/libwisteriaroute/gateway/placement.cc
@@ -11,8 +11,6 @@
 
 namespace {
 
-// Assumed for servers that don't declare their slots.
-constexpr double kDefaultSlots = 8;
 // Time after which a caller may retry: about the time until a slot is free.
 constexpr base::time_ms kFullRetryMs = 400;
 constexpr base::time_ms kNoServerRetryMs = 1'000;
@@ -53,6 +51,7 @@
   step.Count("wisteriaroute_attempts_total", "repeat",
              request.attempts > 1 ? "yes" : "no");
   ++to.in_flight;
+  BeginMeasurement(step, request, to);
   const bool once = request.route->repeats == config::repetition::kOnce;
   step.out.push_back(
       start_attempt{.attempt = request.attempt,
@@ -98,12 +97,6 @@
   return load.requests + 1 <= allowed * static_cast<double>(load.servers);
 }
 
-double SlotsOf(const server& one) {
-  return one.info.backend.slots > 0
-             ? static_cast<double>(one.info.backend.slots)
-             : kDefaultSlots;
-}
-
 /** Index of the server that gets the request; nothing if none can take it.
  * `only_pool` confines the choice to a pool unless it is empty. */
 std::optional<std::size_t> ChooseInPool(step_context& step,
@@ -121,7 +114,7 @@
     if (!only_pool.empty() && PoolOf(one.info) != only_pool) {
       continue;
     }
-    const double slots = SlotsOf(one);
+    const double slots = DeclaredSlots(one);
     if (one.paused_until_us != 0 &&
         static_cast<double>(one.in_flight) >=
             policy::RequestsAfterPause(one.responses_after_pause)) {
@@ -142,7 +135,8 @@
                           .queue = step.state.options.server_queue});
     indexes.push_back(i);
   }
-  const auto chosen = policy::ChooseServer(candidates, step.Random());
+  const auto chosen =
+      ChooseWithinLimits(step, request, servers, indexes, candidates);
   return chosen ? std::optional(indexes[*chosen]) : std::nullopt;
 }
 
--- a/src/libwisteriaroute/gateway/servers.h
+++ b/src/libwisteriaroute/gateway/servers.h
@@ -12,6 +12,7 @@
 #include "libwisteriaroute/base/clock.h"
 #include "libwisteriaroute/gateway/group_outages.h"
 #include "libwisteriaroute/gateway/messages.h"
+#include "libwisteriaroute/policy/server_capacity.h"
 #include "libwisteriaroute/wire/control_messages.h"
 
 namespace wisteriaroute::gateway {
@@ -34,6 +35,8 @@
   base::time_us paused_until_us = 0;
   /** Responses received since the pause. */
   int responses_after_pause = 0;
+  /** Concurrent requests that the server handles well. */
+  policy::server_capacity capacity;
 };
 
 /**
@@ -143,6 +146,9 @@
  */
 const std::string& PoolOf(const wire::member_info& server);
 
+/** Slots that the server declares, or a default. */
+double DeclaredSlots(const server& one);
+
 }  // namespace wisteriaroute::gateway
 
 #endif  // LIBWISTERIAROUTE_GATEWAY_SERVERS_H_
--- a/src/libwisteriaroute/gateway/step_context.h
+++ b/src/libwisteriaroute/gateway/step_context.h
@@ -1,12 +1,15 @@
 #ifndef LIBWISTERIAROUTE_GATEWAY_STEP_CONTEXT_H_
 #define LIBWISTERIAROUTE_GATEWAY_STEP_CONTEXT_H_
 
+#include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
 
 #include "libwisteriaroute/gateway/gateway.h"
+#include "libwisteriaroute/policy/server_choice.h"
 
 namespace wisteriaroute::gateway {
 
@@ -44,6 +47,32 @@
  */
 void Dispatch(step_context& step, request_state& request);
 
+// Limits of concurrent requests per server (server_limits.cc).
+
+/**
+ * Chooses a server within the limits that were observed, a server that is due
+ * for a probe, or, if all have reached their limits, one within its declared
+ * slots. `indexes` are those of the candidates in `servers`. Returns an index
+ * of a candidate.
+ */
+std::optional<std::size_t> ChooseWithinLimits(
+    step_context& step,
+    const request_state& request,
+    std::span<server* const> servers,
+    std::span<const std::size_t> indexes,
+    std::span<policy::server_candidate> candidates);
+/** Records that an attempt is sent to the server. */
+void BeginMeasurement(step_context& step, request_state& request, server& to);
+/** Records the response time of the attempt in progress. */
+void NoteResponseTime(step_context& step, request_state& request);
+/** Records the time that the attempt has taken until now, if it is overdue. */
+void NoteOverdue(step_context& step, request_state& request);
+/** Records refusals and failures. */
+void NoteVerdictForLimit(step_context& step,
+                         server& target,
+                         attempt_verdict verdict,
+                         const request_state& request);
+
 // Ends of requests (answers.cc). Each function removes the request.
 
 /** Responds with an error of the gateway itself. */
