--- a/proto/command.capnp
+++ b/proto/command.capnp
@@ -102,6 +102,7 @@
     grant @17 :GrantCommand;
     crashReports @18 :Control.CrashReports;
     answersBegun @19 :Control.AnswersBegun;
+    evacuate @20 :Control.EvacuationOrder;
   }
 }
 
@@ -169,6 +170,22 @@
   suspects @2 :List(Control.SuspectRequest);
 }
 
+# The end of an evacuation, kept while servers may still be cold because of it.
+struct EvacuationEnd {
+  dataCenter @0 :Text;
+  # Log index of the order that ended it.
+  index @1 :UInt64;
+  # Log time.
+  timeMs @2 :Int64;
+}
+
+struct EvacuationTable {
+  # Log index of the last order that changed the list.
+  index @0 :UInt64;
+  dataCenters @1 :List(Text);
+  ended @2 :List(EvacuationEnd);
+}
+
 struct ControlState {
   timeMs @0 :Int64;
   revision @1 :UInt64;
@@ -184,4 +201,6 @@
   groups @11 :List(GroupRecord);
   grants @12 :List(GrantRecord);
   crashes @13 :List(CrashRecord);
+  # Missing in snapshots of earlier versions: nothing is evacuated.
+  evacuations @14 :EvacuationTable;
 }
--- a/proto/control.capnp
+++ b/proto/control.capnp
@@ -76,11 +76,33 @@
   removed @3 :List(ObjectName);
 }
 
+struct EndedEvacuation {
+  dataCenter @0 :Text;
+  # Log index of the order that ended it.
+  index @1 :UInt64;
+  # Time since it ended.
+  ageMs @2 :Int64;
+}
+
+struct EvacuationList {
+  # Log index of the last order that changed the list.
+  index @0 :UInt64;
+  dataCenters @1 :List(Text);
+  ended @2 :List(EndedEvacuation);
+}
+
 struct MemberUpdate {
   full @0 :Bool;
   changed @1 :List(MemberInfo);
   removed @2 :List(Text);
   drained @3 :List(Text);
+  evacuations @4 :EvacuationList;
+}
+
+# Starts or ends the evacuation of a data centre.
+struct EvacuationOrder {
+  dataCenter @0 :Text;
+  evacuated @1 :Bool;
 }
 
 struct QuarantineEntry {
@@ -377,6 +399,7 @@
     publishDocument @16 :Document;
     getDocument @17 :Void;
     reportServer @18 :ServerReport;
+    evacuate @19 :EvacuationOrder;
   }
 }
 
--- a/src/control/daemon.cc
+++ b/src/control/daemon.cc
@@ -48,6 +48,7 @@
              .on_failed = [this](const std::string& reason) { Fail(reason); }}),
       protocol_(protocol::Select(settings_.process.protocol)),
       metrics_server_(event_loop, [this] { return RenderMetrics(); }),
+      large_call_timer_(event_loop.ev(), [this] { HandleLargeCall(); }),
       tick_(event_loop.ev(), [this] { Post(replica_tick{}); }),
       report_timer_(event_loop.ev(), [this] { ReportReplicas(); }),
       shutdown_timer_(event_loop.ev(),
@@ -69,6 +70,7 @@
   };
   state_.options.max_pending_proposals =
       static_cast<std::size_t>(settings_.max_pending_proposals);
+  state_.options.data_centers = settings_.data_centers;
 }
 
 void daemon::Start() {
@@ -220,6 +222,8 @@
   settings_.join_automatically = next.join_automatically;
   settings_.tolerated_losses = next.tolerated_losses;
   settings_.replicas = std::move(next.replicas);
+  settings_.data_centers = std::move(next.data_centers);
+  state_.options.data_centers = settings_.data_centers;
   state_.options.max_pending_proposals =
       static_cast<std::size_t>(settings_.max_pending_proposals);
   DialReplicas(ConfiguredReplicas());
@@ -244,9 +248,24 @@
                static_cast<double>(malformed_messages_));
   metrics_.Set("wisteriaroute_log_lines_dropped",
                static_cast<double>(base::DroppedLogLines()));
+  ReportEvacuations();
   return metrics_.Render();
 }
 
+void daemon::ReportEvacuations() {
+  const auto& evacuated = state_.durable.evacuations.data_centers;
+  std::set<std::string, std::less<>> names = settings_.data_centers;
+  names.insert(evacuated.begin(), evacuated.end());
+  // A data centre that isn't in the settings keeps its gauge after the end.
+  names.insert(reported_data_centers_.begin(), reported_data_centers_.end());
+  for (const std::string& name : names) {
+    metrics_.Set(base::Labelled("wisteriaroute_data_center_evacuated",
+                                "data_center", name),
+                 evacuated.contains(name) ? 1 : 0);
+  }
+  reported_data_centers_ = std::move(names);
+}
+
 void daemon::Fail(const std::string& reason) {
   failure_ = reason;
   base::LogError("failed", {{"cause", reason}});
--- a/src/control/daemon.h
+++ b/src/control/daemon.h
@@ -4,15 +4,17 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 
-#include "control/http_api.h"
 #include "control/raft_runner.h"
 #include "libwisteriaroute/base/event_ring.h"
 #include "libwisteriaroute/base/hlc.h"
 #include "libwisteriaroute/base/metrics.h"
+#include "libwisteriaroute/control/http_api.h"
 #include "libwisteriaroute/control/replica.h"
 #include "libwisteriaroute/control/replica_membership.h"
 #include "libwisteriaroute/control/settings.h"
@@ -91,10 +93,15 @@
   void StartHttp();
   void HandleCall(net::exchange_id exchange,
                   const net::http_server_request& request);
+  /** Decodes the next of the large calls. */
+  void HandleLargeCall();
+  void DecodeCall(net::exchange_id exchange,
+                  const net::http_server_request& request);
   void AnswerCall(const wire::admin_reply& reply);
 
   net::restart_list Reload(std::string_view text, base::findings& out);
   std::string RenderMetrics();
+  void ReportEvacuations();
   void Fail(const std::string& reason);
   /**
    * Transfers the leadership to the connected voter with the longest log.
@@ -114,6 +121,8 @@
   protocol::any_protocol protocol_;
   std::optional<net::settings_reload> reload_;
   base::metrics metrics_;
+  /** Data centres that have a gauge. */
+  std::set<std::string, std::less<>> reported_data_centers_;
   net::metrics_server metrics_server_;
   std::optional<net::http_server> http_;
   /** An HTTP call that has not been answered. */
@@ -125,6 +134,10 @@
   };
 
   std::map<net::exchange_id, pending_call> calls_;
+  /** Calls with a large body that wait to be decoded. */
+  std::deque<std::pair<net::exchange_id, net::http_server_request>>
+      large_calls_;
+  net::timer large_call_timer_;
   net::timer tick_;
   static constexpr base::time_us kReportPeriodUs = 500'000;
   net::timer report_timer_;
--- a/src/control/daemon_http.cc
+++ b/src/control/daemon_http.cc
@@ -2,6 +2,7 @@
 
 #include "control/daemon.h"
 #include "libwisteriaroute/base/log.h"
+#include "libwisteriaroute/control/report_faults.h"
 
 namespace wisteriaroute::control {
 
@@ -13,9 +14,14 @@
 constexpr std::size_t kMaxBodyBytes = 8 * 1024 * 1024;
 constexpr base::time_ms kIdleTimeoutMs = 15'000;
 
+// Bounds the memory of calls that wait to be decoded. Further ones are decoded
+// as they arrive.
+constexpr std::size_t kMaxLargeCalls = 4;
+
 constexpr unsigned kOk = 200;
 constexpr unsigned kTemporaryRedirect = 307;
 constexpr unsigned kBadRequest = 400;
+constexpr unsigned kNotFound = 404;
 constexpr unsigned kUnavailable = 503;
 
 net::http_headers JsonHeaders() {
@@ -51,8 +57,32 @@
 
 void daemon::HandleCall(net::exchange_id exchange,
                         const net::http_server_request& request) {
+  calls_[exchange].target = request.path + request.query;
+  // Decoding a configuration takes long. One is decoded in each turn of the
+  // loop, so that other calls wait for one at most.
+  if (state_.leadership && request.body.size() > kMaxReportBytes &&
+      large_calls_.size() < kMaxLargeCalls) {
+    large_calls_.emplace_back(exchange, request);
+    large_call_timer_.Start(0);
+    return;
+  }
+  DecodeCall(exchange, request);
+}
+
+void daemon::HandleLargeCall() {
+  const auto [exchange, request] = std::move(large_calls_.front());
+  large_calls_.pop_front();
+  if (!large_calls_.empty()) {
+    large_call_timer_.Start(0);
+  }
+  if (calls_.contains(exchange)) {
+    DecodeCall(exchange, request);
+  }
+}
+
+void daemon::DecodeCall(net::exchange_id exchange,
+                        const net::http_server_request& request) {
   pending_call& pending = calls_[exchange];
-  pending.target = request.path + request.query;
   if (!state_.leadership) {
     AnswerCall({.correlation = exchange,
                 .result = wire::admin_result::kNotLeader,
@@ -100,15 +130,18 @@
               : JsonHeaders(),
           reply.json.empty() ? "{}" : reply.json);
       return;
-    case wire::admin_result::kRefused:
+    case wire::admin_result::kRefused: {
+      const unsigned status =
+          reply.code == "not_found" ? kNotFound : kBadRequest;
       metrics_.Count("wisteriaroute_calls_total{result=\"refused\"}");
       base::LogInfo("call_refused", {{"target", node.mapped().target},
-                                     {"status", std::uint64_t{kBadRequest}},
+                                     {"status", std::uint64_t{status}},
                                      {"code", reply.code},
                                      {"cause", reply.message}});
-      http_->Respond(exchange, kBadRequest, JsonHeaders(),
+      http_->Respond(exchange, status, JsonHeaders(),
                      ErrorJson(reply.code, reply.message));
       return;
+    }
     case wire::admin_result::kNotLeader: {
       metrics_.Count("wisteriaroute_calls_total{result=\"not_leader\"}");
       if (reply.message.empty() ||
--- a/src/libwisteriaroute/base/log_explain.cc
+++ b/src/libwisteriaroute/base/log_explain.cc
@@ -26,7 +26,7 @@
     "stray_hold",          "rank_lost",           "rank_found",
     "log_lines_dropped"};
 // Events that may affect only requests of the process that logs them.
-constexpr std::array<std::string_view, 10> kProcessEvents = {
+constexpr std::array<std::string_view, 12> kProcessEvents = {
     "traffic_published",
     "configuration_unreadable",
     "gateway_started",
@@ -36,7 +36,9 @@
     "control_link_up",
     "control_link_down",
     "control_session_opened",
-    "input_refused"};
+    "input_refused",
+    "evacuation_started",
+    "evacuation_ended"};
 
 template <std::size_t size>
 bool Holds(const std::array<std::string_view, size>& names,
--- a/src/libwisteriaroute/base/metrics.cc
+++ b/src/libwisteriaroute/base/metrics.cc
@@ -33,6 +33,20 @@
 
 }  // namespace
 
+std::string Labelled(std::string_view name,
+                     std::string_view label,
+                     std::string_view value) {
+  std::string series(name);
+  series += "{";
+  series += label;
+  series += "=\"";
+  for (const char c : value) {
+    series +=
+        c == '"' || c == '\\' || static_cast<unsigned char>(c) < ' ' ? '_' : c;
+  }
+  return series + "\"}";
+}
+
 latency_histogram::latency_histogram()
     : bins_(
           boost::histogram::make_histogram(axis(kBins, kLowestS, kHighestS))) {}
--- a/src/libwisteriaroute/base/metrics.h
+++ b/src/libwisteriaroute/base/metrics.h
@@ -36,6 +36,14 @@
   double sum_s_ = 0;
 };
 
+/**
+ * The series `name{label="value"}`. Characters of the value that would break
+ * the metrics text format are replaced, because values may come from outside.
+ */
+std::string Labelled(std::string_view name,
+                     std::string_view label,
+                     std::string_view value);
+
 /** Counters, gauges and histograms of a process by Prometheus series name. */
 class metrics {
  public:
--- a/src/libwisteriaroute/control/admin.cc
+++ b/src/libwisteriaroute/control/admin.cc
@@ -109,6 +109,23 @@
     BeginConfirm(state, now, out);
   }
   void operator()(const wire::drain_request& request) const { Submit(request); }
+  void operator()(const wire::evacuation_order& order) const {
+    const evacuation_table& known = state.durable.evacuations;
+    const auto& allowed = state.options.data_centers;
+    if (order.data_center.empty() ||
+        order.data_center.size() > kMaxDataCenterBytes) {
+      Refuse("invalid_data_center", "the name is empty or too long");
+    } else if (!allowed.empty() && !allowed.contains(order.data_center) &&
+               !IsKnown(known, order.data_center)) {
+      // An order that was accepted under earlier settings is accepted again.
+      Refuse("not_found", "the settings don't list this data centre");
+    } else if (order.evacuated && !IsKnown(known, order.data_center) &&
+               known.data_centers.size() >= kMaxEvacuatedDataCenters) {
+      Refuse("too_many", "too many data centres are evacuated");
+    } else {
+      Submit(order);
+    }
+  }
   void operator()(const wire::release_quarantine& request) const {
     Submit(request);
   }
--- a/src/libwisteriaroute/control/admin_json.cc
+++ b/src/libwisteriaroute/control/admin_json.cc
@@ -157,6 +157,7 @@
                {"log_index", state.applied_index},
                {"log_time_ms", state.durable.time_ms},
                {"claims", ClaimCount(state.durable.claims)},
+               {"evacuated", state.durable.evacuations.data_centers},
                {"replicas", ReplicasJson(state)},
                {"processes", std::move(processes)}});
 }
--- a/src/libwisteriaroute/control/admin_json.h
+++ b/src/libwisteriaroute/control/admin_json.h
@@ -13,7 +13,8 @@
 std::string ConfigJson(const replica_state& state);
 
 /**
- * `{revision, in_force, in_force_everywhere, leader, term, processes: [...]}`;
+ * `{revision, in_force, in_force_everywhere, leader, term, evacuated: [...],
+ * processes: [...]}`;
  * `in_force` is null while it is unknown.
  */
 std::string StatusJson(const replica_state& state, base::time_us now_us);
--- a/src/libwisteriaroute/control/command.cc
+++ b/src/libwisteriaroute/control/command.cc
@@ -4,6 +4,7 @@
 #include <capnp/serialize.h>
 
 #include "libwisteriaroute/control/record_fields.h"
+#include "libwisteriaroute/wire/evacuation_fields.h"
 
 namespace wisteriaroute::control {
 
@@ -66,6 +67,9 @@
   void operator()(const wire::release_quarantine& from) {
     wire::Write(from.fingerprint, root.initRelease());
   }
+  void operator()(const wire::evacuation_order& from) {
+    wire::WriteFields(from, root.initEvacuate());
+  }
   void operator()(const form_group_command& from) {
     auto to = root.initFormGroup();
     to.setGroup(from.group);
@@ -199,6 +203,8 @@
       return wire::ReadFields(root.getCrashReports());
     case proto::Command::ANSWERS_BEGUN:
       return wire::ReadFields(root.getAnswersBegun());
+    case proto::Command::EVACUATE:
+      return wire::ReadFields(root.getEvacuate());
     case proto::Command::GRANT:
       return ReadBody(root.getGrant());
     case proto::Command::FORM_GROUP:
--- a/src/libwisteriaroute/control/command.h
+++ b/src/libwisteriaroute/control/command.h
@@ -63,7 +63,8 @@
                                   wire::publish_document,
                                   grant_command,
                                   wire::crash_reports,
-                                  wire::answers_begun>;
+                                  wire::answers_begun,
+                                  wire::evacuation_order>;
 
 /** One entry of the replicated log. */
 struct command {
--- a/src/libwisteriaroute/control/control_state.cc
+++ b/src/libwisteriaroute/control/control_state.cc
@@ -12,6 +12,7 @@
 
   command_result operator()(const clock_tick& tick) {
     ExpireClaims(state.claims, tick.retention_ms, state.time_ms);
+    ExpireEvacuationEnds(state.evacuations, state.time_ms);
     return ExpireSuspects(state.quarantine, state.time_ms);
   }
   command_result operator()(const publish_command& publish) {
@@ -34,6 +35,10 @@
                                        : state.drained.erase(drain.name) > 0;
     return change_result{changed};
   }
+  command_result operator()(const wire::evacuation_order& order) {
+    return change_result{
+        ApplyEvacuation(state.evacuations, order, index, state.time_ms)};
+  }
   command_result operator()(const wire::suspect_report& report) {
     return ReportSuspects(state.quarantine, report, state.time_ms);
   }
--- a/src/control/http_api.h
+++ b/src/libwisteriaroute/control/http_api.h
@@ -1,5 +1,5 @@
-#ifndef CONTROL_HTTP_API_H_
-#define CONTROL_HTTP_API_H_
+#ifndef LIBWISTERIAROUTE_CONTROL_HTTP_API_H_
+#define LIBWISTERIAROUTE_CONTROL_HTTP_API_H_
 
 #include <string>
 #include <variant>
@@ -19,8 +19,9 @@
 using api_call = std::variant<wire::publish_document,
                               wire::get_document,
                               wire::report_server,
+                              wire::evacuation_order,
                               api_refusal>;
 
 }  // namespace wisteriaroute::control
 
-#endif  // CONTROL_HTTP_API_H_
+#endif  // LIBWISTERIAROUTE_CONTROL_HTTP_API_H_
--- a/src/libwisteriaroute/control/replica.cc
+++ b/src/libwisteriaroute/control/replica.cc
@@ -55,6 +55,13 @@
     state.leadership->drained_changed = true;
     FlushMembers(state, now, out);
   }
+  void operator()(const wire::evacuation_order& order) const {
+    if (std::get<change_result>(result).changed) {
+      out.push_back(record_event{
+          {.kind = order.evacuated ? "evacuation_started" : "evacuation_ended",
+           .detail = order.data_center}});
+    }
+  }
   void operator()(const form_group_command& form) const {
     RecordGroupEvent(form.group, "group_formed", form.generation);
   }
@@ -221,6 +228,11 @@
     const command_result result = Apply(state.durable, value, event.index);
     state.applied_index = event.index;
     if (state.leadership) {
+      if (std::holds_alternative<wire::evacuation_order>(value.body)) {
+        // Before the acknowledgement, and also for an order that changes
+        // nothing: its first acknowledgement may have been lost with a leader.
+        SendEvacuations(state, now, out);
+      }
       AnswerProposal(state, value, result, out);
       std::visit(applied_command_handler{state, result, now, out}, value.body);
     }
--- a/src/libwisteriaroute/control/replica.h
+++ b/src/libwisteriaroute/control/replica.h
@@ -75,6 +75,8 @@
    */
   base::time_us confirm_interval_us = 40'000;
   base::time_us order_retry_us = 200'000;
+  /** Data centres that may be evacuated; empty: any. */
+  std::set<std::string, std::less<>> data_centers;
   base::time_us clock_tick_us = 10'000'000;
   /** Interval at which the expert map of a group is re-evaluated. */
   base::time_us map_period_us = 30'000'000;
--- a/src/libwisteriaroute/control/settings.cc
+++ b/src/libwisteriaroute/control/settings.cc
@@ -58,6 +58,9 @@
   settings.join_automatically = reader.Boolean("join_automatically", false);
   settings.tolerated_losses =
       reader.Integer("tolerated_losses", 0, 0, kMaxToleratedLosses);
+  for (std::string& name : reader.Strings("data_centers")) {
+    settings.data_centers.insert(std::move(name));
+  }
   settings.listen_http = reader.String("listen_http", "");
   CheckAddress(reader, "listen_http", settings.listen_http);
   settings.replicas = ParseReplicas(reader, file, out);
--- a/src/libwisteriaroute/control/settings.h
+++ b/src/libwisteriaroute/control/settings.h
@@ -2,6 +2,7 @@
 #define LIBWISTERIAROUTE_CONTROL_SETTINGS_H_
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -44,6 +45,8 @@
   std::int64_t tolerated_losses = 0;
   /** `IP:port` of the HTTP server for operators and servers; empty: none. */
   std::string listen_http;
+  /** Data centres that operators may evacuate; empty: any. */
+  std::set<std::string, std::less<>> data_centers;
   /** Maximum number of log entries between two snapshots. */
   std::int64_t snapshot_entries = 20'000;
   /** Log entries kept before a snapshot for replicas that lag behind. */
--- a/src/libwisteriaroute/control/snapshot.cc
+++ b/src/libwisteriaroute/control/snapshot.cc
@@ -211,6 +211,35 @@
   return table;
 }
 
+void WriteEvacuations(const evacuation_table& from,
+                      proto::EvacuationTable::Builder to) {
+  to.setIndex(from.index);
+  auto names = to.initDataCenters(wire::Count(from.data_centers));
+  unsigned position = 0;
+  for (const std::string& name : from.data_centers) {
+    names.set(position++, name);
+  }
+  auto ended = to.initEnded(wire::Count(from.ended));
+  position = 0;
+  for (const auto& [name, end] : from.ended) {
+    ended[position].setDataCenter(name);
+    ended[position].setIndex(end.index);
+    ended[position++].setTimeMs(end.time_ms);
+  }
+}
+
+evacuation_table ReadEvacuations(proto::EvacuationTable::Reader from) {
+  evacuation_table table{.index = from.getIndex()};
+  for (const auto name : from.getDataCenters()) {
+    table.data_centers.emplace(name.cStr(), name.size());
+  }
+  for (const auto end : from.getEnded()) {
+    table.ended[end.getDataCenter()] = {.index = end.getIndex(),
+                                        .time_ms = end.getTimeMs()};
+  }
+  return table;
+}
+
 void WriteState(const control_state& from, proto::ControlState::Builder to) {
   to.setTimeMs(from.time_ms);
   WriteConfig(from.config, to);
@@ -225,6 +254,7 @@
   for (const std::string& name : from.drained) {
     drained.set(position++, name);
   }
+  WriteEvacuations(from.evacuations, to.initEvacuations());
   WriteQuarantine(from.quarantine, to);
   auto groups = to.initGroups(wire::Count(from.groups.groups));
   position = 0;
@@ -251,6 +281,7 @@
   for (const auto name : from.getDrained()) {
     state.drained.emplace(name.cStr(), name.size());
   }
+  state.evacuations = ReadEvacuations(from.getEvacuations());
   state.quarantine = ReadQuarantine(from);
   for (const auto group : from.getGroups()) {
     state.groups.groups[group.getName()] = ReadGroup(group);
--- a/src/libwisteriaroute/control/updates.cc
+++ b/src/libwisteriaroute/control/updates.cc
@@ -24,10 +24,14 @@
   return members;
 }
 
-wire::member_update AllMembers(const replica_state& state, bool full) {
-  return {.full = full,
-          .changed = ListedMembers(*state.leadership),
-          .drained = DrainedServers(state)};
+wire::member_update AllMembers(const replica_state& state,
+                               bool full,
+                               const step_time& now) {
+  return {
+      .full = full,
+      .changed = ListedMembers(*state.leadership),
+      .drained = DrainedServers(state),
+      .evacuations = EvacuationList(state.durable.evacuations, now.wall_ms)};
 }
 
 /** Whether the members of an earlier leader have had time to reconnect. */
@@ -100,7 +104,8 @@
   // Shortly after an election most agents have no session yet. A full list
   // would make the entry remove them.
   Send({session.link},
-       AllMembers(state, ReconnectTimeElapsed(*state.leadership, now)), out);
+       AllMembers(state, ReconnectTimeElapsed(*state.leadership, now), now),
+       out);
   wire::quarantine_update update{.full = true};
   for (const auto& [fingerprint, entry] : state.durable.quarantine.entries) {
     update.changed.push_back(entry);
@@ -116,7 +121,8 @@
     leader.full_list_sent = true;
     leader.changed_members.clear();
     leader.removed_members.clear();
-    Send(LinksOf(leader, member_role::kEntry), AllMembers(state, true), out);
+    Send(LinksOf(leader, member_role::kEntry), AllMembers(state, true, now),
+         out);
     return;
   }
   if (std::exchange(leader.drained_changed, false)) {
@@ -125,7 +131,9 @@
   } else if (leader.changed_members.empty() && leader.removed_members.empty()) {
     return;
   }
-  wire::member_update update{.drained = DrainedServers(state)};
+  wire::member_update update{
+      .drained = DrainedServers(state),
+      .evacuations = EvacuationList(state.durable.evacuations, now.wall_ms)};
   for (const std::string& name : std::exchange(leader.changed_members, {})) {
     update.changed.push_back(leader.sessions[name].info);
   }
@@ -134,6 +142,16 @@
   Send(LinksOf(leader, member_role::kEntry), std::move(update), out);
 }
 
+void SendEvacuations(const replica_state& state,
+                     const step_time& now,
+                     replica_effects& out) {
+  Send(LinksOf(*state.leadership, member_role::kEntry),
+       wire::member_update{.drained = DrainedServers(state),
+                           .evacuations = EvacuationList(
+                               state.durable.evacuations, now.wall_ms)},
+       out);
+}
+
 void SendQuarantine(replica_state& state,
                     const quarantine_changes& changes,
                     replica_effects& out) {
--- a/src/libwisteriaroute/control/updates.h
+++ b/src/libwisteriaroute/control/updates.h
@@ -41,6 +41,11 @@
                   const step_time& now,
                   replica_effects& out);
 
+/** Sends the evacuated data centres to all entries at once. */
+void SendEvacuations(const replica_state& state,
+                     const step_time& now,
+                     replica_effects& out);
+
 /** Sends changed quarantine entries to all entries. */
 void SendQuarantine(replica_state& state,
                     const quarantine_changes& changes,
--- a/src/libwisteriaroute/entry/state.h
+++ b/src/libwisteriaroute/entry/state.h
@@ -16,6 +16,7 @@
 #include "libwisteriaroute/entry/events.h"
 #include "libwisteriaroute/entry/request.h"
 #include "libwisteriaroute/entry/settings.h"
+#include "libwisteriaroute/member/evacuation_view.h"
 #include "libwisteriaroute/policy/answered_parts.h"
 #include "libwisteriaroute/policy/crash_evidence.h"
 
@@ -122,6 +123,7 @@
   std::map<std::string, agent, std::less<>> agents;
   /** A member_update was received; until then a missing agent may exist. */
   bool members_known = false;
+  member::evacuation_view evacuations;
   std::unordered_map<net::link_id, std::string> agent_of_link;
   std::map<std::string, pool, std::less<>> pools;
   std::map<std::string, usage, std::less<>> usages;
--- a/src/libwisteriaroute/gateway/gateway.cc
+++ b/src/libwisteriaroute/gateway/gateway.cc
@@ -122,6 +122,9 @@
     step.state.options = event.options;
   }
   void operator()(const members_updated& event) const {
+    // Before the members, so that no new server of an evacuated data centre is
+    // usable in between.
+    NoteEvacuations(step, event.update.evacuations);
     for (const server* one :
          step.state.servers.Update(event.update, step.now_us,
                                    step.state.options.group_start_ms * 1'000)) {
--- a/src/libwisteriaroute/gateway/gauges.cc
+++ b/src/libwisteriaroute/gateway/gauges.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <set>
 #include <string>
 
 #include "libwisteriaroute/gateway/gateway.h"
@@ -7,21 +8,23 @@
 
 namespace {
 
+using base::Labelled;
+
 constexpr double kUsPerSecond = 1e6;
 
-std::string Labelled(std::string_view name,
-                     std::string_view label,
-                     std::string_view value) {
-  std::string series(name);
-  series += "{";
-  series += label;
-  series += "=\"";
-  for (const char c : value) {
-    // Names come from outside and must not break the metrics text format.
-    series +=
-        c == '"' || c == '\\' || static_cast<unsigned char>(c) < ' ' ? '_' : c;
+/** A gauge for each data centre with a server, and for each evacuated one. */
+void ReportEvacuations(const server_table& servers, base::metrics& out) {
+  std::set<std::string, std::less<>> names = servers.evacuated();
+  for (const auto& [id, one] : servers.all()) {
+    if (!one.info.data_center.empty()) {
+      names.insert(one.info.data_center);
+    }
+  }
+  for (const std::string& name : names) {
+    out.Set(
+        Labelled("wisteriaroute_data_center_evacuated", "data_center", name),
+        servers.evacuated().contains(name) ? 1 : 0);
   }
-  return series + "\"}";
 }
 
 }  // namespace
@@ -46,6 +49,7 @@
     out.Set(Labelled("wisteriaroute_streams_allowed", "pool", pool),
             limit.streams);
   }
+  ReportEvacuations(state.servers, out);
   for (const auto& [id, one] : state.servers.all()) {
     out.Set(Labelled("wisteriaroute_server_load", "server", id),
             state.servers.Load(one, now_us));
--- a/src/libwisteriaroute/gateway/placement.cc
+++ b/src/libwisteriaroute/gateway/placement.cc
@@ -147,8 +147,8 @@
 }
 
 /** The pool of the service that a part is first answered in, the same for all
- * entries; empty if there is none. Pools that leave count only if
- * `include_leaving` is set. */
+ * entries; empty if there is none. Pools that leave or are evacuated
+ * count only if `include_leaving` is set. */
 std::string_view TrialPool(const server_table& servers,
                            std::string_view service,
                            const prompt_part& part,
@@ -158,7 +158,7 @@
   for (const auto& [id, one] : servers.all()) {
     const std::string& pool = PoolOf(one.info);
     if (one.info.backend.service != service || pool == best ||
-        (one.info.leaving && !include_leaving)) {
+        ((one.info.leaving || servers.IsEvacuated(one)) && !include_leaving)) {
       continue;
     }
     const std::uint64_t hash = base::Hash64(pool, part.digest.low);
@@ -233,7 +233,11 @@
   if (request.may_have_run || request.phase == request_phase::kStreaming) {
     GiveUp(step, request, "no_other_server");
   } else if (!step.state.servers.HasAny(request.service)) {
-    Refuse(step, request, kUnavailable, "no_server", kNoServerRetryMs + spread);
+    Refuse(step, request, kUnavailable,
+           step.state.servers.HasEvacuated(request.service)
+               ? "servers_evacuated"
+               : "no_server",
+           kNoServerRetryMs + spread);
   } else if (pause_ends_us) {
     Refuse(step, request, kUnavailable, "servers_paused",
            (*pause_ends_us - step.now_us) / 1'000 + spread);
--- a/src/libwisteriaroute/gateway/servers.cc
+++ b/src/libwisteriaroute/gateway/servers.cc
@@ -88,7 +88,8 @@
   const bool is_running = HasRunningGroup(service, now_us);
   for (auto& [id, one] : servers_) {
     if (one.info.backend.service == service && !one.info.leaving &&
-        one.suspended_until_us <= now_us && one.paused_until_us <= now_us &&
+        !IsEvacuated(one) && one.suspended_until_us <= now_us &&
+        one.paused_until_us <= now_us &&
         (!is_running || outages_.IsRunning(one.info.backend.group, now_us))) {
       usable.push_back(&one);
     }
@@ -99,7 +100,14 @@
 bool server_table::HasAny(std::string_view service) const {
   return std::ranges::any_of(servers_, [&](const auto& item) {
     return item.second.info.backend.service == service &&
-           !item.second.info.leaving;
+           !item.second.info.leaving && !IsEvacuated(item.second);
+  });
+}
+
+bool server_table::HasEvacuated(std::string_view service) const {
+  return std::ranges::any_of(servers_, [&](const auto& item) {
+    return item.second.info.backend.service == service &&
+           !item.second.info.leaving && IsEvacuated(item.second);
   });
 }
 
@@ -108,7 +116,8 @@
     base::time_us now_us) const {
   std::optional<base::time_us> first;
   for (const auto& [id, one] : servers_) {
-    if (one.info.backend.service != service || one.info.leaving) {
+    if (one.info.backend.service != service || one.info.leaving ||
+        IsEvacuated(one)) {
       continue;
     }
     if (one.paused_until_us <= now_us) {
@@ -124,6 +133,7 @@
   return std::ranges::any_of(servers_, [&](const auto& item) {
     const wire::member_info& info = item.second.info;
     return info.backend.service == service && !info.leaving &&
+           !IsEvacuated(item.second) &&
            outages_.IsRunning(info.backend.group, now_us);
   });
 }
@@ -132,7 +142,8 @@
                                                  base::time_us now_us) const {
   total_load total;
   for (const auto& [id, one] : servers_) {
-    if (PoolOf(one.info) == pool) {
+    // What still runs at evacuated servers takes no capacity of the others.
+    if (PoolOf(one.info) == pool && !IsEvacuated(one)) {
       total.requests += Load(one, now_us);
       total.servers += one.info.leaving || one.paused_until_us > now_us ? 0 : 1;
     }
@@ -176,6 +187,10 @@
   target.other_requests = std::max(
       0.0, static_cast<double>(load.running + load.waiting - target.in_flight));
   target.load_reported_us = now_us;
+  if (IsEvacuated(target)) {
+    // Its falling load would lower the mean of the servers that remain.
+    return;
+  }
   pool_load& pool = pools_[PoolOf(target.info)];
   const double left = std::exp2(-static_cast<double>(now_us - pool.at_us) /
                                 static_cast<double>(kPoolHalfLifeUs));
--- a/src/libwisteriaroute/gateway/servers.h
+++ b/src/libwisteriaroute/gateway/servers.h
@@ -12,6 +12,7 @@
 #include "libwisteriaroute/base/clock.h"
 #include "libwisteriaroute/gateway/group_outages.h"
 #include "libwisteriaroute/gateway/messages.h"
+#include "libwisteriaroute/member/evacuation_view.h"
 #include "libwisteriaroute/wire/control_messages.h"
 
 namespace wisteriaroute::gateway {
@@ -66,23 +67,49 @@
                                     base::time_us group_start_us);
 
   /** Servers of a service that may get new requests, in order of id: neither
-   * leaving nor suspended nor paused, nor in a group that has lost a rank
-   * unless all groups have. */
+   * leaving nor evacuated nor suspended nor paused, nor in a group that has
+   * lost a rank unless all groups have. */
   std::vector<server*> Usable(std::string_view service, base::time_us now_us);
 
-  /** Whether the service has any server that isn't leaving. */
+  /** Whether the service has any server that is neither leaving nor evacuated.
+   */
   bool HasAny(std::string_view service) const;
 
+  /** Whether the service has a server that is only kept from use because it is
+   * evacuated. */
+  bool HasEvacuated(std::string_view service) const;
+
+  /** Applies the list of evacuated data centres unless it is outdated. */
+  member::evacuation_view::changes UpdateEvacuations(
+      const wire::evacuation_list& list,
+      base::time_us now_us) {
+    return evacuations_.Apply(list, now_us);
+  }
+  /** Whether the server's data centre is evacuated. */
+  bool IsEvacuated(const server& one) const {
+    return evacuations_.IsEvacuated(one.info.data_center);
+  }
+  /** The evacuated data centres. */
+  const std::set<std::string, std::less<>>& evacuated() const {
+    return evacuations_.data_centers();
+  }
+  /** When the last evacuation of the data centre ended; nothing during an
+   * evacuation or if none has ended recently. */
+  std::optional<base::time_us> EvacuationEndedUs(
+      std::string_view data_center) const {
+    return evacuations_.EndedUs(data_center);
+  }
+
   /**
    * Earliest end of a pause among the servers of the service. Returns nothing
-   * if a server isn't paused or there are no servers; servers that leave don't
-   * count.
+   * if a server isn't paused or there are no servers; servers that leave or are
+   * evacuated don't count.
    */
   std::optional<base::time_us> FirstPauseEnd(std::string_view service,
                                              base::time_us now_us) const;
 
-  /** Estimated number of requests at all servers of a pool, and how many of the
-   * servers are neither leaving nor paused. */
+  /** Estimated number of requests at all servers of a pool that aren't
+   * evacuated, and how many of the servers are neither leaving nor paused. */
   struct total_load {
     double requests = 0;
     std::size_t servers = 0;
@@ -131,6 +158,7 @@
   std::map<std::string, server, std::less<>> servers_;
   std::map<std::string, pool_load, std::less<>> pools_;
   group_outages outages_;
+  member::evacuation_view evacuations_;
   /** Ids and incarnations of servers that have announced that they leave, so
    * that late updates don't make them usable again. */
   std::set<std::pair<std::string, std::uint64_t>> leaving_incarnations_;
--- a/src/libwisteriaroute/gateway/step_context.h
+++ b/src/libwisteriaroute/gateway/step_context.h
@@ -118,6 +118,9 @@
                  std::string_view source,
                  std::string_view request);
 
+/** Applies the list of evacuated data centres and logs its changes. */
+void NoteEvacuations(step_context& step, const wire::evacuation_list& list);
+
 /** The request of an attempt in progress, or null. */
 request_state* FindByAttempt(step_context& step, attempt_id attempt);
 
--- a/src/libwisteriaroute/wire/admin_fields.cc
+++ b/src/libwisteriaroute/wire/admin_fields.cc
@@ -1,6 +1,7 @@
 #include "libwisteriaroute/wire/admin_fields.h"
 
 #include "libwisteriaroute/wire/control_fields.h"
+#include "libwisteriaroute/wire/evacuation_fields.h"
 
 namespace wisteriaroute::wire {
 
@@ -72,6 +73,9 @@
   void operator()(const report_server& from) {
     WriteFields(from, to.initReportServer());
   }
+  void operator()(const evacuation_order& from) {
+    WriteFields(from, to.initEvacuate());
+  }
   void operator()(const rebalance_request& from) {
     to.setRebalance(from.group);
   }
@@ -121,6 +125,8 @@
       return get_document{};
     case proto::AdminRequest::REPORT_SERVER:
       return ReadFields(from.getReportServer());
+    case proto::AdminRequest::EVACUATE:
+      return ReadFields(from.getEvacuate());
   }
   throw malformed_message("unknown administrative request type");
 }
--- a/src/libwisteriaroute/wire/control_messages.cc
+++ b/src/libwisteriaroute/wire/control_messages.cc
@@ -7,6 +7,7 @@
 
 #include "libwisteriaroute/wire/admin_fields.h"
 #include "libwisteriaroute/wire/control_fields.h"
+#include "libwisteriaroute/wire/evacuation_fields.h"
 #include "libwisteriaroute/wire/varint.h"
 
 namespace wisteriaroute::wire {
@@ -67,13 +68,15 @@
   WriteList(from.changed, to.initChanged(Count(from.changed)));
   WriteTexts(from.removed, to.initRemoved(Count(from.removed)));
   WriteTexts(from.drained, to.initDrained(Count(from.drained)));
+  WriteFields(from.evacuations, to.initEvacuations());
 }
 
 member_update ReadFields(proto::MemberUpdate::Reader from) {
   return {.full = from.getFull(),
           .changed = ReadList<member_info>(from.getChanged()),
           .removed = ReadTexts(from.getRemoved()),
-          .drained = ReadTexts(from.getDrained())};
+          .drained = ReadTexts(from.getDrained()),
+          .evacuations = ReadFields(from.getEvacuations())};
 }
 
 void WriteFields(const quarantine_update& from,
--- a/src/libwisteriaroute/wire/control_messages.h
+++ b/src/libwisteriaroute/wire/control_messages.h
@@ -12,6 +12,7 @@
 #include "libwisteriaroute/base/event_ring.h"
 #include "libwisteriaroute/wire/common.h"
 #include "libwisteriaroute/wire/crash_messages.h"
+#include "libwisteriaroute/wire/evacuation_messages.h"
 #include "libwisteriaroute/wire/rank_messages.h"
 
 namespace wisteriaroute::wire {
@@ -143,12 +144,13 @@
   bool operator==(const config_update&) const = default;
 };
 
-/** Control to entries. `drained` is always the complete list of names. */
+/** Control to entries. `drained` and `evacuations` are always complete. */
 struct member_update {
   bool full = false;
   std::vector<member_info> changed;
   std::vector<std::string> removed;
   std::vector<std::string> drained;
+  evacuation_list evacuations;
 
   bool operator==(const member_update&) const = default;
 };
@@ -434,7 +436,8 @@
                                 rebalance_request,
                                 publish_document,
                                 get_document,
-                                report_server>;
+                                report_server,
+                                evacuation_order>;
 
 struct admin_request {
   std::uint64_t correlation = 0;
--- a/src/protocol/native_protocol.cc
+++ b/src/protocol/native_protocol.cc
@@ -19,6 +19,7 @@
 
 constexpr std::string_view kTrafficPath = "/v1/traffic";
 constexpr std::string_view kServersPath = "/v1/servers/";
+constexpr std::string_view kEvacuationsPath = "/v1/evacuations/";
 constexpr std::string_view kDocumentName = "traffic";
 constexpr unsigned kNotFound = 404;
 
@@ -93,6 +94,17 @@
       (method == "PUT" || method == "DELETE")) {
     return DecodeReport(std::string(path.substr(kServersPath.size())), request);
   }
+  if (path.starts_with(kEvacuationsPath) &&
+      path.size() > kEvacuationsPath.size() &&
+      (method == "PUT" || method == "DELETE")) {
+    if (!request.body.empty()) {
+      return api_refusal{.code = "invalid_order",
+                         .message = "the order has a body"};
+    }
+    return wire::evacuation_order{
+        .data_center = std::string(path.substr(kEvacuationsPath.size())),
+        .evacuated = method == "PUT"};
+  }
   return api_refusal{.status = kNotFound,
                      .code = "not_found",
                      .message = "unknown path or method"};
--- a/src/protocol/native_protocol.h
+++ b/src/protocol/native_protocol.h
@@ -4,9 +4,9 @@
 #include <optional>
 #include <string_view>
 
-#include "control/http_api.h"
 #include "libwisteriaroute/base/finding.h"
 #include "libwisteriaroute/config/traffic_set.h"
+#include "libwisteriaroute/control/http_api.h"
 #include "libwisteriaroute/gateway/http_codec.h"
 
 namespace wisteriaroute::protocol {
@@ -22,9 +22,9 @@
   std::optional<config::traffic_set> DecodeTraffic(std::string_view document,
                                                    base::findings& out) const;
   /**
-   * Decodes `PUT` and `GET /v1/traffic` and `PUT` and `DELETE /v1/servers/ID`
-   * (bodies: `docs/OPERATING.md`). Returns an api_refusal for an invalid or
-   * unknown call.
+   * Decodes `PUT` and `GET /v1/traffic`, `PUT` and `DELETE /v1/servers/ID`
+   * (bodies: `docs/OPERATING.md`), and `PUT` and `DELETE /v1/evacuations/NAME`.
+   * Returns an api_refusal for an invalid or unknown call.
    */
   control::api_call DecodeControlCall(
       const net::http_server_request& request) const;
--- a/src/wrctl/commands.h
+++ b/src/wrctl/commands.h
@@ -20,6 +20,8 @@
 int RunQuarantineRelease(const argument_list& arguments);
 int RunDrain(const argument_list& arguments);
 int RunUndrain(const argument_list& arguments);
+int RunEvacuate(const argument_list& arguments);
+int RunEndEvacuation(const argument_list& arguments);
 int RunRebalance(const argument_list& arguments);
 int RunMembersAdd(const argument_list& arguments);
 int RunMembersRemove(const argument_list& arguments);
--- a/src/wrctl/leader_commands.cc
+++ b/src/wrctl/leader_commands.cc
@@ -111,6 +111,18 @@
                    arguments[0] + " accepts new work again");
 }
 
+int RunEvacuate(const argument_list& arguments) {
+  return RunChange(
+      wire::evacuation_order{.data_center = arguments[0], .evacuated = true},
+      "evacuating data centre " + arguments[0]);
+}
+
+int RunEndEvacuation(const argument_list& arguments) {
+  return RunChange(
+      wire::evacuation_order{.data_center = arguments[0], .evacuated = false},
+      "data centre " + arguments[0] + " is no longer evacuated");
+}
+
 int RunRebalance(const argument_list& arguments) {
   return RunChange(wire::rebalance_request{.group = arguments[0]},
                    "requested a new expert map of " + arguments[0]);
--- a/src/wrctl/main.cc
+++ b/src/wrctl/main.cc
@@ -11,8 +11,8 @@
 namespace wisteriaroute::wrctl {
 namespace {
 
-const std::array<command, 20>& Commands() {
-  static const std::array<command, 20> commands = {{
+const std::array<command, 22>& Commands() {
+  static const std::array<command, 22> commands = {{
       {.name = "check",
        .arguments = "DIR",
        .summary = "Checks a directory of named objects, offline",
@@ -37,7 +37,9 @@
        .run = &RunPublish},
       {.name = "status",
        .summary = "Shows each process with the revision that it has in force",
-       .details = "With --wait, returns when the newest revision is in force "
+       .details = "Also shows the leader, the replicas and the evacuated data "
+                  "centres.\nWith --wait, returns when the newest revision is "
+                  "in force "
                   "everywhere (status 0),\nor at the time limit (status 1).",
        .flags = {"wait"},
        .run = &RunStatus},
@@ -53,6 +55,16 @@
        .arguments = "NAME",
        .summary = "Puts a backend server back into rotation",
        .run = &RunUndrain},
+      {.name = "evacuate",
+       .arguments = "NAME",
+       .summary = "Sends no new work to the servers of a data centre",
+       .details = "Requests in progress finish. Repeating the command is safe. "
+                  "wrctl status lists the\nevacuated data centres.",
+       .run = &RunEvacuate},
+      {.name = "end-evacuation",
+       .arguments = "NAME",
+       .summary = "Sends new work to the servers of a data centre again",
+       .run = &RunEndEvacuation},
       {.name = "groups",
        .summary = "Shows the model groups with their expert maps",
        .run = &RunGroups},
--- a/src/wrctl/status_command.cc
+++ b/src/wrctl/status_command.cc
@@ -18,12 +18,12 @@
 constexpr double kDefaultWaitTimeoutS = 60;
 constexpr std::chrono::milliseconds kPollPeriod{200};
 
-constexpr std::array<std::string_view, 13> kColumns = {
-    "name",       "role",     "data_center",
-    "revision",   "in_force", "in_force_everywhere",
-    "leader",     "term",     "ready",
-    "missing",    "address",  "voter",
-    "match_index"};
+constexpr std::array<std::string_view, 14> kColumns = {
+    "name",     "role",       "data_center",
+    "revision", "in_force",   "in_force_everywhere",
+    "leader",   "term",       "evacuated",
+    "ready",    "missing",    "address",
+    "voter",    "match_index"};
 
 bool InForceEverywhere(const nlohmann::json& status) {
   return status.value("in_force_everywhere", false);
--- a/tests/control/control_state_test.cc
+++ b/tests/control/control_state_test.cc
@@ -358,7 +358,10 @@
   std::uint64_t Pick(std::uint64_t count) { return random_() % count; }
 
   command_body Body(const control_state& state) {
-    switch (Pick(12)) {
+    switch (Pick(13)) {
+      case 12:
+        return wire::evacuation_order{"dc" + std::to_string(Pick(3)),
+                                      Pick(2) == 0};
       case 10:
         return wire::crash_reports{
             {{.id = Digest(Pick(30)),
--- a/tests/platform/platform_codec_test.cc
+++ b/tests/platform/platform_codec_test.cc
@@ -127,6 +127,33 @@
     CHECK(std::get<wire::publish_document>(call).body == kConfiguration);
   }
 
+  // Guards against an order for another data centre than the one it names.
+  SUBCASE("the orders to evacuate a data centre") {
+    for (const bool starts : {true, false}) {
+      const std::string path =
+          std::string("/evacuations/z-1/") + (starts ? "start" : "end");
+      const auto call = DecodeControlCall(Call("POST", path, ""));
+      const auto* order = std::get_if<wire::evacuation_order>(&call);
+      REQUIRE(order != nullptr);
+      CHECK(order->data_center == "z-1");
+      CHECK(order->evacuated == starts);
+      const auto with_body = DecodeControlCall(Call("POST", path, "{}"));
+      REQUIRE(std::holds_alternative<control::api_refusal>(with_body));
+      CHECK(std::get<control::api_refusal>(with_body).status == 400);
+    }
+    for (const char* path :
+         {"/evacuations/", "/evacuations/start", "/evacuations//start",
+          "/evacuations/z", "/evacuations/z/stop", "/evacuations/z/y/end"}) {
+      CAPTURE(path);
+      const auto call = DecodeControlCall(Call("POST", path, ""));
+      REQUIRE(std::holds_alternative<control::api_refusal>(call));
+      CHECK(std::get<control::api_refusal>(call).status == 404);
+    }
+    const auto read = DecodeControlCall(Call("GET", "/evacuations/z/end", ""));
+    REQUIRE(std::holds_alternative<control::api_refusal>(read));
+    CHECK(std::get<control::api_refusal>(read).status == 404);
+  }
+
   SUBCASE("an unknown path is refused with 404") {
     const auto call = DecodeControlCall(Call("GET", "/other", ""));
     REQUIRE(std::holds_alternative<control::api_refusal>(call));
--- a/tests/process/gateway_process_harness.cc
+++ b/tests/process/gateway_process_harness.cc
@@ -136,15 +136,16 @@
                 addresses_["control-" + std::to_string(i) + "/http"];
   }
   addresses_[name] = TakeAddress();
-  processes_[name].command = {bin_ + "/wisteriaroute-standin",
-                              "--mode=reporting",
-                              "--id=" + name,
-                              "--service=desk",
-                              "--data_center=north-a",
-                              "--slots=4",
-                              std::string("--crash_part=") + kCrashPart,
-                              "--controls=" + controls,
-                              "--listen=" + addresses_[name]};
+  processes_[name].command = {
+      bin_ + "/wisteriaroute-standin",
+      "--mode=reporting",
+      "--id=" + name,
+      "--service=desk",
+      name == "desk-c" ? "--data_center=north-b" : "--data_center=north-a",
+      "--slots=4",
+      std::string("--crash_part=") + kCrashPart,
+      "--controls=" + controls,
+      "--listen=" + addresses_[name]};
 }
 
 std::string gateway_system::TrafficToml(std::uint64_t version) {
@@ -197,6 +198,10 @@
   return Execute(bin_ + "/wrctl " + arguments);
 }
 
+command_result gateway_system::Operate(const std::string& arguments) const {
+  return Wrctl(arguments + " --settings " + folder_ + "/wrctl.toml");
+}
+
 void gateway_system::PublishAndWait() {
   std::ofstream(folder_ + "/wrctl.toml")
       << "[wrctl]\ncontrols = [\"" << addresses_["control-0"] << "\", \""
@@ -285,6 +290,30 @@
   return result;
 }
 
+std::shared_ptr<call> gateway_system::CallControl(std::size_t replica,
+                                                  const std::string& method,
+                                                  const std::string& path,
+                                                  const std::string& body) {
+  auto result = std::make_shared<call>();
+  http_.Start(
+      {.method = method,
+       .url = "http://" +
+              addresses_.at("control-" + std::to_string(replica) + "/http") +
+              path,
+       .body = body,
+       .timeout_ms = 5'000},
+      {.on_head = [result](unsigned status,
+                           const auto&) { result->status = status; },
+       .on_data = [result](std::string_view data) { result->body += data; },
+       .on_done =
+           [result](const net::http_client_result& end) {
+             result->done = true;
+             result->ok = end.ok;
+           }});
+  RunUntil([&] { return result->done; });
+  return result;
+}
+
 void gateway_system::Disconnect(const call& target) {
   http_.Cancel(transfers_.at(&target));
 }
@@ -365,6 +394,10 @@
   return folder_ + "/" + process + ".toml";
 }
 
+std::string gateway_system::ReadSettings(const std::string& process) const {
+  return base::ReadFile(SettingsFile(process));
+}
+
 void gateway_system::WriteSettings(const std::string& process,
                                    const std::string& text) {
   const std::string file = SettingsFile(process);
--- a/tests/process/gateway_process_harness.h
+++ b/tests/process/gateway_process_harness.h
@@ -25,7 +25,8 @@
  */
 class gateway_system {
  public:
-  /** Starts all processes; the stand-ins are servers of the service `desk`. */
+  /** Starts all processes; the stand-ins are servers of the service `desk`, two
+   * in the data centre `north-a` and `desk-c` in `north-b`. */
   gateway_system();
   /** Kills all processes; removes the files unless WR_KEEP_DIRECTORY is set. */
   ~gateway_system();
@@ -38,6 +39,8 @@
   /** Publishes a traffic configuration with wrctl. */
   command_result Publish(const std::string& text);
   command_result Wrctl(const std::string& arguments) const;
+  /** Runs a command of wrctl with the settings of this system. */
+  command_result Operate(const std::string& arguments) const;
   /** Publishes TrafficToml(1) and waits until both gateways serve with it. */
   void PublishAndWait();
 
@@ -54,6 +57,11 @@
                                      const net::http_headers& headers = {},
                                      const std::string& body = "");
   std::shared_ptr<call> Get(const std::string& url);
+  /** Sends an HTTP call to a control replica; follows no redirect. */
+  std::shared_ptr<call> CallControl(std::size_t replica,
+                                    const std::string& method,
+                                    const std::string& path,
+                                    const std::string& body = "");
   /** Cancels a request as its caller, which closes the connection. */
   void Disconnect(const call& target);
 
@@ -71,6 +79,7 @@
   std::string LogFile(const std::string& process) const;
   std::string ReadLog(const std::string& process) const;
   std::string SettingsFile(const std::string& process) const;
+  std::string ReadSettings(const std::string& process) const;
   void WriteSettings(const std::string& process, const std::string& text);
 
   void StartProcess(const std::string& name);
--- a/tests/protocol/native_protocol_test.cc
+++ b/tests/protocol/native_protocol_test.cc
@@ -47,6 +47,23 @@
     CHECK(document->version == 4);
   }
 
+  SUBCASE("the start and the end of an evacuation") {
+    for (const char* method : {"PUT", "DELETE"}) {
+      const auto call = Decode(method, "/v1/evacuations/east", "");
+      const auto* order = std::get_if<wire::evacuation_order>(&call);
+      REQUIRE(order != nullptr);
+      CHECK(order->data_center == "east");
+      CHECK(order->evacuated == (std::string(method) == "PUT"));
+      const auto with_body = Decode(method, "/v1/evacuations/east", "x");
+      REQUIRE(std::holds_alternative<control::api_refusal>(with_body));
+      CHECK(std::get<control::api_refusal>(with_body).status == 400);
+    }
+    CHECK(std::holds_alternative<control::api_refusal>(
+        Decode("PUT", "/v1/evacuations/", "")));
+    CHECK(std::holds_alternative<control::api_refusal>(
+        Decode("POST", "/v1/evacuations/east", "")));
+  }
+
   SUBCASE("malformed requests are refused without a crash") {
     for (std::size_t size = 0; size < kReport.size(); ++size) {
       CHECK(std::holds_alternative<control::api_refusal>(
--- a/tests/wire/codec_test.cc
+++ b/tests/wire/codec_test.cc
@@ -73,7 +73,11 @@
       session_goodbye{},
       not_leader{"c1", "127.0.0.1:2"},
       config_update{1, 2, {{"region", "r", "{}"}}, {{"region", "q"}}},
-      member_update{true, {kMember}, {"gone"}, {"drained"}},
+      member_update{true,
+                    {kMember},
+                    {"gone"},
+                    {"drained"},
+                    {7, {"east", "west"}, {{"north", 6, 900}}}},
       quarantine_update{
           true,
           {{kDigest, quarantine_state::kQuarantined, 2, 99, true}},
@@ -127,7 +131,9 @@
           get_members{},
           add_replica{"c4", "127.0.0.1:3"},
           remove_replica{"c1"},
-          rebalance_request{"g"}};
+          rebalance_request{"g"},
+          evacuation_order{"east", true},
+          evacuation_order{"west", false}};
 }
 
 TEST_CASE("messages are unchanged after encoding and decoding") {
@@ -151,6 +157,8 @@
           DecodeControl(Encode(control_message(admin_request{7, call}))));
       CHECK(decoded.correlation == 7);
       CHECK(decoded.call.index() == call.index());
+      CHECK(Encode(control_message(decoded)) ==
+            Encode(control_message(admin_request{7, call})));
     }
   }
 }
