entry: agents of an evacuated data centre get no new work

They were treated as drained, so requests for a pool without other agents waited 3 s before they were refused.

--- a/src/libwisteriaroute/entry/admission.cc
+++ b/src/libwisteriaroute/entry/admission.cc
@@ -115,13 +115,14 @@
   const bool any =
       found != step.state.pools.end() &&
       std::any_of(found->second.agents.begin(), found->second.agents.end(),
-                  [](const agent* a) { return a->is_member; });
+                  [](const agent* a) { return a->is_member && !a->evacuated; });
   if (!any) {
-    return error_reply{.status = 503,
-                       .code = "no_backend",
-                       .message = "no backend server is registered",
-                       .ran = request.earlier_outcome,
-                       .retry_after_s = JitteredSeconds(step, 2)};
+    return error_reply{
+        .status = 503,
+        .code = "no_backend",
+        .message = "no backend server is registered, or all are evacuated",
+        .ran = request.earlier_outcome,
+        .retry_after_s = JitteredSeconds(step, 2)};
   }
   if (step.state.queued >=
       static_cast<std::size_t>(step.state.settings.max_queue)) {
--- a/src/libwisteriaroute/entry/agents.cc
+++ b/src/libwisteriaroute/entry/agents.cc
@@ -104,8 +104,9 @@
   step.state.evacuations.Apply(update.evacuations, step.now_us);
   for (auto& [name, peer] : agents) {
     peer.drained = std::find(update.drained.begin(), update.drained.end(),
-                             name) != update.drained.end() ||
-                   step.state.evacuations.IsEvacuated(peer.member.data_center);
+                             name) != update.drained.end();
+    peer.evacuated =
+        step.state.evacuations.IsEvacuated(peer.member.data_center);
   }
   step.state.members_known = true;
   RebuildPools(step);
--- a/src/libwisteriaroute/entry/queue.cc
+++ b/src/libwisteriaroute/entry/queue.cc
@@ -121,8 +121,8 @@
 }  // namespace
 
 bool IsEligible(const agent& candidate, base::time_us now_us) {
-  if (!candidate.is_member || candidate.drained || candidate.member.leaving ||
-      candidate.link == 0 || !candidate.state ||
+  if (!candidate.is_member || candidate.drained || candidate.evacuated ||
+      candidate.member.leaving || candidate.link == 0 || !candidate.state ||
       now_us < candidate.suspended_until_us) {
     return false;
   }
--- a/src/libwisteriaroute/entry/queue.h
+++ b/src/libwisteriaroute/entry/queue.h
@@ -23,7 +23,8 @@
 /**
  * Whether new work may be sent to the agent's backend server: the link is up,
  * the agent is a member that accepts work, the server is healthy and the
- * registered incarnation, and it is not drained, leaving or suspended.
+ * registered incarnation, and it is not drained, evacuated, leaving or
+ * suspended.
  */
 bool IsEligible(const agent& candidate, base::time_us now_us);
 
--- a/src/libwisteriaroute/entry/state.h
+++ b/src/libwisteriaroute/entry/state.h
@@ -31,6 +31,8 @@
    */
   bool is_member = false;
   bool drained = false;
+  /** Its data centre is evacuated. */
+  bool evacuated = false;
   /** Address that is being dialled; empty if none. */
   std::string dialled_address;
   /** 0 while no link is up. */
