gateway: limit the requests to cold servers

A server that has just started sustains few requests per second and crashes well above them. Each entry now sends a cold server only its share of the service's rate in any sliding window; control lists the entries and forwards how long servers stay cold. Services without the fields are served as before.

--- a/proto/control.capnp
+++ b/proto/control.capnp
@@ -29,6 +29,8 @@
   dataCenter @5 :Text;
   leaving @6 :Bool;
   backend @7 :BackendInfo;
+  # Negative: unknown.
+  coldLeftMs @8 :Int64 = -1;
 }
 
 struct SessionHello {
@@ -81,6 +83,8 @@
   changed @1 :List(MemberInfo);
   removed @2 :List(Text);
   drained @3 :List(Text);
+  # Empty: as last sent.
+  entryIds @4 :List(UInt64);
 }
 
 struct QuarantineEntry {
--- a/src/gateway/daemon.cc
+++ b/src/gateway/daemon.cc
@@ -68,6 +68,7 @@
       drain_timer_(event_loop.ev(), [this] { StopIfDrained(); }) {
   state_.options = settings_.options;
   state_.random = base::RandomU64() | 1;
+  state_.cold.entries.SetOwn(policy::EntryId(settings_.process.name));
 }
 
 void daemon::Run() {
@@ -112,6 +113,7 @@
           .on_lease =
               [this](base::time_us until_us, const wire::fencing_number&) {
                 lease_until_us_ = until_us;
+                Handle(control_confirmed{});
               },
           .on_opened =
               [this] {
--- a/src/libwisteriaroute/config/traffic_parse.cc
+++ b/src/libwisteriaroute/config/traffic_parse.cc
@@ -108,7 +108,10 @@
     traffic_service one{
         .name = reader.RequiredString("name"),
         .health_path = reader.String("health_path", ""),
-        .max_connections = reader.Integer("max_connections", 0, 0, kMaxCount)};
+        .max_connections = reader.Integer("max_connections", 0, 0, kMaxCount),
+        .cold_s = reader.Number("cold_s", 0, 0, kMaxColdS),
+        .cold_requests_per_s =
+            reader.Number("cold_requests_per_s", 0, 0, kMaxColdRequests)};
     if (const toml::table* engine = reader.Table("engine")) {
       one.engine = ReadEngine(*engine);
     }
--- a/src/libwisteriaroute/config/traffic_set.cc
+++ b/src/libwisteriaroute/config/traffic_set.cc
@@ -27,6 +27,7 @@
       if (!services_.insert(one.name).second) {
         Report("the service '" + one.name + "' is declared twice");
       }
+      CheckCold(one);
     }
     for (const route& one : set_.routes) {
       CheckRoute(one);
@@ -35,6 +36,17 @@
   }
 
  private:
+  void CheckCold(const traffic_service& one) {
+    // Written so that a number that isn't one is refused, too.
+    if (!(one.cold_s >= 0 && one.cold_s <= kMaxColdS)) {
+      Report("the service '" + one.name + "': the cold time is out of range");
+    }
+    if (!(one.cold_requests_per_s >= 0 &&
+          one.cold_requests_per_s <= kMaxColdRequests)) {
+      Report("the service '" + one.name + "': the cold rate is out of range");
+    }
+  }
+
   void Report(std::string message) {
     out_.push_back({.file = place_, .message = std::move(message)});
   }
--- a/src/libwisteriaroute/config/traffic_set.h
+++ b/src/libwisteriaroute/config/traffic_set.h
@@ -71,12 +71,21 @@
   bool operator==(const engine_shape&) const = default;
 };
 
+/** Bounds of the fields of cold servers; a higher rate is no limit. */
+inline constexpr double kMaxColdS = 86'400;
+inline constexpr double kMaxColdRequests = 1e6;
+
 /** A service whose backend servers report themselves to control. */
 struct traffic_service {
   std::string name;
   std::string health_path;
   /** Limit of one server, over all callers. */
   std::int64_t max_connections = 0;
+  /** How long a server is cold after it has started. */
+  double cold_s = 0;
+  /** Requests per second that a cold server sustains, over all callers; 0: as
+   * many as a warm one. */
+  double cold_requests_per_s = 0;
   std::optional<engine_shape> engine;
 };
 
--- a/src/libwisteriaroute/control/replica.h
+++ b/src/libwisteriaroute/control/replica.h
@@ -114,6 +114,9 @@
   /** Role kServer only: an entry has reported that this incarnation has
    * crashed; 0: none. */
   std::uint64_t crashed_incarnation = 0;
+  /** Role kServer only: until when it is cold; nothing if it hasn't said. It
+   * isn't in `info`, because the time left changes with each report. */
+  std::optional<base::time_us> cold_until_us;
 };
 
 /** An unexpired lease of an earlier incarnation of a member. */
@@ -254,6 +257,10 @@
   std::set<std::string> changed_members;
   std::set<std::string> removed_members;
   bool drained_changed = false;
+  /** An entry has opened or lost its session since the list was last sent. */
+  bool entries_changed = false;
+  /** Earliest time to send the list of entries again. */
+  base::time_us next_entries_us = 0;
   /**
    * Set when the members of an earlier leader have had time to reconnect and
    * the full member list was sent to the entries.
--- a/src/libwisteriaroute/control/report_faults.cc
+++ b/src/libwisteriaroute/control/report_faults.cc
@@ -11,6 +11,8 @@
 
 constexpr std::size_t kMaxIdBytes = 128;
 constexpr std::uint32_t kMaxSlots = 100'000;
+// The longest cold time that a configuration may name.
+constexpr std::int64_t kMaxColdMs = 86'400'000;
 // Larger numbers aren't exact in JSON. A report with the largest incarnation or
 // sequence number would outdate all later ones of its server.
 constexpr std::uint64_t kMaxExactNumber = std::uint64_t{1} << 53;
@@ -49,6 +51,10 @@
   if (info.backend.slots > kMaxSlots) {
     return "the number of slots is too large";
   }
+  if (info.cold_left_ms.value_or(0) < 0 ||
+      info.cold_left_ms.value_or(0) > kMaxColdMs) {
+    return "the time that the server stays cold is out of range";
+  }
   return {};
 }
 
--- a/src/libwisteriaroute/control/server_reports.cc
+++ b/src/libwisteriaroute/control/server_reports.cc
@@ -11,6 +11,10 @@
 
 namespace {
 
+// Reports of the same end of a cold period differ by their delays. Announcing a
+// later end than reported saves an update to all entries for each report.
+constexpr base::time_us kColdToleranceUs = 250'000;
+
 enum class report_kind : std::uint8_t { kCurrent, kOutdated, kUncertain };
 
 /**
@@ -58,6 +62,29 @@
   return repeats ? report_kind::kOutdated : report_kind::kCurrent;
 }
 
+/** Applies how long the server says that it stays cold. Returns whether entries
+ * must be told. */
+bool ApplyColdLeft(member_session& session,
+                   const wire::report_server& report,
+                   base::time_us now_us) {
+  if (!report.info.cold_left_ms) {
+    return false;
+  }
+  const base::time_us left_us = *report.info.cold_left_ms * 1'000;
+  const base::time_us ends_us = now_us + left_us;
+  const base::time_us known_us = session.cold_until_us.value_or(0);
+  // Both warm, or the end differs only by the delays of the reports.
+  const bool is_same =
+      left_us == 0
+          ? session.cold_until_us && known_us <= now_us
+          : ends_us <= known_us && known_us - ends_us <= 2 * kColdToleranceUs;
+  if (is_same) {
+    return false;
+  }
+  session.cold_until_us = left_us == 0 ? now_us : ends_us + kColdToleranceUs;
+  return true;
+}
+
 }  // namespace
 
 bool HandleServerReport(replica_state& state,
@@ -93,6 +120,7 @@
   member_session& session = leader.sessions[name];
   const bool same_run = session.reported_incarnation == report.info.incarnation;
   wire::member_info info = report.info;
+  info.cold_left_ms.reset();
   if (!is_new) {
     info.incarnation =
         same_run ? session.info.incarnation
@@ -107,11 +135,16 @@
   }
   session.last_message_us = now.now_us;
   session.earlier = {};
+  bool cold_changed = false;
   if (!report.gone) {
+    if (!same_run) {
+      session.cold_until_us.reset();
+    }
+    cold_changed = ApplyColdLeft(session, report, now.now_us);
     session.report_sequence = report.sequence;
     session.reported_incarnation = report.info.incarnation;
   }
-  if (session.info == info) {
+  if (session.info == info && !cold_changed) {
     return true;
   }
   if (info.leaving) {
--- a/src/libwisteriaroute/control/sessions.cc
+++ b/src/libwisteriaroute/control/sessions.cc
@@ -38,6 +38,7 @@
   if (IsListed(role)) {
     leader.removed_members.insert(name);
   }
+  leader.entries_changed |= role == wire::member_role::kEntry;
 }
 
 bool IsExpired(const member_session& session, base::time_us now_us) {
@@ -102,6 +103,7 @@
     KeepOldLease(leader, session, now.now_us);
     leader.session_links.erase(session.link);
     session = {.revision = hello.revision};
+    leader.entries_changed |= hello.info.role == wire::member_role::kEntry;
     RecordMemberEvent(hello.info, "session_opened", out);
   }
   const bool reconnected = session.link != link;
--- a/src/libwisteriaroute/control/updates.cc
+++ b/src/libwisteriaroute/control/updates.cc
@@ -1,8 +1,10 @@
 #include "libwisteriaroute/control/updates.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "libwisteriaroute/control/sessions.h"
+#include "libwisteriaroute/policy/cold_share.h"
 
 namespace wisteriaroute::control {
 
@@ -10,24 +12,71 @@
 
 using wire::member_role;
 
+// Bounds the traffic while many entries start: the list of 410 entries has
+// 3.3 KB, and goes to each of them.
+constexpr base::time_us kEntriesIntervalUs = 250'000;
+
 std::vector<std::string> DrainedServers(const replica_state& state) {
   return {state.durable.drained.begin(), state.durable.drained.end()};
 }
 
-std::vector<wire::member_info> ListedMembers(const leader_state& leader) {
+/** What entries are told of a member at this time. */
+wire::member_info Announcement(const member_session& session,
+                               const step_time& now) {
+  wire::member_info info = session.info;
+  if (session.cold_until_us) {
+    // Rounded up: one ms less would end the time too early.
+    info.cold_left_ms =
+        (std::max<base::time_us>(0, *session.cold_until_us - now.now_us) +
+         999) /
+        1'000;
+  }
+  return info;
+}
+
+std::vector<wire::member_info> ListedMembers(const leader_state& leader,
+                                             const step_time& now) {
   std::vector<wire::member_info> members;
   for (const auto& [name, session] : leader.sessions) {
     if (IsListed(session.info.role)) {
-      members.push_back(session.info);
+      members.push_back(Announcement(session, now));
     }
   }
   return members;
 }
 
-wire::member_update AllMembers(const replica_state& state, bool full) {
+std::vector<std::uint64_t> EntryIds(const leader_state& leader) {
+  std::vector<std::uint64_t> ids;
+  for (const auto& [name, session] : leader.sessions) {
+    if (session.info.role == member_role::kEntry) {
+      ids.push_back(policy::EntryId(name));
+    }
+  }
+  return ids;
+}
+
+// A list that lacks entries would let the others send too much to cold servers,
+// so none is sent before the entries of an earlier leader have had time to
+// reconnect.
+wire::member_update AllMembers(const replica_state& state,
+                               bool full,
+                               const step_time& now) {
+  const leader_state& leader = *state.leadership;
   return {.full = full,
-          .changed = ListedMembers(*state.leadership),
-          .drained = DrainedServers(state)};
+          .changed = ListedMembers(leader, now),
+          .drained = DrainedServers(state),
+          .entry_ids = full ? EntryIds(leader) : std::vector<std::uint64_t>()};
+}
+
+/** Whether the list of entries is due; if so, it counts as sent. */
+bool TakeEntriesDue(leader_state& leader, const step_time& now) {
+  if (!leader.entries_changed || !leader.full_list_sent ||
+      now.now_us < leader.next_entries_us) {
+    return false;
+  }
+  leader.entries_changed = false;
+  leader.next_entries_us = now.now_us + kEntriesIntervalUs;
+  return true;
 }
 
 /** Whether the members of an earlier leader have had time to reconnect. */
@@ -100,7 +149,8 @@
   // Shortly after an election most agents have no session yet. A full list
   // would make the entry remove them.
   Send({session.link},
-       AllMembers(state, ReconnectTimeElapsed(*state.leadership, now)), out);
+       AllMembers(state, ReconnectTimeElapsed(*state.leadership, now), now),
+       out);
   wire::quarantine_update update{.full = true};
   for (const auto& [fingerprint, entry] : state.durable.quarantine.entries) {
     update.changed.push_back(entry);
@@ -116,18 +166,25 @@
     leader.full_list_sent = true;
     leader.changed_members.clear();
     leader.removed_members.clear();
-    Send(LinksOf(leader, member_role::kEntry), AllMembers(state, true), out);
+    leader.entries_changed = false;
+    Send(LinksOf(leader, member_role::kEntry), AllMembers(state, true, now),
+         out);
     return;
   }
+  const bool entries_due = TakeEntriesDue(leader, now);
   if (std::exchange(leader.drained_changed, false)) {
     Send(LinksOf(leader, member_role::kAgent),
          wire::member_update{.drained = DrainedServers(state)}, out);
-  } else if (leader.changed_members.empty() && leader.removed_members.empty()) {
+  } else if (leader.changed_members.empty() && leader.removed_members.empty() &&
+             !entries_due) {
     return;
   }
   wire::member_update update{.drained = DrainedServers(state)};
+  if (entries_due) {
+    update.entry_ids = EntryIds(leader);
+  }
   for (const std::string& name : std::exchange(leader.changed_members, {})) {
-    update.changed.push_back(leader.sessions[name].info);
+    update.changed.push_back(Announcement(leader.sessions[name], now));
   }
   const auto removed = std::exchange(leader.removed_members, {});
   update.removed.assign(removed.begin(), removed.end());
--- a/src/libwisteriaroute/gateway/attempts.cc
+++ b/src/libwisteriaroute/gateway/attempts.cc
@@ -225,6 +225,7 @@
     server* target = RemoveAttempt(step, request);
     if (const char* cause = WhyBroken(request)) {
       request.may_have_run = true;
+      MarkLost(step, request.server);
       if (request.events == 0) {
         NoteBrokenAttempt(step, request);
       }
@@ -367,6 +368,7 @@
   server* target = step.state.servers.Find(request->server);
   if (target != nullptr) {
     ApplyLeavingAndPause(step, *request, *target, event.head);
+    ApplyColdAnswer(step, *request, *target, event.head);
     if (event.head.load) {
       step.state.servers.NoteLoad(*target, *event.head.load, step.now_us);
     }
@@ -421,6 +423,8 @@
     return;
   }
   RemoveAttempt(step, *request);
+  // It may have crashed and started again.
+  MarkLost(step, request->server);
   if (event.never_sent) {
     --request->attempts;
     FailAttempt(step, *request, attempt_verdict::kUnreachable, event.error);
--- a/src/libwisteriaroute/gateway/crash_watch.cc
+++ b/src/libwisteriaroute/gateway/crash_watch.cc
@@ -106,16 +106,20 @@
 }
 
 void NoteServerCrash(step_context& step,
-                     std::string_view server,
+                     std::string_view server_id,
                      std::uint64_t incarnation,
                      std::string_view source) {
-  if (!step.state.servers.NoteCrash(server, incarnation, step.now_us)) {
+  const server* known = step.state.servers.Find(server_id);
+  if (known != nullptr && known->info.incarnation == incarnation) {
+    MarkLost(step, server_id);
+  }
+  if (!step.state.servers.NoteCrash(server_id, incarnation, step.now_us)) {
     return;
   }
-  const auto* crashed = step.state.servers.Find(server);
+  const auto* crashed = step.state.servers.Find(server_id);
   step.Count("wisteriaroute_group_outages_total", "source", source);
   step.Note("group_down", {{"group", crashed->info.backend.group},
-                           {"server", std::string(server)},
+                           {"server", std::string(server_id)},
                            {"incarnation", std::to_string(incarnation)},
                            {"source", std::string(source)}});
 }
--- a/src/libwisteriaroute/gateway/gateway.cc
+++ b/src/libwisteriaroute/gateway/gateway.cc
@@ -127,6 +127,7 @@
                                    step.state.options.group_start_ms * 1'000)) {
       NoteLeaving(step, *one, "member_update", "");
     }
+    ApplyColdReports(step, event.update);
     step.Note("servers_updated",
               {{"changed", std::to_string(event.update.changed.size())},
                {"removed", std::to_string(event.update.removed.size())},
@@ -156,6 +157,7 @@
                     "control");
   }
   void operator()(const control_opened&) const { HandleControlOpened(step); }
+  void operator()(const control_confirmed&) const { EndUnsure(step); }
   void operator()(const gateway_tick&) const {
     CheckTimes(step);
     SendReports(step);
@@ -198,12 +200,15 @@
                      base::time_us now_us) {
   gateway_effects out;
   step_context step{state, now_us, out};
+  NoteElapsedTime(step);
   std::visit(event_handler{step}, event);
   return out;
 }
 
 bool NeedsTick(const gateway_state& state) {
-  return !state.requests.empty() || HasReports(state.crashes);
+  // A missed tick shows that the process was frozen.
+  return !state.requests.empty() || HasReports(state.crashes) ||
+         LimitsCold(state.traffic.get());
 }
 
 bool IsReady(const gateway_state& state) {
--- a/src/libwisteriaroute/gateway/gateway.h
+++ b/src/libwisteriaroute/gateway/gateway.h
@@ -13,6 +13,7 @@
 
 #include "libwisteriaroute/base/metrics.h"
 #include "libwisteriaroute/config/traffic_set.h"
+#include "libwisteriaroute/gateway/cold_servers.h"
 #include "libwisteriaroute/gateway/crash_watch.h"
 #include "libwisteriaroute/gateway/event_framer.h"
 #include "libwisteriaroute/gateway/messages.h"
@@ -115,6 +116,7 @@
   std::map<std::string, policy::slowdown_reserve, std::less<>>
       slowdown_reserves;
   crash_watch crashes;
+  cold_watch cold;
   attempt_id next_attempt = 1;
   std::uint64_t random = 1;
 };
@@ -169,6 +171,9 @@
 };
 /** A session with a leader of control was opened. */
 struct control_opened {};
+/** Control has acknowledged a heartbeat, so what it sent before has been read.
+ */
+struct control_confirmed {};
 /** Due every kGatewayTickUs while NeedsTick(). */
 struct gateway_tick {};
 
@@ -186,6 +191,7 @@
                                    quarantine_changed,
                                    server_crash_reported,
                                    control_opened,
+                                   control_confirmed,
                                    gateway_tick>;
 
 // Effects.
@@ -289,6 +295,10 @@
                   base::time_us now_us,
                   base::metrics& out);
 
+/** Number of cold servers of each service that limits them. */
+std::map<std::string, int> CountCold(const gateway_state& state,
+                                     base::time_us now_us);
+
 /** Whether the gateway can serve: it has a configuration and knows a server. */
 bool IsReady(const gateway_state& state);
 
--- a/src/libwisteriaroute/gateway/gauges.cc
+++ b/src/libwisteriaroute/gateway/gauges.cc
@@ -42,6 +42,12 @@
     out.Set(Labelled("wisteriaroute_retry_budget_left", "service", service),
             budget.Left(now_us, state.options.retries));
   }
+  for (const auto& [service, servers] : CountCold(state, now_us)) {
+    out.Set(Labelled("wisteriaroute_servers_cold", "service", service),
+            servers);
+  }
+  out.Set("wisteriaroute_entries_known",
+          static_cast<double>(state.cold.entries.Ids(now_us).size()));
   for (const auto& [pool, limit] : state.stream_limits) {
     out.Set(Labelled("wisteriaroute_streams_allowed", "pool", pool),
             limit.streams);
--- a/src/libwisteriaroute/gateway/http_codec.cc
+++ b/src/libwisteriaroute/gateway/http_codec.cc
@@ -26,6 +26,8 @@
 // A server that needs a longer pause would leave instead, so longer pauses are
 // rejected as mistakes.
 constexpr double kMaxPauseS = 600;
+// The longest cold time that a configuration may name.
+constexpr double kMaxColdMs = 86'400'000;
 
 template <typename Number>
 std::optional<Number> ParseNumber(std::string_view text) {
@@ -105,6 +107,15 @@
   return static_cast<base::time_ms>(std::ceil(seconds * 1'000));
 }
 
+/** Parses the time in ms that a server stays cold, with or without a fraction,
+ * rounded up; an invalid one counts as absent. */
+std::optional<base::time_ms> ParseColdLeft(std::string_view text) {
+  const auto left_ms = ParseNumber<double>(text);
+  return left_ms && *left_ms >= 0 && *left_ms <= kMaxColdMs
+             ? std::optional(static_cast<base::time_ms>(std::ceil(*left_ms)))
+             : std::nullopt;
+}
+
 void ReadPause(const net::http_headers& headers, response_head& to) {
   const auto named = [](const auto& header) {
     return header.first == kRetryAfter;
@@ -201,6 +212,7 @@
       .ends_with_connection = FindHeader(headers, "content-length").empty() &&
                               FindHeader(headers, "transfer-encoding").empty(),
       .load = ParseLoad(FindHeader(headers, names.server_load))};
+  head.cold_left_ms = ParseColdLeft(FindHeader(headers, names.cold_left_ms));
   const std::string_view leaving = FindHeader(headers, names.server_leaving);
   head.leaving = !leaving.empty() && leaving != "0";
   // With any other status, Retry-After concerns the request, not the server.
--- a/src/libwisteriaroute/gateway/http_codec.h
+++ b/src/libwisteriaroute/gateway/http_codec.h
@@ -39,6 +39,8 @@
   std::string_view server_leaving;
   /** The server that is the reason for a status of 421 or 503. */
   std::string_view server_at_fault;
+  /** How long the server stays cold, in milliseconds. */
+  std::string_view cold_left_ms;
 };
 
 /** Header names of the project's own stand-in servers. */
@@ -55,7 +57,8 @@
     .not_run = "x-not-run",
     .server_load = "x-server-load",
     .server_leaving = "x-server-leaving",
-    .server_at_fault = "x-server-at-fault"};
+    .server_at_fault = "x-server-at-fault",
+    .cold_left_ms = "x-cold-left-ms"};
 
 /** Decodes a caller's request. Invalid fields count as absent. */
 caller_request DecodeRequest(const header_names& names,
--- a/src/libwisteriaroute/gateway/messages.h
+++ b/src/libwisteriaroute/gateway/messages.h
@@ -75,6 +75,8 @@
   std::string server_at_fault;
   /** Only with status 503: time for which the server must get no request. */
   std::optional<base::time_ms> pause_ms;
+  /** How long the server stays cold; nothing if it doesn't say. */
+  std::optional<base::time_ms> cold_left_ms;
   /** The server asked for a pause, but its duration is invalid. */
   bool pause_unreadable = false;
 };
--- a/src/libwisteriaroute/gateway/placement.cc
+++ b/src/libwisteriaroute/gateway/placement.cc
@@ -53,6 +53,7 @@
   step.Count("wisteriaroute_attempts_total", "repeat",
              request.attempts > 1 ? "yes" : "no");
   ++to.in_flight;
+  NoteColdSend(step, to);
   const bool once = request.route->repeats == config::repetition::kOnce;
   step.out.push_back(
       start_attempt{.attempt = request.attempt,
@@ -74,14 +75,12 @@
              {"version", std::to_string(request.traffic->set().version)}});
 }
 
-/**
- * Whether the pool may run one more stream: its stream limit allows it, and the
- * reserve for the next slowdown is kept free.
- */
-bool HasRoom(step_context& step,
-             const request_state& request,
-             const std::string& pool,
-             double slots) {
+/** Streams per server that the stream limit of the pool and the reserve for the
+ * next slowdown allow. */
+double AllowedStreams(step_context& step,
+                      const request_state& request,
+                      const std::string& pool,
+                      double slots) {
   double allowed = StreamsAllowed(step.state.stream_limits[pool], slots);
   const config::traffic_service* service =
       request.traffic->FindService(request.service);
@@ -94,8 +93,19 @@
                            static_cast<double>(request.route->gap_objective_ms),
                            static_cast<double>(service->engine->slots)));
   }
+  return allowed;
+}
+
+/** Whether the warm servers of the pool may run one more stream. */
+bool HasRoom(step_context& step,
+             const request_state& request,
+             const std::string& pool,
+             double slots) {
+  const double allowed = AllowedStreams(step, request, pool, slots);
   const auto load = step.state.servers.TotalLoad(pool, step.now_us);
-  return load.requests + 1 <= allowed * static_cast<double>(load.servers);
+  const auto cold = ColdLoad(step, pool);
+  return load.requests - cold.requests + 1 <=
+         allowed * static_cast<double>(load.servers - cold.servers);
 }
 
 double SlotsOf(const server& one) {
@@ -121,13 +131,22 @@
     if (!only_pool.empty() && PoolOf(one.info) != only_pool) {
       continue;
     }
+    if (!MaySendNow(step, one)) {
+      continue;
+    }
     const double slots = SlotsOf(one);
     if (one.paused_until_us != 0 &&
         static_cast<double>(one.in_flight) >=
             policy::RequestsAfterPause(one.responses_after_pause)) {
       continue;
     }
-    if (limit_streams) {
+    if (limit_streams && IsCold(step, one)) {
+      // Its rate limits it; the room of the warm servers doesn't.
+      if (step.state.servers.Load(one, step.now_us) + 1 >
+          AllowedStreams(step, request, PoolOf(one.info), slots)) {
+        continue;
+      }
+    } else if (limit_streams) {
       const std::string& pool = PoolOf(one.info);
       const auto [known, is_new] = room.try_emplace(pool);
       if (is_new) {
@@ -237,6 +256,9 @@
   } else if (pause_ends_us) {
     Refuse(step, request, kUnavailable, "servers_paused",
            (*pause_ends_us - step.now_us) / 1'000 + spread);
+  } else if (const auto wait_us = ColdWaitUs(step, servers)) {
+    Refuse(step, request, kUnavailable, "servers_cold",
+           *wait_us / 1'000 + spread);
   } else {
     Refuse(step, request, kUnavailable, "servers_full", kFullRetryMs + spread);
   }
--- a/src/libwisteriaroute/gateway/step_context.h
+++ b/src/libwisteriaroute/gateway/step_context.h
@@ -100,6 +100,48 @@
                      std::uint64_t incarnation,
                      std::string_view source);
 
+// Cold servers (cold_servers.cc).
+
+/** Marks the server as cold for its service's period from `since_us` on. Does
+ * nothing if control hasn't announced it. */
+void MarkCold(step_context& step,
+              std::string_view server_id,
+              base::time_us since_us,
+              std::string_view cause);
+/** Marks the server as cold because a connection to it was lost or couldn't be
+ * made: it may have started again or be about to. */
+void MarkLost(step_context& step, std::string_view server_id);
+/** Marks all servers of the data centre, after its evacuation has ended. */
+void MarkDataCenterCold(step_context& step,
+                        std::string_view data_center,
+                        base::time_us since_us);
+/** Applies what an update says of entries and of cold servers. The server table
+ * must have been updated. */
+void ApplyColdReports(step_context& step, const wire::member_update& update);
+/** Applies what a server's answer says of itself. */
+void ApplyColdAnswer(step_context& step,
+                     const request_state& request,
+                     const server& target,
+                     const response_head& head);
+/** Records that a request is sent to the server. */
+void NoteColdSend(step_context& step, const server& to);
+/** Whether the server is warm or this entry has a share of its rate left. */
+bool MaySendNow(step_context& step, const server& to);
+/** Time until one of these servers may take a request if cold ones are among
+ * them; nothing if none is held back as cold. */
+std::optional<base::time_us> ColdWaitUs(step_context& step,
+                                        const std::vector<server*>& servers);
+/** Whether the server is cold and its service limits cold servers. */
+bool IsCold(const step_context& step, const server& one);
+/** The part of TotalLoad() that is at cold servers. */
+server_table::total_load ColdLoad(const step_context& step,
+                                  std::string_view pool);
+/** Detects that the process was frozen. Requests that were being sent then
+ * count as sent now, and all servers count as cold until EndUnsure(). */
+void NoteElapsedTime(step_context& step);
+/** What control sent during a freeze is known. */
+void EndUnsure(step_context& step);
+
 void HandleProbe(step_context& step, const probe_ended& event);
 void HandleQuarantine(step_context& step,
                       const wire::quarantine_update& update);
--- a/src/libwisteriaroute/wire/control_fields.cc
+++ b/src/libwisteriaroute/wire/control_fields.cc
@@ -47,6 +47,7 @@
   to.setDataCenter(from.data_center);
   to.setLeaving(from.leaving);
   WriteBackend(from.backend, to.initBackend());
+  to.setColdLeftMs(from.cold_left_ms.value_or(-1));
 }
 
 member_info ReadFields(proto::MemberInfo::Reader from) {
@@ -57,7 +58,10 @@
           .region = from.getRegion(),
           .data_center = from.getDataCenter(),
           .leaving = from.getLeaving(),
-          .backend = ReadBackend(from.getBackend())};
+          .backend = ReadBackend(from.getBackend()),
+          .cold_left_ms = from.getColdLeftMs() < 0
+                              ? std::nullopt
+                              : std::optional(from.getColdLeftMs())};
 }
 
 void WriteFields(const config_object& from, proto::ConfigObject::Builder to) {
--- a/src/libwisteriaroute/wire/control_messages.cc
+++ b/src/libwisteriaroute/wire/control_messages.cc
@@ -67,13 +67,15 @@
   WriteList(from.changed, to.initChanged(Count(from.changed)));
   WriteTexts(from.removed, to.initRemoved(Count(from.removed)));
   WriteTexts(from.drained, to.initDrained(Count(from.drained)));
+  to.setEntryIds(kj::arrayPtr(from.entry_ids.data(), from.entry_ids.size()));
 }
 
 member_update ReadFields(proto::MemberUpdate::Reader from) {
   return {.full = from.getFull(),
           .changed = ReadList<member_info>(from.getChanged()),
           .removed = ReadTexts(from.getRemoved()),
-          .drained = ReadTexts(from.getDrained())};
+          .drained = ReadTexts(from.getDrained()),
+          .entry_ids = ReadNumbers<std::uint64_t>(from.getEntryIds())};
 }
 
 void WriteFields(const quarantine_update& from,
--- a/src/libwisteriaroute/wire/control_messages.h
+++ b/src/libwisteriaroute/wire/control_messages.h
@@ -55,6 +55,8 @@
   std::string data_center;
   bool leaving = false;
   backend_info backend;
+  /** Servers: how long it stays cold from now on; nothing if unknown. */
+  std::optional<std::int64_t> cold_left_ms;
 
   bool operator==(const member_info&) const = default;
 };
@@ -143,12 +145,17 @@
   bool operator==(const config_update&) const = default;
 };
 
-/** Control to entries. `drained` is always the complete list of names. */
+/**
+ * Control to entries. `drained` is always the complete list of names.
+ * `entry_ids` is the complete list of entries, by EntryId(), or empty if it is
+ * as last sent.
+ */
 struct member_update {
   bool full = false;
   std::vector<member_info> changed;
   std::vector<std::string> removed;
   std::vector<std::string> drained;
+  std::vector<std::uint64_t> entry_ids;
 
   bool operator==(const member_update&) const = default;
 };
--- a/src/protocol/native_protocol.cc
+++ b/src/protocol/native_protocol.cc
@@ -54,6 +54,10 @@
       report.info.address = body.at("address").get<std::string>();
       report.info.data_center = body.value("data_center", "");
       report.info.leaving = body.value("leaving", false);
+      if (body.contains("cold_left_ms")) {
+        report.info.cold_left_ms =
+            base::ExactUnsigned<std::uint32_t>(body.at("cold_left_ms"));
+      }
       wire::backend_info& backend = report.info.backend;
       backend.service = body.at("service").get<std::string>();
       backend.healthy = true;
--- a/tests/platform/odd_reports_test.cc
+++ b/tests/platform/odd_reports_test.cc
@@ -101,6 +101,18 @@
     }
   }
 
+  // Guards against a time that overflows, or one that is taken for 0: the
+  // server would count as warm.
+  SUBCASE("because the time that it stays cold is odd") {
+    for (const char* value :
+         {"-1", "-0.5", "1e999", "1e300", "86400001", "9223372036854775808",
+          "\"4\"", "[4]", "{}", "true"}) {
+      CAPTURE(value);
+      CHECK(IsRefused(Heartbeat(With("warmup_left_ms", value))));
+      CHECK(IsRefused(NativeReport(With("cold_left_ms", value))));
+    }
+  }
+
   SUBCASE("because its port or IP is out of range") {
     for (const char* address :
          {"10.0.0.9:0", "10.0.0.9:00", "10.0.0.9:65536", "10.0.0.9:99999",
@@ -135,6 +147,18 @@
   }
 }
 
+TEST_CASE("a report says how long its server stays cold") {
+  const auto left_ms = [](const control::api_call& call) {
+    return std::get<wire::report_server>(call).info.cold_left_ms;
+  };
+  CHECK(left_ms(Heartbeat(With("warmup_left_ms", "0"))) == 0);
+  CHECK(left_ms(Heartbeat(With("warmup_left_ms", "1200.5"))) == 1'201);
+  CHECK(left_ms(Heartbeat(With("warmup_left_ms", "null"))) == std::nullopt);
+  CHECK(left_ms(Heartbeat(With("slots", "4"))) == std::nullopt);
+  CHECK(left_ms(NativeReport(With("cold_left_ms", "1200"))) == 1'200);
+  CHECK(left_ms(NativeReport(With("slots", "4"))) == std::nullopt);
+}
+
 TEST_CASE("a deeply nested configuration is refused") {
   for (const std::string& body :
        {Nested(kDeep), R"({"version":1,"routes":)" + Nested(kDeep) + "}"}) {
--- a/tests/platform/platform_codec_test.cc
+++ b/tests/platform/platform_codec_test.cc
@@ -57,6 +57,28 @@
     }
   }
 
+  SUBCASE("fields of cold servers may be fractions, and odd ones are refused") {
+    const auto with = [](const std::string& fields) {
+      return Replaced(kConfiguration, R"("health_path":"/health",)",
+                      R"("health_path":"/health",)" + fields);
+    };
+    base::findings findings;
+    const auto set = DecodeConfiguration(
+        with(R"("warmup_s":7.5,"warmup_per_s":2.25,)"), findings);
+    REQUIRE(set);
+    CHECK(set->services.at(0).cold_s == 7.5);
+    CHECK(set->services.at(0).cold_requests_per_s == 2.25);
+    CHECK(set->services.at(1).cold_requests_per_s == 0);
+    for (const char* value :
+         {"-1", "-0.1", "1e300", "\"4\"", "[4]", "true", "{}"}) {
+      CAPTURE(value);
+      CHECK_FALSE(
+          IsAccepted(with(R"("warmup_s":)" + std::string(value) + ",")));
+      CHECK_FALSE(
+          IsAccepted(with(R"("warmup_per_s":)" + std::string(value) + ",")));
+    }
+  }
+
   SUBCASE("contradictions are refused") {
     const auto with = [](const std::string& from, const std::string& to) {
       return Replaced(kConfiguration, from, to);
--- a/tests/wire/codec_test.cc
+++ b/tests/wire/codec_test.cc
@@ -73,7 +73,10 @@
       session_goodbye{},
       not_leader{"c1", "127.0.0.1:2"},
       config_update{1, 2, {{"region", "r", "{}"}}, {{"region", "q"}}},
-      member_update{true, {kMember}, {"gone"}, {"drained"}},
+      member_update{true, {kMember}, {"gone"}, {"drained"}, {5, 6}},
+      member_update{.changed = {{.name = "warm", .cold_left_ms = 0},
+                                {.name = "cold", .cold_left_ms = 1'200},
+                                {.name = "silent"}}},
       quarantine_update{
           true,
           {{kDigest, quarantine_state::kQuarantined, 2, 99, true}},
