tests: findings of lint in the tests of cold servers

cold_servers_property_test and cold_share_test failed scripts/lint (a captured structured binding, a vector without a reserve); both pass now.

--- a/tests/gateway/cold_servers_simulation.h
+++ b/tests/gateway/cold_servers_simulation.h
@@ -93,7 +93,8 @@
   int Worst() const {
     int worst = 0;
     for (const real_server& one : servers_) {
-      for (const auto& [from_us, ignored] : one.cold_arrivals) {
+      for (const auto& first : one.cold_arrivals) {
+        const base::time_us from_us = first.first;
         worst = std::max(worst,
                          static_cast<int>(std::ranges::count_if(
                              one.cold_arrivals, [from_us](const auto& arrival) {
--- a/tests/policy/cold_share_test.cc
+++ b/tests/policy/cold_share_test.cc
@@ -10,6 +10,7 @@
 
 std::vector<std::uint64_t> Entries(int count) {
   std::vector<std::uint64_t> ids;
+  ids.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) {
     ids.push_back(EntryId("entry-" + std::to_string(i)));
   }
