--- a/tests/gateway/http_codec_test.cc
+++ b/tests/gateway/http_codec_test.cc
@@ -25,6 +25,20 @@
   return ids;
 }
 
+// Guards against an odd value that counts as 0 (warm) or overflows.
+TEST_CASE("an answer may say how long its server stays cold") {
+  const auto left_ms = [](const std::string& value) {
+    return DecodeHead(kNativeHeaders, 200, {{"x-cold-left-ms", value}})
+        .cold_left_ms;
+  };
+  CHECK(left_ms("0") == 0);
+  CHECK(left_ms("1200.5") == 1'201);
+  for (const char* odd : {"", "-1", "nan", "inf", "1e300", "86400001", "4 s"}) {
+    CAPTURE(odd);
+    CHECK_FALSE(left_ms(odd).has_value());
+  }
+}
+
 }  // namespace
 
 TEST_CASE("the shared parts of a prompt are all but the last one") {
