--- a/proto/control.capnp
+++ b/proto/control.capnp
@@ -29,6 +29,8 @@
   dataCenter @5 :Text;
   leaving @6 :Bool;
   backend @7 :BackendInfo;
+  # Negative: unknown.
+  coldLeftMs @8 :Int64 = -1;
 }
 
 struct SessionHello {
@@ -97,6 +99,8 @@
   removed @2 :List(Text);
   drained @3 :List(Text);
   evacuations @4 :EvacuationList;
+  # Empty: as last sent.
+  entryIds @5 :List(UInt64);
 }
 
 # Starts or ends the evacuation of a data centre.
--- a/src/libwisteriaroute/gateway/evacuations.cc
+++ b/src/libwisteriaroute/gateway/evacuations.cc
@@ -32,6 +32,10 @@
   }
   for (const std::string& name : changes.ended) {
     NoteChange(step, "evacuation_ended", name);
+    // Servers without requests may have become cold.
+    MarkDataCenterCold(
+        step, name,
+        step.state.servers.EvacuationEndedUs(name).value_or(step.now_us));
   }
 }
 
--- a/src/libwisteriaroute/wire/control_messages.cc
+++ b/src/libwisteriaroute/wire/control_messages.cc
@@ -69,6 +69,7 @@
   WriteTexts(from.removed, to.initRemoved(Count(from.removed)));
   WriteTexts(from.drained, to.initDrained(Count(from.drained)));
   WriteFields(from.evacuations, to.initEvacuations());
+  to.setEntryIds(kj::arrayPtr(from.entry_ids.data(), from.entry_ids.size()));
 }
 
 member_update ReadFields(proto::MemberUpdate::Reader from) {
@@ -76,7 +77,8 @@
           .changed = ReadList<member_info>(from.getChanged()),
           .removed = ReadTexts(from.getRemoved()),
           .drained = ReadTexts(from.getDrained()),
-          .evacuations = ReadFields(from.getEvacuations())};
+          .evacuations = ReadFields(from.getEvacuations()),
+          .entry_ids = ReadNumbers<std::uint64_t>(from.getEntryIds())};
 }
 
 void WriteFields(const quarantine_update& from,
--- a/tests/wire/codec_test.cc
+++ b/tests/wire/codec_test.cc
@@ -77,7 +77,11 @@
                     {kMember},
                     {"gone"},
                     {"drained"},
-                    {7, {"east", "west"}, {{"north", 6, 900}}}},
+                    {7, {"east", "west"}, {{"north", 6, 900}}},
+                    {5, 6}},
+      member_update{.changed = {{.name = "warm", .cold_left_ms = 0},
+                                {.name = "cold", .cold_left_ms = 1'200},
+                                {.name = "silent"}}},
       quarantine_update{
           true,
           {{kDigest, quarantine_state::kQuarantined, 2, 99, true}},
