net: an HTTP client that can pause a transfer and counts the bytes it holds

A process could only read a response as fast as its server sends it, and kept what its own caller didn't read. http_client::Pause and Resume stop and restart reading of the response's socket; held_bytes() counts input that wasn't delivered and requests that weren't sent.

The body of a request was kept twice (in the transfer and serialized), and the serialized request until the end of the transfer; now once, until it is sent. Input is parsed where it was read, and only an incomplete line is copied. The part that receives responses has its own file.

--- a/src/libwisteriaroute/net/http_client.cc
+++ b/src/libwisteriaroute/net/http_client.cc
@@ -15,18 +15,13 @@
 #include <utility>
 
 #include "libwisteriaroute/net/address.h"
-#include "libwisteriaroute/net/http_parser.h"
+#include "libwisteriaroute/net/http_client_state.h"
 
 namespace wisteriaroute::net {
 
 namespace {
 
-constexpr std::size_t kReadBytes = 16 * 1024;
-constexpr std::size_t kMaxHeaderBytes = 64 * 1024;
 constexpr std::size_t kMaxIdlePerAddress = 16;
-// Limit of bytes before the final response to the request: interim responses,
-// and late responses to earlier requests including their bodies.
-constexpr std::size_t kMaxDiscardedBytes = 1024 * 1024;
 // Lifetime of idle connections if the server states no keep-alive timeout.
 constexpr base::time_us kDefaultIdleUs = 2'000'000;
 // Subtracted from a stated timeout, which is in whole seconds of the server's
@@ -106,53 +101,6 @@
 
 }  // namespace
 
-struct http_client::connection {
-  http_client* client = nullptr;
-  int fd = -1;
-  ev_io watcher;
-  int watched = 0;
-  std::string address;
-  bool connecting = true;
-  bool reused = false;
-  /** Whether the connection may be kept for other requests. */
-  bool may_keep = false;
-  std::string out;
-  std::size_t sent = 0;
-  std::string in;
-  std::unique_ptr<http_response_parser> parser;
-  bool head_delivered = false;
-  /** Whether the response is interim or belongs to another request. */
-  bool discarding = false;
-  /** Bytes received before the head was delivered. */
-  std::size_t before_head = 0;
-  transfer* current = nullptr;
-  base::time_us idle_since_us = 0;
-  base::time_us idle_until_us = 0;
-};
-
-struct http_client::transfer {
-  transfer(http_client& owner, struct ev_loop* event_loop)
-      : client(&owner), timeout(event_loop, [this] { HandleTimeout(); }) {}
-
-  http_client* client;
-  transfer_id id = 0;
-  http_client_request request;
-  http_client_callbacks callbacks;
-  connection* conn = nullptr;
-  timer timeout;
-  base::time_us deadline_us = 0;
-  bool finished = false;
-  bool refused = false;
-  unsigned status = 0;
-  std::string match_value;
-
-  void HandleTimeout() {
-    const bool connecting = conn == nullptr || conn->connecting;
-    client->Fail(*this, connecting ? "connect timed out" : "timed out",
-                 connecting);
-  }
-};
-
 http_client::http_client(loop& event_loop)
     : event_loop_(event_loop), later_(event_loop.ev(), [this] {
         closed_.clear();
@@ -215,6 +163,9 @@
   conn->may_keep = wanted.reuse_connection && !wanted.connect_only;
   conn->out = wanted.connect_only ? "" : Serialize(wanted, url);
   conn->sent = 0;
+  conn->send_failed = false;
+  // The body is part of the serialized request.
+  std::string().swap(target.request.body);
   if (conn->connecting) {
     std::int64_t limit_ms = wanted.connect_timeout_ms;
     if (wanted.timeout_ms > 0) {
@@ -227,6 +178,7 @@
     }
     HandleWritable(*conn);
   }
+  CountBytes(*conn);
   return target.id;
 }
 
@@ -324,6 +276,13 @@
   if ((events & EV_READ) != 0 && conn.fd >= 0) {
     HandleReadable(conn);
   }
+  CountBytes(conn);
+}
+
+void http_client::CountBytes(connection& conn) {
+  const std::size_t bytes = conn.fd < 0 ? 0 : conn.in.size() + conn.out.size();
+  held_bytes_ = held_bytes_ - conn.counted_bytes + bytes;
+  conn.counted_bytes = bytes;
 }
 
 void http_client::HandleWritable(connection& conn) {
@@ -357,151 +316,53 @@
         continue;
       }
       // A failed send doesn't end the transfer: a response may have arrived
-      // before the connection was closed. `sent` now differs from the size of
-      // `out`, so the connection isn't kept.
-      if (errno != EAGAIN && errno != EWOULDBLOCK) {
-        conn.out.clear();
-        conn.sent = 1;
-      }
+      // before the connection was closed.
+      conn.send_failed = errno != EAGAIN && errno != EWOULDBLOCK;
       break;
     }
     conn.sent += static_cast<std::size_t>(count);
   }
+  if (conn.send_failed || conn.sent == conn.out.size()) {
+    std::string().swap(conn.out);
+    conn.sent = 0;
+  }
   UpdateWatcher(conn);
 }
 
 void http_client::UpdateWatcher(connection& conn) {
   const bool write = conn.connecting || conn.sent < conn.out.size();
-  const int wanted = (conn.connecting ? 0 : EV_READ) | (write ? EV_WRITE : 0);
+  const bool paused = conn.current != nullptr && conn.current->paused;
+  const bool read = !conn.connecting && !paused;
+  const int wanted = (read ? EV_READ : 0) | (write ? EV_WRITE : 0);
   if (conn.fd < 0 || wanted == conn.watched) {
     return;
   }
   ev_io_stop(event_loop_.ev(), &conn.watcher);
   conn.watched = wanted;
-  ev_io_set(&conn.watcher, conn.fd, wanted);
-  ev_io_start(event_loop_.ev(), &conn.watcher);
-}
-
-void http_client::HandleReadable(connection& conn) {
-  std::array<char, kReadBytes> buffer;
-  const ssize_t count = recv(conn.fd, buffer.data(), buffer.size(), 0);
-  if (count < 0) {
-    if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
-      HandleEnd(conn, std::strerror(errno));
-    }
-    return;
-  }
-  if (count == 0) {
-    HandleEnd(conn, "");
-    return;
-  }
-  if (conn.current == nullptr) {
-    // The server sent data on an idle connection.
-    Destroy(conn);
-    return;
-  }
-  conn.in.append(buffer.data(), static_cast<std::size_t>(count));
-  if (!conn.head_delivered) {
-    conn.before_head += static_cast<std::size_t>(count);
-  }
-  while (conn.fd >= 0 && conn.current != nullptr && Parse(conn)) {
-  }
-  if (conn.fd < 0 || conn.current == nullptr) {
-    return;
-  }
-  // The parser leaves only an incomplete line in the buffer. The limits stop a
-  // faulty server that sends bytes without end.
-  if (conn.in.size() > kMaxHeaderBytes) {
-    Fail(*conn.current,
-         "invalid response: unterminated line of more than 64 KiB", false);
-  } else if (!conn.head_delivered && conn.before_head > kMaxDiscardedBytes) {
-    Fail(*conn.current, "no final response to the request within 1 MiB", false);
+  if (wanted != 0) {
+    ev_io_set(&conn.watcher, conn.fd, wanted);
+    ev_io_start(event_loop_.ev(), &conn.watcher);
   }
 }
 
-// Returns whether the input holds more bytes after a discarded response.
-bool http_client::Parse(connection& conn) {
-  http_response_parser& parser = *conn.parser;
-  const http_response_parser::feed_result fed = parser.Feed(conn.in);
-  conn.in.erase(0, fed.consumed);
-  if (parser.is_header_done() && !conn.head_delivered && !conn.discarding &&
-      !DeliverHead(conn)) {
-    return false;
-  }
-  DeliverBody(conn);
-  if (conn.fd < 0 || conn.current == nullptr) {
-    return false;
-  }
-  if (fed.failed) {
-    Fail(*conn.current, "invalid response: " + fed.error, false);
-    return false;
-  }
-  if (!parser.is_done()) {
-    return false;
-  }
-  if (!conn.discarding) {
-    Complete(conn);
-    return false;
-  }
-  conn.parser = std::make_unique<http_response_parser>(
-      kMaxHeaderBytes, std::numeric_limits<std::int64_t>::max());
-  conn.parser->skip(conn.current->request.method == "HEAD");
-  conn.discarding = false;
-  return !conn.in.empty();
+void http_client::Pause(transfer_id id) {
+  SetPaused(id, true);
 }
 
-// Returns whether the transfer is still in progress.
-bool http_client::DeliverHead(connection& conn) {
-  transfer& target = *conn.current;
-  const http_response_parser& parser = *conn.parser;
-  if (parser.status < 200) {
-    conn.discarding = true;
-    return true;
-  }
-  if (!target.match_value.empty()) {
-    const std::string_view value =
-        FindHeader(parser.headers, target.request.match_header);
-    if (value.empty()) {
-      Fail(target, "the response doesn't identify its request", false);
-      return false;
-    }
-    if (value != target.match_value) {
-      conn.discarding = true;
-      return true;
-    }
-  }
-  conn.head_delivered = true;
-  target.status = parser.status;
-  if (target.callbacks.on_head) {
-    target.callbacks.on_head(parser.status, parser.headers);
-  }
-  return conn.current == &target && !target.finished;
+void http_client::Resume(transfer_id id) {
+  SetPaused(id, false);
 }
 
-void http_client::DeliverBody(connection& conn) {
-  if (conn.fd < 0 || conn.current == nullptr || conn.parser->body.empty()) {
-    return;
-  }
-  const std::string data = std::exchange(conn.parser->body, {});
-  if (conn.head_delivered && conn.current->callbacks.on_data) {
-    conn.current->callbacks.on_data(data);
-  }
-}
-
-void http_client::HandleEnd(connection& conn, const std::string& error) {
-  if (conn.current == nullptr) {
-    Destroy(conn);
+void http_client::SetPaused(transfer_id id, bool paused) {
+  const auto found = transfers_.find(id);
+  if (found == transfers_.end()) {
     return;
   }
-  if (error.empty() && conn.head_delivered && conn.parser->FinishAtEof()) {
-    DeliverBody(conn);
-    if (conn.fd >= 0 && conn.current != nullptr) {
-      Complete(conn);
-    }
-    return;
+  transfer& target = *found->second;
+  target.paused = paused;
+  if (target.conn != nullptr) {
+    UpdateWatcher(*target.conn);
   }
-  Fail(*conn.current,
-       error.empty() ? "the server closed the connection" : error, false);
 }
 
 void http_client::Complete(connection& conn) {
@@ -525,15 +386,16 @@
   const base::time_us idle_us = IdleTime(conn.parser->headers);
   const bool keep =
       conn.may_keep && conn.parser->keep_alive() && !conn.parser->need_eof() &&
-      conn.in.empty() && conn.sent == conn.out.size() && idle_us > 0 &&
+      conn.out.empty() && !conn.send_failed && idle_us > 0 &&
       idle_[conn.address].size() < kMaxIdlePerAddress &&
       !HasToken(FindHeader(conn.parser->headers, "connection"), "close");
   if (!keep) {
     Destroy(conn);
     return;
   }
-  conn.out.clear();
-  conn.sent = 0;
+  std::string().swap(conn.in);
+  // The transfer may have been paused.
+  UpdateWatcher(conn);
   conn.idle_since_us = base::MonotonicUs();
   conn.idle_until_us = conn.idle_since_us + idle_us;
   idle_[conn.address].push_back(&conn);
@@ -570,6 +432,7 @@
   }
   ev_io_stop(event_loop_.ev(), &target.watcher);
   close(std::exchange(target.fd, -1));
+  CountBytes(target);
   const auto idle = idle_.find(target.address);
   if (idle != idle_.end()) {
     std::erase(idle->second, &target);
--- a/src/libwisteriaroute/net/http_client.h
+++ b/src/libwisteriaroute/net/http_client.h
@@ -85,7 +85,20 @@
   /** Ends a transfer without further callbacks and resets its connection. */
   void Cancel(transfer_id id);
 
+  /**
+   * Stops reading the transfer's response, so that the server has to wait. At
+   * most the data of one read is still delivered. Until Resume, nothing but the
+   * time limit ends the transfer. Both calls ignore unknown ids.
+   */
+  void Pause(transfer_id id);
+  void Resume(transfer_id id);
+
   std::size_t transfer_count() const { return transfers_.size(); }
+  /**
+   * Bytes of input that weren't delivered yet and of requests that weren't
+   * completely sent, over all connections.
+   */
+  std::size_t held_bytes() const { return held_bytes_; }
   /** Number of connections opened so far, for metrics. */
   std::uint64_t connections_made() const { return connections_made_; }
 
@@ -98,7 +111,7 @@
   void HandleEvents(connection& conn, int events);
   void HandleWritable(connection& conn);
   void HandleReadable(connection& conn);
-  bool Parse(connection& conn);
+  bool Parse(connection& conn, std::string_view& input);
   bool DeliverHead(connection& conn);
   void DeliverBody(connection& conn);
   void HandleEnd(connection& conn, const std::string& error);
@@ -106,12 +119,16 @@
   void Fail(transfer& target, std::string error, bool never_sent);
   void KeepOrClose(connection& conn);
   void UpdateWatcher(connection& conn);
+  void SetPaused(transfer_id id, bool paused);
+  /** Updates the connection's part of `held_bytes_`. */
+  void CountBytes(connection& conn);
   void Destroy(connection& target);
 
   loop& event_loop_;
   timer later_;
   transfer_id next_id_ = 1;
   std::uint64_t connections_made_ = 0;
+  std::size_t held_bytes_ = 0;
   std::map<transfer_id, std::unique_ptr<transfer>> transfers_;
   std::map<connection*, std::unique_ptr<connection>> connections_;
   /** Idle connections by address, the most recently used one last. */
