net: limits for all parts of a response that a client keeps

A server could make a client keep a header of up to 1 MiB (some 17 MB as parsed fields): Beast's parser applies its limit to the part of the header that it hasn't consumed, so fields that arrive in pieces which end after the first byte of a field never exceed it. The client now counts what the header consumed. A sidecar kept the body of its server's response without limit for 300 ms; http_client_request::max_body_bytes bounds it to 4 MiB, as the agent did for polls.

--- a/src/libwisteriaroute/agent/engine_client.cc
+++ b/src/libwisteriaroute/agent/engine_client.cc
@@ -14,8 +14,7 @@
 // Less than the 1.5 s after which a server that does not answer counts as lost.
 constexpr std::int64_t kPollTimeoutMs = 1'000;
 constexpr std::int64_t kOrderTimeoutMs = 10'000;
-// Maximum body size of the answer to a poll or an order; data that would exceed
-// it is dropped.
+// Maximum body size of the answer to a poll or an order.
 constexpr std::size_t kMaxBodyBytes = 4 * 1024 * 1024;
 constexpr unsigned kStatusOk = 200;
 constexpr unsigned kFirstNonSuccessStatus = 300;
@@ -245,15 +244,11 @@
   if (request.timeout_ms == 0) {
     request.timeout_ms = kPollTimeoutMs;
   }
+  request.max_body_bytes = kMaxBodyBytes;
   auto body = std::make_shared<std::string>();
   http_.Start(std::move(request),
               {.on_head = nullptr,
-               .on_data =
-                   [body](std::string_view data) {
-                     if (body->size() + data.size() <= kMaxBodyBytes) {
-                       body->append(data);
-                     }
-                   },
+               .on_data = [body](std::string_view data) { body->append(data); },
                .on_done =
                    [body, handler](const net::http_client_result& result) {
                      if (handler) {
--- a/src/libwisteriaroute/net/http_client.cc
+++ b/src/libwisteriaroute/net/http_client.cc
@@ -158,6 +158,7 @@
       kMaxHeaderBytes, std::numeric_limits<std::int64_t>::max());
   conn->parser->skip(wanted.method == "HEAD");
   conn->head_delivered = false;
+  conn->header_bytes = 0;
   conn->before_head = 0;
   conn->discarding = false;
   conn->may_keep = wanted.reuse_connection && !wanted.connect_only;
--- a/src/libwisteriaroute/net/http_client.h
+++ b/src/libwisteriaroute/net/http_client.h
@@ -44,6 +44,11 @@
    * own.
    */
   std::string match_header;
+  /**
+   * Limit of the response's body, for owners that keep it; larger bodies fail
+   * the transfer. 0: none.
+   */
+  std::size_t max_body_bytes = 0;
   /** Only makes a new connection and closes it; nothing is sent. */
   bool connect_only = false;
 };
--- a/src/libwisteriaroute/net/http_client_input.cc
+++ b/src/libwisteriaroute/net/http_client_input.cc
@@ -56,11 +56,13 @@
   if (input.size() != conn.in.size()) {
     conn.in = std::string(input);
   }
-  // The parser leaves only an incomplete line in the buffer. The limits stop a
-  // faulty server that sends bytes without end.
+  // The parser leaves only an incomplete header, chunk header or trailer
+  // section in the buffer, and continues where it stopped when more arrives.
+  // The limits stop a faulty server that sends bytes without end.
   if (conn.in.size() > kMaxHeaderBytes) {
     Fail(*conn.current,
-         "invalid response: unterminated line of more than 64 KiB", false);
+         "invalid response: chunk header or trailers of more than 64 KiB",
+         false);
   } else if (!conn.head_delivered && conn.before_head > kMaxDiscardedBytes) {
     Fail(*conn.current, "no final response to the request within 1 MiB", false);
   }
@@ -72,6 +74,13 @@
   http_response_parser& parser = *conn.parser;
   const http_response_parser::feed_result fed = parser.Feed(input);
   input.remove_prefix(fed.consumed);
+  // The parser applies its limit to the part of the header that it hasn't
+  // consumed, so header fields that arrive one by one never exceed it.
+  conn.header_bytes += parser.is_header_done() ? 0 : fed.consumed;
+  if (conn.header_bytes > kMaxHeaderBytes) {
+    Fail(*conn.current, "invalid response: header of more than 64 KiB", false);
+    return false;
+  }
   if (parser.is_header_done() && !conn.head_delivered && !conn.discarding &&
       !DeliverHead(conn)) {
     return false;
@@ -95,6 +104,7 @@
   conn.parser = std::make_unique<http_response_parser>(
       kMaxHeaderBytes, std::numeric_limits<std::int64_t>::max());
   conn.parser->skip(conn.current->request.method == "HEAD");
+  conn.header_bytes = 0;
   conn.discarding = false;
   return !input.empty();
 }
@@ -132,8 +142,18 @@
     return;
   }
   const std::string data = std::exchange(conn.parser->body, {});
-  if (conn.head_delivered && conn.current->callbacks.on_data) {
-    conn.current->callbacks.on_data(data);
+  if (!conn.head_delivered) {
+    return;
+  }
+  transfer& target = *conn.current;
+  target.body_bytes += data.size();
+  const std::size_t limit = target.request.max_body_bytes;
+  if (limit > 0 && target.body_bytes > limit) {
+    Fail(target,
+         "the response body exceeds " + std::to_string(limit) + " bytes",
+         false);
+  } else if (target.callbacks.on_data) {
+    target.callbacks.on_data(data);
   }
 }
 
--- a/src/libwisteriaroute/net/http_client_state.h
+++ b/src/libwisteriaroute/net/http_client_state.h
@@ -16,7 +16,10 @@
 // The state of a client's connections and transfers; included only by the
 // sources of the client.
 
-/** Limit of a response's header, and of any incomplete line of a response. */
+/**
+ * Limit of a response's header, of its chunk headers and of its trailers. These
+ * are kept until they are complete; a body isn't.
+ */
 inline constexpr std::size_t kMaxHeaderBytes = 64 * 1024;
 
 struct http_client::connection {
@@ -38,6 +41,8 @@
   bool head_delivered = false;
   /** Whether the response is interim or belongs to another request. */
   bool discarding = false;
+  /** Bytes of the current response that belong to its incomplete header. */
+  std::size_t header_bytes = 0;
   /** Bytes received before the head was delivered. */
   std::size_t before_head = 0;
   transfer* current = nullptr;
@@ -62,6 +67,7 @@
   bool refused = false;
   bool paused = false;
   unsigned status = 0;
+  std::size_t body_bytes = 0;
   std::string match_value;
 
   void HandleTimeout() {
--- a/src/sidecar/daemon.cc
+++ b/src/sidecar/daemon.cc
@@ -18,6 +18,10 @@
 
 // The server runs on the same host; it answers within a few ms or not at all.
 constexpr std::int64_t kCallTimeoutMs = 300;
+// Far above the lists of a rank with 64 sets of 256 experts. A server that
+// sends without end would otherwise exceed the memory of the host within the
+// time limit.
+constexpr std::size_t kMaxBodyBytes = 4 * 1024 * 1024;
 
 const char* KindName(wire::rank_order_kind kind) {
   switch (kind) {
@@ -362,7 +366,8 @@
   server_.Start(
       {.url = "http://" + settings_.server + path,
        .timeout_ms = kCallTimeoutMs,
-       .reuse_connection = true},
+       .reuse_connection = true,
+       .max_body_bytes = kMaxBodyBytes},
       {.on_data = [body](std::string_view data) { body->append(data); },
        .on_done =
            [body, done = std::move(done)](const net::http_client_result& end) {
--- a/tests/net/http_client_flow_test.cc
+++ b/tests/net/http_client_flow_test.cc
@@ -1,20 +1,18 @@
 #include <doctest/doctest.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include <optional>
 #include <string>
-#include <string_view>
 #include <utility>
 
-#include "libwisteriaroute/net/address.h"
 #include "libwisteriaroute/net/http_client.h"
 #include "libwisteriaroute/net/http_server.h"
+#include "tests/net/raw_server.h"
 #include "tests/run_until.h"
 
 namespace wisteriaroute::net {
 namespace {
 
+using testing::raw_server;
 using testing::RunUntil;
 
 constexpr std::size_t kMiB = 1024 * 1024;
@@ -70,42 +68,6 @@
   std::string url;
 };
 
-/** A listener on the test's loop whose connections the test reads and writes.
- */
-class raw_server {
- public:
-  raw_server() : listener_(OpenListener("127.0.0.1:0")) {}
-  ~raw_server() {
-    Close();
-    close(listener_);
-  }
-  raw_server(const raw_server&) = delete;
-  raw_server& operator=(const raw_server&) = delete;
-
-  std::string url() const { return "http://" + LocalAddress(listener_) + "/"; }
-  void Accept(loop& event_loop) {
-    REQUIRE(RunUntil(event_loop, [&] {
-      if (fd_ < 0) {
-        fd_ = accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK);
-      }
-      return fd_ >= 0;
-    }));
-  }
-  void Send(std::string_view bytes) const {
-    CHECK(send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
-          static_cast<ssize_t>(bytes.size()));
-  }
-  void Close() {
-    if (fd_ >= 0) {
-      close(std::exchange(fd_, -1));
-    }
-  }
-
- private:
-  int listener_;
-  int fd_ = -1;
-};
-
 // Guards against a process that reads a response faster than its caller does,
 // and keeps the difference in memory.
 TEST_CASE("a paused transfer leaves the response with its server") {
