net: limits for what a peer of a link can make a process hold

Anybody may connect to a link's port on a trusted network. A peer could send 8 MiB before it was authenticated and begin calls without end; 600 silent connections took all descriptors of a control process, which then ended because it couldn't open its log.

- Links use a quarter of the descriptors (control: eleven sixteenths), half of them before the authentication; calls use a quarter.
Above that the oldest slow handshake is closed, or the new connection.
- Incomplete messages of all links are limited to 64 MiB, unsent ones as well; above it the slowest sender, or a reader that has received nothing for 1 s, is closed.
The queue of one link is limited to 32 MiB instead of 64.
- A listener without descriptors pauses for 100 ms instead of spinning.
- The metrics address closes idle connections after 5 s, control's HTTP port ends a request that isn't received within 10 s and holds 48 MiB of bodies.

--- a/src/control/daemon.cc
+++ b/src/control/daemon.cc
@@ -6,6 +6,7 @@
 #include "libwisteriaroute/base/digest.h"
 #include "libwisteriaroute/base/log.h"
 #include "libwisteriaroute/member/process_reload.h"
+#include "libwisteriaroute/net/descriptors.h"
 #include "libwisteriaroute/net/link_context.h"
 
 namespace wisteriaroute::control {
@@ -16,6 +17,10 @@
 // replicas elect a leader by themselves, so waiting longer gains nothing.
 constexpr base::time_us kShutdownLimitUs = 2'000'000;
 constexpr base::time_us kShutdownPollUs = 20'000;
+// Part of the descriptors that links may use: 2,816 of 4,096, for the 2,710
+// members of one replica at full size. A quarter is for calls, the rest for the
+// log and for links to other replicas.
+constexpr std::size_t kLinkSixteenths = 11;
 
 }  // namespace
 
@@ -78,6 +83,7 @@
     state_.applied_index = stored->last_index;
     log_growth_.snapshot_bytes = stored->data->size();
   }
+  hub_.SetMaxLinks(net::DescriptorLimit() / 16 * kLinkSixteenths);
   const std::string address = hub_.Listen(settings_.process.listen);
   // Tells the parent process the address if the settings give port 0.
   std::cout << "listening " << address << std::endl;
@@ -238,6 +244,12 @@
   metrics_.Set("wisteriaroute_replicas",
                static_cast<double>(raft::Replicas(raft).size()));
   metrics_.Set("wisteriaroute_links", static_cast<double>(peers_.size()));
+  metrics_.Set("wisteriaroute_links_refused",
+               static_cast<double>(hub_.refused()));
+  metrics_.Set("wisteriaroute_link_input_bytes",
+               static_cast<double>(hub_.input_bytes()));
+  metrics_.Set("wisteriaroute_link_unsent_bytes",
+               static_cast<double>(hub_.unsent_bytes()));
   metrics_.Set("wisteriaroute_calls_waiting",
                static_cast<double>(calls_.size()));
   metrics_.Set("wisteriaroute_malformed_messages",
--- a/src/control/daemon_http.cc
+++ b/src/control/daemon_http.cc
@@ -2,6 +2,7 @@
 
 #include "control/daemon.h"
 #include "libwisteriaroute/base/log.h"
+#include "libwisteriaroute/net/descriptors.h"
 
 namespace wisteriaroute::control {
 
@@ -12,6 +13,13 @@
 
 constexpr std::size_t kMaxBodyBytes = 8 * 1024 * 1024;
 constexpr base::time_ms kIdleTimeoutMs = 15'000;
+// Operators give up after some seconds.
+constexpr base::time_ms kReceiveTimeoutMs = 10'000;
+// Documents that are received at the same time; a host has 256 MB of memory.
+constexpr std::size_t kMaxTotalBodyBytes = 6 * kMaxBodyBytes;
+// Part of the descriptors that calls may use. Links may use most of the others;
+// without descriptors for its log, the process ends.
+constexpr std::size_t kDescriptorsPerCall = 4;
 
 constexpr unsigned kOk = 200;
 constexpr unsigned kTemporaryRedirect = 307;
@@ -36,6 +44,10 @@
   http_.emplace(
       event_loop_,
       net::http_server_limits{.body_bytes = kMaxBodyBytes,
+                              .total_body_bytes = kMaxTotalBodyBytes,
+                              .connections = static_cast<unsigned>(
+                                  net::DescriptorLimit() / kDescriptorsPerCall),
+                              .header_timeout_ms = kReceiveTimeoutMs,
                               .idle_timeout_ms = kIdleTimeoutMs},
       net::http_server_callbacks{
           .on_request =
--- a/src/libwisteriaroute/net/link.cc
+++ b/src/libwisteriaroute/net/link.cc
@@ -28,7 +28,11 @@
 // fills the queue of this link instead of buffers of the kernel and the RPC
 // system.
 constexpr std::size_t kMaxInFlightBytes = 4 * 1024 * 1024;
-constexpr std::size_t kMaxQueuedBytes = 64 * 1024 * 1024;
+// The receiver keeps an answer for each call until the sender finishes it; far
+// below its limit for open calls. Messages meanwhile join the next call.
+constexpr std::size_t kMaxInFlightCalls = 256;
+// Four of the largest messages.
+constexpr std::size_t kMaxQueuedBytes = 4 * kMaxMessageBytes;
 // Limits one call, so it never reaches the receiver's traversal limit.
 constexpr std::size_t kMaxBatchBytes = kMaxMessageBytes + 64 * 1024;
 
@@ -171,7 +175,8 @@
       side_(which),
       callbacks_(std::move(callbacks)),
       stream_(context.event_loop->ev(), fd),
-      network_(stream_,
+      messages_(stream_, [this] { return network_.getCurrentQueueCount(); }),
+      network_(messages_,
                which == side::kDialled ? capnp::rpc::twoparty::Side::CLIENT
                                        : capnp::rpc::twoparty::Side::SERVER,
                FrameLimits()),
@@ -179,6 +184,12 @@
       heartbeat_us_(context.self.heartbeat_ms * 1'000),
       last_message_us_(base::MonotonicUs()),
       tasks_(task_errors_) {
+  stream_.SetInputBudget(context_.input_budget);
+  if (side_ == side::kDialled) {
+    // The peer's first message may be large, and may arrive before the answer
+    // that authenticates the peer is handled.
+    messages_.SetAuthenticated();
+  }
   using rpc_system = capnp::RpcSystem<capnp::rpc::twoparty::VatId>;
   if (side_ == side::kAccepted) {
     rpc_ = std::make_unique<rpc_system>(capnp::makeRpcServer(
@@ -194,6 +205,15 @@
 
 link::~link() {
   *alive_ = false;
+  ReleaseBudgets();
+}
+
+void link::ReleaseBudgets() {
+  stream_.SetInputBudget(nullptr);
+  if (context_.unsent_budget != nullptr) {
+    context_.unsent_budget->Remove(unsent_bytes());
+    context_.unsent_budget = nullptr;
+  }
 }
 
 void link::StartClient() {
@@ -237,6 +257,7 @@
     return;
   }
   state_ = state::kUp;
+  messages_.SetAuthenticated();
   channel_ = kj::mv(channel);
   last_message_us_ = base::MonotonicUs();
   if (side_ == side::kAccepted) {
@@ -256,12 +277,19 @@
     Close("an outgoing message exceeds the size limit");
     return;
   }
-  outgoing_bytes_ += body.size();
-  outgoing_.push_back(std::move(body));
-  if (outgoing_bytes_ > kMaxQueuedBytes) {
+  if (outgoing_bytes_ + body.size() > kMaxQueuedBytes) {
     Close("the peer reads too slowly");
     return;
   }
+  if (unsent_bytes() == 0) {
+    unsent_since_us_ = base::MonotonicUs();
+  }
+  const std::size_t bytes = body.size();
+  outgoing_bytes_ += bytes;
+  outgoing_.push_back(std::move(body));
+  if (context_.unsent_budget != nullptr) {
+    context_.unsent_budget->Add(bytes);
+  }
   if (!flush_scheduled_) {
     flush_scheduled_ = true;
     context_.event_loop->Defer([this, alive = alive_] {
@@ -275,7 +303,8 @@
 
 void link::Flush() {
   while (state_ == state::kUp && !outgoing_.empty() &&
-         in_flight_bytes_ < kMaxInFlightBytes) {
+         in_flight_bytes_ < kMaxInFlightBytes &&
+         in_flight_calls_ < kMaxInFlightCalls) {
     std::size_t count = 0;
     std::size_t bytes = 0;
     while (count < outgoing_.size() &&
@@ -294,9 +323,15 @@
                     outgoing_.begin() + static_cast<std::ptrdiff_t>(count));
     outgoing_bytes_ -= bytes;
     in_flight_bytes_ += bytes;
+    ++in_flight_calls_;
     tasks_.add(request.send().then([this, bytes](auto&&) {
       last_message_us_ = base::MonotonicUs();
+      unsent_since_us_ = last_message_us_;
       in_flight_bytes_ -= bytes;
+      --in_flight_calls_;
+      if (context_.unsent_budget != nullptr) {
+        context_.unsent_budget->Remove(bytes);
+      }
       Flush();
     }));
   }
@@ -352,6 +387,7 @@
   }
   state_ = state::kClosed;
   liveness_timer_.Stop();
+  ReleaseBudgets();
   // Deferred, because the caller may be inside a callback of this link, and the
   // owner destroys the link in on_down.
   context_.event_loop->Defer(
--- a/src/libwisteriaroute/net/link.h
+++ b/src/libwisteriaroute/net/link.h
@@ -12,6 +12,8 @@
 #include <vector>
 
 #include "libwisteriaroute/base/hlc.h"
+#include "libwisteriaroute/net/link_budget.h"
+#include "libwisteriaroute/net/link_stream.h"
 #include "libwisteriaroute/net/loop.h"
 #include "libwisteriaroute/net/socket_stream.h"
 
@@ -46,6 +48,9 @@
   peer_identity self;
   std::string cluster_key;
   base::hybrid_clock* clock = nullptr;
+  /** Limits of all links together; null: none. */
+  link_budget* input_budget = nullptr;
+  link_budget* unsent_budget = nullptr;
 };
 
 /** Callbacks of a link. Each may close the link. */
@@ -82,6 +87,16 @@
   void Close(std::string_view reason);
 
   bool up() const { return state_ == state::kUp; }
+  bool closed() const { return state_ == state::kClosed; }
+  /** Bytes of messages that the peer hasn't received. */
+  std::size_t unsent_bytes() const {
+    return outgoing_bytes_ + in_flight_bytes_;
+  }
+  /** Since when messages are unsent without one of them being received. */
+  base::time_us unsent_since_us() const { return unsent_since_us_; }
+  /** Bytes of the message that is being received, and since when. */
+  std::size_t message_bytes() const { return stream_.message_bytes(); }
+  base::time_us message_began_us() const { return stream_.message_began_us(); }
 
  private:
   enum class state { kHandshake, kUp, kClosed };
@@ -106,12 +121,15 @@
   void SendPing();
   void Receive(capnp::List<proto::Message>::Reader batch);
   void Detach(kj::Promise<void> promise);
+  /** Removes what the link holds from the budgets of all links. */
+  void ReleaseBudgets();
 
   link_context context_;
   side side_;
   link_callbacks callbacks_;
   state state_ = state::kHandshake;
   socket_stream stream_;
+  link_stream messages_;
   capnp::TwoPartyVatNetwork network_;
   std::unique_ptr<capnp::RpcSystem<capnp::rpc::twoparty::VatId>> rpc_;
   kj::Maybe<proto::Channel::Client> channel_;
@@ -124,6 +142,8 @@
   std::vector<std::string> outgoing_;
   std::size_t outgoing_bytes_ = 0;
   std::size_t in_flight_bytes_ = 0;
+  std::size_t in_flight_calls_ = 0;
+  base::time_us unsent_since_us_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   task_errors task_errors_{*this};
   // Declared last: its destructor cancels the continuations that use the other
--- a/src/libwisteriaroute/net/link_hub.cc
+++ b/src/libwisteriaroute/net/link_hub.cc
@@ -8,7 +8,9 @@
 #include <utility>
 
 #include "libwisteriaroute/base/digest.h"
+#include "libwisteriaroute/base/log.h"
 #include "libwisteriaroute/net/address.h"
+#include "libwisteriaroute/net/descriptors.h"
 
 namespace wisteriaroute::net {
 
@@ -16,9 +18,25 @@
 
 constexpr base::time_us kMinBackoffUs = 50'000;
 constexpr base::time_us kMaxBackoffUs = 1'000'000;
-// Far above the 2,710 members of one control replica at full size. Limits the
-// resources that unauthenticated connections can use.
-constexpr std::size_t kMaxLinks = 8'192;
+// Part of the process's descriptors that links may use by default.
+constexpr std::size_t kDescriptorsPerLink = 4;
+// Limits of all links together: eight of the largest messages each. Processes
+// have 112 MB of memory at least.
+constexpr std::size_t kMaxInputBytes = 8 * kMaxMessageBytes;
+constexpr std::size_t kMaxUnsentBytes = 8 * kMaxMessageBytes;
+// A sender is closed for the limit of all links only if it has sent this much.
+constexpr std::size_t kLargeInputBytes = 64 * 1024;
+// A reader is closed for the limit of all links only if it has received nothing
+// for this long; a new configuration may exceed the limit for a moment.
+constexpr base::time_us kStalledUs = 1'000'000;
+// A handshake takes a few round trips. Above the limit of links that aren't
+// authenticated, older ones make room for new ones; younger ones don't, so that
+// some handshakes succeed when many processes connect at once.
+constexpr base::time_us kSlowHandshakeUs = 500'000;
+// Time without accepting if the process has no descriptors. The listener stays
+// readable, so the loop would spin.
+constexpr base::time_us kAcceptPauseUs = 100'000;
+constexpr base::time_us kRefusalLogPeriodUs = 10'000'000;
 
 // Returns a random delay between half and all of the back-off, so processes
 // that lost the same peer don't reconnect at the same time.
@@ -31,7 +49,14 @@
 }  // namespace
 
 link_hub::link_hub(link_context context, hub_callbacks callbacks)
-    : context_(std::move(context)), callbacks_(std::move(callbacks)) {}
+    : input_budget_(kMaxInputBytes, [this] { CloseSlowestSender(); }),
+      unsent_budget_(kMaxUnsentBytes, [this] { CloseSlowestReader(); }),
+      context_(std::move(context)),
+      callbacks_(std::move(callbacks)),
+      max_links_(DescriptorLimit() / kDescriptorsPerLink) {
+  context_.input_budget = &input_budget_;
+  context_.unsent_budget = &unsent_budget_;
+}
 
 link_hub::~link_hub() {
   for (const auto& listener : listeners_) {
@@ -48,27 +73,97 @@
       &entry->watcher,
       [](struct ev_loop*, ev_io* watcher, int) {
         auto* self = static_cast<listener*>(watcher->data);
-        self->hub->Accept(self->fd);
+        self->hub->Accept(*self);
       },
       entry->fd, EV_READ);
   entry->watcher.data = entry.get();
+  entry->pause = std::make_unique<timer>(
+      context_.event_loop->ev(), [this, self = entry.get()] {
+        ev_io_start(context_.event_loop->ev(), &self->watcher);
+      });
   ev_io_start(context_.event_loop->ev(), &entry->watcher);
   listeners_.push_back(std::move(entry));
   return LocalAddress(listeners_.back()->fd);
 }
 
-void link_hub::Accept(int fd) {
+void link_hub::Accept(listener& from) {
   while (true) {
     const int accepted =
-        accept4(fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        accept4(from.fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (accepted < 0) {
+      if (errno == EMFILE || errno == ENFILE) {
+        ev_io_stop(context_.event_loop->ev(), &from.watcher);
+        from.pause->Start(kAcceptPauseUs);
+      }
       return;
     }
-    if (links_.size() >= kMaxLinks) {
-      close(accepted);
-      continue;
+    if (HasRoom()) {
+      AddLink(accepted, link::side::kAccepted, 0);
+    } else {
+      Refuse(accepted);
+    }
+  }
+}
+
+bool link_hub::HasRoom() {
+  if (links_.size() >= max_links_) {
+    return false;
+  }
+  if (handshakes_.size() < max_links_ / 2) {
+    return true;
+  }
+  const auto [oldest, since_us] = *handshakes_.begin();
+  if (base::MonotonicUs() - since_us < kSlowHandshakeUs) {
+    return false;
+  }
+  ++refused_;
+  handshakes_.erase(oldest);
+  Close(oldest, "too many connections that aren't authenticated");
+  return true;
+}
+
+void link_hub::Refuse(int fd) {
+  close(fd);
+  ++refused_;
+  const base::time_us now = base::MonotonicUs();
+  if (now >= next_refusal_log_us_) {
+    next_refusal_log_us_ = now + kRefusalLogPeriodUs;
+    base::LogWarning("links_refused",
+                     {{"cause", "limit"},
+                      {"links", std::uint64_t{links_.size()}},
+                      {"not_authenticated", std::uint64_t{handshakes_.size()}},
+                      {"refused", refused_}});
+  }
+}
+
+void link_hub::CloseSlowestSender() {
+  link* slowest = nullptr;
+  for (const auto& [id, one] : links_) {
+    if (one->message_bytes() >= kLargeInputBytes && !one->closed() &&
+        (slowest == nullptr ||
+         one->message_began_us() < slowest->message_began_us())) {
+      slowest = one.get();
+    }
+  }
+  if (slowest != nullptr) {
+    ++refused_;
+    slowest->Close("incomplete messages of all links exceed their limit");
+  }
+}
+
+void link_hub::CloseSlowestReader() {
+  link* slowest = nullptr;
+  for (const auto& [id, one] : links_) {
+    if (one->unsent_bytes() > 0 && !one->closed() &&
+        (slowest == nullptr ||
+         one->unsent_since_us() < slowest->unsent_since_us())) {
+      slowest = one.get();
     }
-    AddLink(accepted, link::side::kAccepted, 0);
+  }
+  if (slowest != nullptr &&
+      base::MonotonicUs() - slowest->unsent_since_us() >= kStalledUs) {
+    ++refused_;
+    slowest->Close("unsent messages of all links exceed their limit");
   }
 }
 
@@ -132,6 +227,7 @@
   link_callbacks callbacks;
   callbacks.on_up = [this, id, dial, was_up](const peer_identity& peer) {
     *was_up = true;
+    handshakes_.erase(id);
     const auto it = dialled_.find(dial);
     if (it != dialled_.end()) {
       it->second.backoff_us = 0;
@@ -149,6 +245,9 @@
     dialled_[dial].current = id;
     context.self.heartbeat_ms = dialled_[dial].heartbeat_ms;
   }
+  if (side == link::side::kAccepted) {
+    handshakes_[id] = base::MonotonicUs();
+  }
   links_[id] = std::make_unique<link>(context, fd, side, std::move(callbacks));
 }
 
@@ -157,6 +256,7 @@
                           bool was_up,
                           std::string_view why) {
   const std::string reason(why);
+  handshakes_.erase(id);
   // The link owns the callback that calls this function, so it must outlive the
   // call.
   auto node = links_.extract(id);
--- a/src/libwisteriaroute/net/link_hub.h
+++ b/src/libwisteriaroute/net/link_hub.h
@@ -57,7 +57,19 @@
   /** Closes a link, for instance after a malformed message. */
   void Close(link_id id, std::string_view reason);
 
+  /**
+   * Sets the number of links, of which half may be accepted links that aren't
+   * authenticated. Default: a quarter of the descriptors of the process.
+   */
+  void SetMaxLinks(std::size_t count) { max_links_ = count; }
+
   std::size_t link_count() const { return links_.size(); }
+  /** Bytes of incomplete messages, and of messages that peers haven't received.
+   */
+  std::size_t input_bytes() const { return input_budget_.used(); }
+  std::size_t unsent_bytes() const { return unsent_budget_.used(); }
+  /** Connections that were refused or closed because of a limit. */
+  std::uint64_t refused() const { return refused_; }
 
  private:
   struct dialled {
@@ -71,16 +83,32 @@
     link_hub* hub = nullptr;
     int fd = -1;
     ev_io watcher;
+    /** Runs while the process has no descriptors. */
+    std::unique_ptr<timer> pause;
   };
 
-  void Accept(int fd);
+  void Accept(listener& from);
+  /** Whether another accepted link fits the limits; may close an older one. */
+  bool HasRoom();
+  void Refuse(int fd);
+  /** Closes the link whose incomplete message is the oldest. */
+  void CloseSlowestSender();
+  /** Closes the link that has received nothing for longest, if it's stalled. */
+  void CloseSlowestReader();
   void Connect(dial_id dial);
   void ScheduleRetry(dial_id dial);
   void AddLink(int fd, link::side side, dial_id dial);
   void HandleDown(link_id id, dial_id dial, bool was_up, std::string_view why);
 
+  link_budget input_budget_;
+  link_budget unsent_budget_;
   link_context context_;
   hub_callbacks callbacks_;
+  std::size_t max_links_;
+  std::uint64_t refused_ = 0;
+  base::time_us next_refusal_log_us_ = 0;
+  /** Accepted links that aren't authenticated, and when they were accepted. */
+  std::map<link_id, base::time_us> handshakes_;
   link_id next_link_ = 1;
   dial_id next_dial_ = 1;
   std::map<link_id, std::unique_ptr<link>> links_;
--- a/src/libwisteriaroute/net/metrics_server.cc
+++ b/src/libwisteriaroute/net/metrics_server.cc
@@ -14,6 +14,9 @@
 // Few clients read metrics; more connections would use file descriptors that
 // requests need.
 constexpr unsigned kMaxConnections = 16;
+// Connections that send nothing would otherwise keep all clients away.
+constexpr base::time_ms kHeaderTimeoutMs = 2'000;
+constexpr base::time_ms kIdleTimeoutMs = 5'000;
 
 /** Metrics of the event loop, which every process exports. */
 std::string LoopText(loop& of) {
@@ -28,7 +31,9 @@
     : loop_(event_loop),
       render_(std::move(render)),
       server_(event_loop,
-              {.connections = kMaxConnections},
+              {.connections = kMaxConnections,
+               .header_timeout_ms = kHeaderTimeoutMs,
+               .idle_timeout_ms = kIdleTimeoutMs},
               {.on_request = [this](exchange_id id,
                                     const http_server_request& request) {
                 if (request.path != kPath || request.method != "GET") {
--- a/src/libwisteriaroute/net/socket_stream.cc
+++ b/src/libwisteriaroute/net/socket_stream.cc
@@ -65,6 +65,44 @@
   ev_io_stop(loop_, &read_watcher_);
   ev_io_stop(loop_, &write_watcher_);
   close(fd_);
+  StartMessage();
+}
+
+void socket_stream::LimitInput(std::size_t bytes) {
+  input_limited_ = bytes > 0;
+  input_left_ = bytes;
+}
+
+void socket_stream::SetInputBudget(link_budget* budget) {
+  if (input_budget_ != nullptr) {
+    input_budget_->Remove(message_bytes_);
+  }
+  input_budget_ = budget;
+  if (input_budget_ != nullptr) {
+    input_budget_->Add(message_bytes_);
+  }
+}
+
+void socket_stream::StartMessage() {
+  if (input_budget_ != nullptr) {
+    input_budget_->Remove(message_bytes_);
+  }
+  message_bytes_ = 0;
+}
+
+bool socket_stream::CountInput(std::size_t bytes) {
+  if (input_limited_ && bytes > input_left_) {
+    return false;
+  }
+  input_left_ -= input_limited_ ? bytes : 0;
+  if (message_bytes_ == 0) {
+    message_began_us_ = base::MonotonicUs();
+  }
+  message_bytes_ += bytes;
+  if (input_budget_ != nullptr) {
+    input_budget_->Add(bytes);
+  }
+  return true;
 }
 
 kj::Promise<void> socket_stream::WhenReadable() {
@@ -133,6 +171,9 @@
       return already_read;
     }
     const auto got = static_cast<std::size_t>(n);
+    if (!CountInput(got)) {
+      return KJ_EXCEPTION(FAILED, "too many bytes before the authentication");
+    }
     already_read += got;
     if (got >= min_bytes) {
       return already_read;
--- a/src/sidecar/daemon.cc
+++ b/src/sidecar/daemon.cc
@@ -352,6 +352,12 @@
   metrics_.Set("wisteriaroute_coordinating", coordinator_.term != 0 ? 1 : 0);
   metrics_.Set("wisteriaroute_ranks_heard",
                static_cast<double>(coordinator_.group.ranks.size()));
+  metrics_.Set("wisteriaroute_links_refused",
+               static_cast<double>(hub_.refused()));
+  metrics_.Set("wisteriaroute_link_input_bytes",
+               static_cast<double>(hub_.input_bytes()));
+  metrics_.Set("wisteriaroute_link_unsent_bytes",
+               static_cast<double>(hub_.unsent_bytes()));
   metrics_.Set("wisteriaroute_highest_term",
                static_cast<double>(state_.highest_term));
   metrics_.Set("wisteriaroute_log_lines_dropped",
