--- a/src/libwisteriaroute/net/link.cc
+++ b/src/libwisteriaroute/net/link.cc
@@ -198,8 +198,10 @@
     rpc_ = std::make_unique<rpc_system>(capnp::makeRpcClient(network_));
     tasks_.add(stream_.WhenConnected().then([this] { StartClient(); }));
   }
-  tasks_.add(network_.onDisconnect().then(
-      [this] { Close("the peer closed the connection"); }));
+  tasks_.add(network_.onDisconnect().then([this] {
+    Close(messages_.refusal().empty() ? "the peer closed the connection"
+                                      : messages_.refusal());
+  }));
   liveness_timer_.Start(heartbeat_us_, heartbeat_us_);
 }
 
--- a/src/libwisteriaroute/net/link_stream.cc
+++ b/src/libwisteriaroute/net/link_stream.cc
@@ -1,7 +1,7 @@
 #include "libwisteriaroute/net/link_stream.h"
 
 #include <capnp/rpc.capnp.h>
-#include <kj/debug.h>
+#include <kj/exception.h>
 
 #include <utility>
 
@@ -22,8 +22,9 @@
     kj::ArrayPtr<kj::AutoCloseFd> fd_space,
     capnp::ReaderOptions options,
     kj::ArrayPtr<capnp::word> scratch_space) {
-  KJ_REQUIRE(queued_() <= kMaxQueuedMessages,
-             "the peer doesn't read the answers to its calls");
+  if (queued_() > kMaxQueuedMessages) {
+    Refuse("the peer doesn't read the answers to its calls");
+  }
   socket_.StartMessage();
   if (authenticated_) {
     return Read(fd_space, options, scratch_space);
@@ -67,7 +68,14 @@
     default:
       break;
   }
-  KJ_REQUIRE(open_calls_ <= kMaxOpenCalls, "the peer doesn't finish its calls");
+  if (open_calls_ > kMaxOpenCalls) {
+    Refuse("the peer doesn't finish its calls");
+  }
+}
+
+void link_stream::Refuse(std::string_view reason) {
+  refusal_ = reason;
+  kj::throwFatalException(KJ_EXCEPTION(FAILED, refusal_.c_str()));
 }
 
 kj::Promise<void> link_stream::writeMessage(
--- a/src/libwisteriaroute/net/link_stream.h
+++ b/src/libwisteriaroute/net/link_stream.h
@@ -5,6 +5,8 @@
 
 #include <cstddef>
 #include <functional>
+#include <string>
+#include <string_view>
 
 #include "libwisteriaroute/net/socket_stream.h"
 
@@ -23,6 +25,9 @@
   /** `queued` returns the number of messages that wait to be sent. */
   link_stream(socket_stream& socket, std::function<std::size_t()> queued);
 
+  /** Why the peer was refused; empty if it wasn't. */
+  const std::string& refusal() const { return refusal_; }
+
   /** Until then the peer may send at most kMaxHandshakeBytes. */
   void SetAuthenticated();
 
@@ -45,12 +50,15 @@
       capnp::ReaderOptions options,
       kj::ArrayPtr<capnp::word> scratch_space);
   void CountCalls(capnp::MessageReader& message);
+  /** Ends the connection. */
+  [[noreturn]] void Refuse(std::string_view reason);
 
   socket_stream& socket_;
   capnp::AsyncIoMessageStream messages_;
   std::function<std::size_t()> queued_;
   bool authenticated_ = false;
   std::size_t open_calls_ = 0;
+  std::string refusal_;
 };
 
 }  // namespace wisteriaroute::net
