net: a refused peer's link is freed at once

The RPC system keeps a failed connection with all its answers until the peer has read what was written before, so a peer that reads nothing kept up to 4,096 answers for three heartbeats of its choice (30 s at most).

--- a/src/libwisteriaroute/net/link_stream.cc
+++ b/src/libwisteriaroute/net/link_stream.cc
@@ -75,6 +75,9 @@
 
 void link_stream::Refuse(std::string_view reason) {
   refusal_ = reason;
+  // The RPC system otherwise keeps the connection, with all its answers, until
+  // the peer has read what was written before.
+  socket_.shutdownWrite();
   kj::throwFatalException(KJ_EXCEPTION(FAILED, refusal_.c_str()));
 }
 
--- a/tests/net/link_limits_test.cc
+++ b/tests/net/link_limits_test.cc
@@ -286,15 +286,18 @@
   loop event_loop;
   server target(event_loop);
   std::string bytes;
+  // Less than a heartbeat, after which the answers would be freed as well.
+  constexpr base::time_us kLimitUs = 8'000'000;
 
   SUBCASE("by calls that it doesn't finish") {
     for (std::uint32_t id = 0; id < 2 * kMaxOpenCalls; ++id) {
       bytes += Bootstrap(100'000 + id);
     }
     const silent_peer peer(target.address, bytes);
-    CHECK(RunUntil(event_loop, [&] {
-      return target.WasClosedFor("doesn't finish its calls");
-    }));
+    CHECK(RunUntil(
+        event_loop,
+        [&] { return target.WasClosedFor("doesn't finish its calls"); },
+        kLimitUs));
   }
   SUBCASE("by answers that it doesn't read") {
     // Enough answers to fill the buffers of both sockets.
@@ -305,7 +308,7 @@
     CHECK(RunUntil(
         event_loop,
         [&] { return target.WasClosedFor("doesn't read the answers"); },
-        30'000'000));
+        kLimitUs));
   }
 }
 
