--- a/src/sidecar/daemon.cc
+++ b/src/sidecar/daemon.cc
@@ -18,6 +18,10 @@
 
 // The server runs on the same host; it answers within a few ms or not at all.
 constexpr std::int64_t kCallTimeoutMs = 300;
+// Far above the lists of a rank with 64 sets of 256 experts. A server that
+// sends without end would otherwise exceed the memory of the host within the
+// time limit.
+constexpr std::size_t kMaxBodyBytes = 4 * 1024 * 1024;
 
 const char* KindName(wire::rank_order_kind kind) {
   switch (kind) {
@@ -348,6 +352,12 @@
   metrics_.Set("wisteriaroute_coordinating", coordinator_.term != 0 ? 1 : 0);
   metrics_.Set("wisteriaroute_ranks_heard",
                static_cast<double>(coordinator_.group.ranks.size()));
+  metrics_.Set("wisteriaroute_links_refused",
+               static_cast<double>(hub_.refused()));
+  metrics_.Set("wisteriaroute_link_input_bytes",
+               static_cast<double>(hub_.input_bytes()));
+  metrics_.Set("wisteriaroute_link_unsent_bytes",
+               static_cast<double>(hub_.unsent_bytes()));
   metrics_.Set("wisteriaroute_highest_term",
                static_cast<double>(state_.highest_term));
   metrics_.Set("wisteriaroute_log_lines_dropped",
@@ -362,7 +372,8 @@
   server_.Start(
       {.url = "http://" + settings_.server + path,
        .timeout_ms = kCallTimeoutMs,
-       .reuse_connection = true},
+       .reuse_connection = true,
+       .max_body_bytes = kMaxBodyBytes},
       {.on_data = [body](std::string_view data) { body->append(data); },
        .on_done =
            [body, done = std::move(done)](const net::http_client_result& end) {
