tests: callers that send or read without limit, against the unchanged product

Guards against callers that make a gateway or an entry run out of memory or descriptors. The stand-in pads the events of a stream on request, waits for slow readers of a stream, and takes bodies of 8 MiB.

--- a/src/standin/reporting_server.cc
+++ b/src/standin/reporting_server.cc
@@ -18,6 +18,11 @@
 constexpr std::int64_t kCallTimeoutMs = 1'000;
 constexpr int kMaxRedirects = 2;
 constexpr int kCrashExitCode = 42;
+// A stream with more unsent bytes than this waits for its reader.
+constexpr std::size_t kMaxUnsentBytes = 256 * 1024;
+constexpr std::size_t kMaxBodyBytes = 8 * 1024 * 1024;
+constexpr std::size_t kMaxTotalBytes = 1024 * 1024 * 1024;
+constexpr std::uint64_t kMaxPaddingBytes = 1024 * 1024;
 
 constexpr unsigned kOk = 200;
 constexpr unsigned kFirstRedirect = 300;
@@ -48,9 +53,10 @@
   return true;
 }
 
-std::string EventText(std::uint64_t number) {
+std::string EventText(std::uint64_t number, std::size_t padding_bytes = 0) {
   const std::string text = std::to_string(number);
-  return "id: " + text + "\ndata: piece " + text + "\n\n";
+  return "id: " + text + "\ndata: piece " + text +
+         std::string(padding_bytes, '.') + "\n\n";
 }
 
 }  // namespace
@@ -60,7 +66,7 @@
     : loop_(event_loop),
       settings_(std::move(settings)),
       http_(event_loop,
-            {},
+            {.body_bytes = kMaxBodyBytes, .total_body_bytes = kMaxTotalBytes},
             {.on_request =
                  [this](net::exchange_id id,
                         const net::http_server_request& request) {
@@ -125,6 +131,8 @@
   target.event_gap_us =
       static_cast<base::time_us>(Number(request, "x-gap-ms", kDefaultGapMs)) *
       1'000;
+  target.padding_bytes = static_cast<std::size_t>(
+      std::min(Number(request, "x-event-bytes", 0), kMaxPaddingBytes));
   target.sealed = !ConsumeFault(faults_.unsealed);
   target.lose_answer = !target.is_stream && ConsumeFault(faults_.lose_answer);
   target.fail = !target.is_stream && ConsumeFault(faults_.fail);
@@ -189,7 +197,9 @@
     EndRun(id);
     return;
   }
-  http_.Write(id, EventText(target.next_event++));
+  if (http_.BufferedBytes(id) <= kMaxUnsentBytes) {
+    http_.Write(id, EventText(target.next_event++, target.padding_bytes));
+  }
   target.timer->Start(target.event_gap_us);
 }
 
--- a/src/standin/reporting_server.h
+++ b/src/standin/reporting_server.h
@@ -57,8 +57,9 @@
  * A backend server without an agent, for tests of the gateway. It registers
  * itself with control and speaks the native protocol. Request headers control
  * the response: `x-work-ms` is the execution time; `x-events` asks for a stream
- * of that many events, `x-gap-ms` apart. `GET /standin/runs` returns how often
- * each request was executed.
+ * of that many events, `x-gap-ms` apart, each padded by `x-event-bytes`; a
+ * stream waits while its reader has much to read. `GET /standin/runs` returns
+ * how often each request was executed.
  */
 class reporting_server {
  public:
@@ -81,6 +82,7 @@
     std::uint64_t next_event = 1;
     std::uint64_t last_event = 0;
     base::time_us event_gap_us = 0;
+    std::size_t padding_bytes = 0;
     bool is_stream = false;
     bool started = false;
     bool sealed = true;
--- a/tests/process/demo_system.cc
+++ b/tests/process/demo_system.cc
@@ -310,6 +310,10 @@
   return !HasExited(processes_.at(name));
 }
 
+int demo_system::Pid(const std::string& name) const {
+  return processes_.at(name).pid;
+}
+
 void demo_system::Signal(const std::string& name, int signal_number) {
   kill(processes_.at(name).pid, signal_number);
 }
--- a/tests/process/demo_system.h
+++ b/tests/process/demo_system.h
@@ -100,6 +100,7 @@
   std::string Leader() const;
 
   bool IsRunning(const std::string& process);
+  int Pid(const std::string& process) const;
   void Signal(const std::string& process, int signal_number);
   /** Sends SIGKILL and waits until the process has exited. */
   void Kill(const std::string& process);
--- a/tests/process/gateway_process_harness.cc
+++ b/tests/process/gateway_process_harness.cc
@@ -10,6 +10,7 @@
 #include <filesystem>
 #include <fstream>
 #include <stdexcept>
+#include <utility>
 
 #include "libwisteriaroute/base/digest.h"
 #include "libwisteriaroute/base/toml_reader.h"
@@ -33,7 +34,8 @@
 
 }  // namespace
 
-gateway_system::gateway_system() : http_(loop_) {
+gateway_system::gateway_system(gateway_system_options options)
+    : options_(std::move(options)), http_(loop_) {
   const char* bin = std::getenv("WR_BIN_DIR");
   bin_ = std::filesystem::absolute(bin == nullptr ? "build" : bin).string();
   std::string pattern = "/tmp/wisteriaroute_gateway_XXXXXX";
@@ -124,7 +126,7 @@
                           "[gateway]\nlisten_http = \"" +
                           addresses_[name + "/http"] + "\"\nlisten_ready = \"" +
                           addresses_[name + "/ready"] +
-                          "\"\nretry_floor = 50\n");
+                          "\"\nretry_floor = 50\n" + options_.gateway_lines);
   processes_[name].command = {bin_ + "/wisteriaroute-gateway", "--settings",
                               SettingsFile(name)};
 }
@@ -136,15 +138,16 @@
                 addresses_["control-" + std::to_string(i) + "/http"];
   }
   addresses_[name] = TakeAddress();
-  processes_[name].command = {bin_ + "/wisteriaroute-standin",
-                              "--mode=reporting",
-                              "--id=" + name,
-                              "--service=desk",
-                              "--data_center=north-a",
-                              "--slots=4",
-                              std::string("--crash_part=") + kCrashPart,
-                              "--controls=" + controls,
-                              "--listen=" + addresses_[name]};
+  processes_[name].command = {
+      bin_ + "/wisteriaroute-standin",
+      "--mode=reporting",
+      "--id=" + name,
+      "--service=desk",
+      "--data_center=north-a",
+      "--slots=" + std::to_string(options_.server_slots),
+      std::string("--crash_part=") + kCrashPart,
+      "--controls=" + controls,
+      "--listen=" + addresses_[name]};
 }
 
 std::string gateway_system::TrafficToml(std::uint64_t version) {
@@ -202,7 +205,8 @@
       << "[wrctl]\ncontrols = [\"" << addresses_["control-0"] << "\", \""
       << addresses_["control-1"] << "\", \"" << addresses_["control-2"]
       << "\"]\ncluster_key_file = \"" << folder_ << "/key\"\n";
-  const command_result published = Publish(TrafficToml(1));
+  const command_result published =
+      Publish(TrafficToml(1) + options_.traffic_lines);
   if (published.status != 0) {
     throw std::runtime_error("nothing was published:\n" + published.output);
   }
@@ -372,6 +376,24 @@
   std::filesystem::rename(file + ".new", file);
 }
 
+std::string gateway_system::HttpAddress(std::size_t gateway) const {
+  return addresses_.at("gateway-" + std::to_string(gateway) + "/http");
+}
+
+std::vector<std::string> gateway_system::ProductProcesses() const {
+  std::vector<std::string> names;
+  for (const auto& [name, unused] : processes_) {
+    if (std::ranges::find(server_names, name) == server_names.end()) {
+      names.push_back(name);
+    }
+  }
+  return names;
+}
+
+int gateway_system::Pid(const std::string& process) {
+  return IsRunning(process) ? processes_.at(process).pid : 0;
+}
+
 void gateway_system::StartProcess(const std::string& name) {
   process& target = processes_.at(name);
   const std::string log = LogFile(name);
--- a/tests/process/gateway_process_harness.h
+++ b/tests/process/gateway_process_harness.h
@@ -19,6 +19,15 @@
  */
 inline constexpr const char* kCrashPart = "c4a5";
 
+/** What a test changes in the settings of a gateway_system. */
+struct gateway_system_options {
+  int server_slots = 4;
+  /** Lines that are added to the table `[gateway]`. */
+  std::string gateway_lines;
+  /** Lines that are added to the traffic configuration. */
+  std::string traffic_lines;
+};
+
 /**
  * Runs three control replicas, two gateways and three stand-ins in the mode
  * `reporting` as processes. All speak the native protocol.
@@ -26,7 +35,7 @@
 class gateway_system {
  public:
   /** Starts all processes; the stand-ins are servers of the service `desk`. */
-  gateway_system();
+  explicit gateway_system(gateway_system_options options = {});
   /** Kills all processes; removes the files unless WR_KEEP_DIRECTORY is set. */
   ~gateway_system();
   gateway_system(const gateway_system&) = delete;
@@ -73,6 +82,12 @@
   std::string SettingsFile(const std::string& process) const;
   void WriteSettings(const std::string& process, const std::string& text);
 
+  std::string HttpAddress(std::size_t gateway) const;
+  /** Names of the processes of the product, without the stand-ins. */
+  std::vector<std::string> ProductProcesses() const;
+  /** Process id; 0 if it doesn't run. */
+  int Pid(const std::string& process);
+
   void StartProcess(const std::string& name);
   void Signal(const std::string& process, int signal_number);
   bool IsRunning(const std::string& process);
@@ -99,6 +114,7 @@
                            const std::string& address) const;
   bool IsServing(std::size_t gateway);
 
+  gateway_system_options options_;
   std::string bin_;
   std::string folder_;
   std::vector<std::string> free_addresses_;
