net: limits for framing, unsent output and memory of the HTTP server

Cause: Beast asks for more input until a chunk header or trailers are complete, and the buffer grew with it; responses to pipelined requests and to callers that don't read had no bound. The parser now limits a chunk header, the trailers and all bytes outside of the body; trailers no longer pass for headers. Connections that have had no answer make room for new ones.

--- a/src/libwisteriaroute/net/http_parser.h
+++ b/src/libwisteriaroute/net/http_parser.h
@@ -24,12 +24,18 @@
     /** Number of input bytes that were parsed as part of this message. */
     std::size_t consumed = 0;
     bool failed = false;
-    /** 431 or 413 if the header or body limit was exceeded; otherwise 0. */
+    /** Status for a request that exceeded a limit: 400, 413 or 431; otherwise
+     * 0. */
     unsigned limit_status = 0;
     std::string error;
   };
 
-  http_parser(std::size_t header_bytes, std::uint64_t body_bytes) {
+  /**
+   * `header_bytes` also limits what may remain unparsed after the header: a
+   * chunk header with its extensions, or the trailers.
+   */
+  http_parser(std::size_t header_bytes, std::uint64_t body_bytes)
+      : header_bytes_(header_bytes) {
     this->header_limit(static_cast<std::uint32_t>(header_bytes));
     this->body_limit(body_bytes);
     this->eager(true);
@@ -45,6 +51,13 @@
                                               input.size() - result.consumed),
                     error);
       result.consumed += used;
+      consumed_bytes_ += used;
+      if (consumed_bytes_ - body_bytes_ >
+          kMinFramingBytes + 2 * header_bytes_ +
+              kFramingPerBodyByte * body_bytes_) {
+        Limit(result, kBadRequest, "too many bytes outside of the body");
+        break;
+      }
       if (error == boost::beast::http::error::need_more) {
         if (used == 0) {
           break;
@@ -55,9 +68,9 @@
         result.failed = true;
         result.error = error.message();
         if (error == boost::beast::http::error::header_limit) {
-          result.limit_status = 431;
+          result.limit_status = kHeadersTooLarge;
         } else if (error == boost::beast::http::error::body_limit) {
-          result.limit_status = 413;
+          result.limit_status = kBodyTooLarge;
         }
         break;
       }
@@ -65,6 +78,12 @@
         break;
       }
     }
+    // Beast asks for more input until a chunk header or the trailers are
+    // complete, and has no limit for either.
+    if (!result.failed && this->is_header_done() && !this->is_done() &&
+        input.size() - result.consumed > header_bytes_) {
+      Limit(result, kHeadersTooLarge, "chunk header or trailers too large");
+    }
     return result;
   }
 
@@ -87,9 +106,22 @@
   std::string body;
 
  private:
+  // A body in chunks of one byte has five bytes of framing for each.
+  static constexpr std::uint64_t kFramingPerBodyByte = 16;
+  static constexpr std::uint64_t kMinFramingBytes = 16 * 1024;
+  static constexpr unsigned kBadRequest = 400;
+  static constexpr unsigned kBodyTooLarge = 413;
+  static constexpr unsigned kHeadersTooLarge = 431;
+
   using error_code = boost::system::error_code;
   using view = boost::beast::string_view;
 
+  static void Limit(feed_result& result, unsigned status, const char* error) {
+    result.failed = true;
+    result.limit_status = status;
+    result.error = error;
+  }
+
   static std::string_view View(view text) { return {text.data(), text.size()}; }
 
   void on_request_impl(boost::beast::http::verb,
@@ -111,16 +143,23 @@
                      view value,
                      error_code& error) override {
     error = {};
-    headers.emplace_back(LowerCase(View(name)), View(value));
+    // Trailers aren't used, and must not pass for headers.
+    if (!this->is_header_done()) {
+      headers.emplace_back(LowerCase(View(name)), View(value));
+    }
   }
   void on_header_impl(error_code& error) override { error = {}; }
-  void on_body_init_impl(const boost::optional<std::uint64_t>&,
+  void on_body_init_impl(const boost::optional<std::uint64_t>& length,
                          error_code& error) override {
     error = {};
+    if (IsRequest && length) {
+      body.reserve(static_cast<std::size_t>(*length));
+    }
   }
   std::size_t on_body_impl(view data, error_code& error) override {
     error = {};
     body += View(data);
+    body_bytes_ += data.size();
     return data.size();
   }
   void on_chunk_header_impl(std::uint64_t, view, error_code& error) override {
@@ -131,9 +170,14 @@
                                  error_code& error) override {
     error = {};
     body += View(data);
+    body_bytes_ += data.size();
     return data.size();
   }
   void on_finish_impl(error_code& error) override { error = {}; }
+
+  std::size_t header_bytes_;
+  std::uint64_t consumed_bytes_ = 0;
+  std::uint64_t body_bytes_ = 0;
 };
 
 using http_request_parser = http_parser<true>;
--- a/src/libwisteriaroute/net/http_server.cc
+++ b/src/libwisteriaroute/net/http_server.cc
@@ -13,7 +13,7 @@
 
 #include "libwisteriaroute/base/log.h"
 #include "libwisteriaroute/net/address.h"
-#include "libwisteriaroute/net/http_parser.h"
+#include "libwisteriaroute/net/http_server_connection.h"
 
 namespace wisteriaroute::net {
 
@@ -23,60 +23,28 @@
 // Limit of buffered input while a response is in progress. Further pipelined
 // requests wait in the socket.
 constexpr std::size_t kMaxPipelinedBytes = 64 * 1024;
+// A pipelined request waits until less than this of earlier responses is
+// unsent.
+constexpr std::size_t kMaxUnsentBytes = 64 * 1024;
 constexpr base::time_us kSweepPeriodUs = 250'000;
-// How long input is discarded after the last response of a connection. Closing
-// at once, with unread input, would reset the connection and could destroy the
-// response in transit.
-constexpr base::time_us kLingerUs = 2'000'000;
-constexpr std::size_t kCompactBytes = 64 * 1024;
-
-constexpr unsigned kNoContent = 204;
-constexpr unsigned kNotModified = 304;
 constexpr unsigned kBadRequest = 400;
-constexpr unsigned kRequestTimeout = 408;
-constexpr unsigned kTooLarge = 413;
 constexpr unsigned kUnavailable = 503;
-
-bool HasBody(unsigned status) {
-  return status >= 200 && status != kNoContent && status != kNotModified;
-}
+constexpr const char* kRetryAfterSeconds = "1";
 
 }  // namespace
 
-struct http_server::connection {
-  enum class phase { kIdle, kReceiving, kWaiting, kStreaming, kLingering };
-
-  http_server* server = nullptr;
-  connection_id id = 0;
-  int fd = -1;
-  ev_io watcher;
-  int watched = 0;
-  phase current = phase::kIdle;
-  std::unique_ptr<http_request_parser> parser;
-  std::string in;
-  std::string out;
-  std::size_t sent = 0;
-  exchange_id exchange = 0;
-  bool head_request = false;
-  bool chunked = true;
-  bool close_after = false;
-  bool read_ended = false;
-  /** Body bytes that are included in the server's total. */
-  std::size_t counted_bytes = 0;
-  /** When the current phase times out, if no exchange is in progress. */
-  base::time_us until_us = 0;
-};
-
 std::string_view http_server_request::Header(std::string_view name) const {
   return FindHeader(headers, name);
 }
 
 http_server::http_server(loop& event_loop,
                          http_server_limits limits,
-                         http_server_callbacks callbacks)
+                         http_server_callbacks callbacks,
+                         memory_budget* budget)
     : event_loop_(event_loop),
       limits_(limits),
       callbacks_(std::move(callbacks)),
+      budget_(budget),
       sweep_(event_loop.ev(), [this] { Sweep(); }),
       later_(event_loop.ev(), [this] { RunDeferred(); }) {}
 
@@ -105,10 +73,17 @@
 void http_server::StopListening() {
   if (listen_fd_ >= 0) {
     ev_io_stop(event_loop_.ev(), &listen_watcher_);
+    accept_paused_ = false;
     close(std::exchange(listen_fd_, -1));
   }
 }
 
+void http_server::SetWorkspace(exchange_id id, std::string_view workspace) {
+  if (connection* target = Find(id)) {
+    target->output.SetWorkspace(workspace);
+  }
+}
+
 void http_server::SetLimits(const http_server_limits& limits) {
   limits_ = limits;
 }
@@ -134,10 +109,13 @@
       if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR &&
           errno != ECONNABORTED) {
         base::LogWarning("accept_failed", {{"errno", errno}});
+        // The connection stays in the queue, and the loop would spin.
+        ev_io_stop(event_loop_.ev(), &listen_watcher_);
+        accept_paused_ = true;
       }
       return;
     }
-    if (connections_.size() >= limits_.connections) {
+    if (connections_.size() >= limits_.connections && !EvictUnserved()) {
       base::LogWarning("connection_refused",
                        {{"cause", "limit"},
                         {"connections", std::uint64_t{connections_.size()}}});
@@ -146,7 +124,12 @@
     }
     const int on = 1;
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-    auto made = std::make_unique<connection>();
+    if (limits_.socket_bytes > 0) {
+      const int bytes = static_cast<int>(limits_.socket_bytes);
+      setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+      setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof bytes);
+    }
+    auto made = std::make_unique<connection>(budget_);
     connection& one = *made;
     one.server = this;
     one.id = next_connection_++;
@@ -175,11 +158,10 @@
   if (conn.fd < 0) {
     return;
   }
-  const bool busy = conn.exchange != 0;
+  const bool busy = conn.exchange != 0 || conn.unsent() >= kMaxUnsentBytes;
   const bool read =
       !conn.read_ended && !(busy && conn.in.size() >= kMaxPipelinedBytes);
-  const int wanted =
-      (read ? EV_READ : 0) | (conn.sent < conn.out.size() ? EV_WRITE : 0);
+  const int wanted = (read ? EV_READ : 0) | (conn.unsent() > 0 ? EV_WRITE : 0);
   if (wanted == conn.watched) {
     return;
   }
@@ -209,11 +191,15 @@
   }
   conn.in.append(buffer.data(), static_cast<std::size_t>(count));
   Parse(conn);
+  if (conn.fd >= 0) {
+    AccountInput(conn);
+  }
   UpdateWatcher(conn);
 }
 
 void http_server::Parse(connection& conn) {
   while (conn.fd >= 0 && conn.exchange == 0 && !conn.in.empty() &&
+         conn.unsent() < kMaxUnsentBytes &&
          conn.current != connection::phase::kLingering) {
     if (conn.current == connection::phase::kIdle) {
       conn.current = connection::phase::kReceiving;
@@ -224,7 +210,12 @@
     http_request_parser& parser = *conn.parser;
     const bool had_header = parser.is_header_done();
     const http_request_parser::feed_result fed = parser.Feed(conn.in);
-    conn.in.erase(0, fed.consumed);
+    if (fed.consumed == conn.in.size()) {
+      // Frees the memory: an idle connection keeps none.
+      std::string().swap(conn.in);
+    } else {
+      conn.in.erase(0, fed.consumed);
+    }
     body_bytes_ += parser.body.size() - conn.counted_bytes;
     conn.counted_bytes = parser.body.size();
     if (fed.failed) {
@@ -232,8 +223,7 @@
                   fed.error);
       return;
     }
-    if (body_bytes_ > limits_.total_body_bytes) {
-      RefuseInput(conn, kUnavailable, "limit of all request bodies exceeded");
+    if (!AdmitInput(conn)) {
       return;
     }
     if (parser.is_done()) {
@@ -266,96 +256,15 @@
   conn.exchange = next_exchange_++;
   conn.current = connection::phase::kWaiting;
   exchanges_[conn.exchange] = conn.id;
-  callbacks_.on_request(conn.exchange, std::move(request));
-}
-
-void http_server::RefuseInput(connection& conn,
-                              unsigned status,
-                              std::string_view cause) {
-  base::LogInfo("input_refused",
-                {{"status", std::uint64_t{status}}, {"cause", cause}});
-  body_bytes_ -= std::exchange(conn.counted_bytes, 0);
-  conn.parser.reset();
-  conn.in.clear();
-  conn.close_after = true;
-  std::string body;
-  if (status == kTooLarge && callbacks_.too_large_body) {
-    body = callbacks_.too_large_body();
-  }
-  WriteHead(conn, status,
+  AccountInput(conn);
+  if (!AdmitRequest(request)) {
+    Respond(conn.exchange, kUnavailable,
             {{"Content-Type", "application/json"},
-             {"Content-Length", std::to_string(body.size())}});
-  conn.out += body;
-  StartLinger(conn);
-}
-
-void http_server::WriteHead(connection& conn,
-                            unsigned status,
-                            const http_headers& headers) {
-  conn.close_after = conn.close_after || closing_;
-  // The reason phrase may be empty; callers ignore it.
-  conn.out += "HTTP/1.1 " + std::to_string(status) + " \r\n";
-  for (const auto& [name, value] : headers) {
-    conn.out += name;
-    conn.out += ": ";
-    conn.out += value;
-    conn.out += "\r\n";
-  }
-  if (conn.close_after) {
-    conn.out += "Connection: close\r\n";
-  }
-  conn.out += "\r\n";
-}
-
-void http_server::Flush(connection& conn) {
-  while (conn.sent < conn.out.size()) {
-    const ssize_t count = send(conn.fd, conn.out.data() + conn.sent,
-                               conn.out.size() - conn.sent, MSG_NOSIGNAL);
-    if (count < 0) {
-      if (errno == EINTR) {
-        continue;
-      }
-      if (errno != EAGAIN && errno != EWOULDBLOCK) {
-        Destroy(conn);
-        return;
-      }
-      break;
-    }
-    conn.sent += static_cast<std::size_t>(count);
-  }
-  if (conn.sent == conn.out.size()) {
-    conn.out.clear();
-    conn.sent = 0;
-    if (conn.current == connection::phase::kLingering && !conn.read_ended) {
-      shutdown(conn.fd, SHUT_WR);
-    }
-  } else if (conn.sent > kCompactBytes) {
-    conn.out.erase(0, conn.sent);
-    conn.sent = 0;
-  }
-  UpdateWatcher(conn);
-}
-
-void http_server::StartLinger(connection& conn) {
-  conn.current = connection::phase::kLingering;
-  conn.until_us = base::MonotonicUs() + kLingerUs;
-  Flush(conn);
-}
-
-void http_server::FinishExchange(connection& conn) {
-  exchanges_.erase(std::exchange(conn.exchange, 0));
-  if (conn.close_after) {
-    StartLinger(conn);
+             {"Retry-After", kRetryAfterSeconds}},
+            callbacks_.overload_body ? callbacks_.overload_body() : "");
     return;
   }
-  conn.current = connection::phase::kIdle;
-  conn.until_us = base::MonotonicUs() + limits_.idle_timeout_ms * 1'000;
-  Flush(conn);
-  if (conn.fd >= 0 && !conn.in.empty()) {
-    // Deferred, so a caller that pipelines requests can't grow the stack.
-    pipelined_connections_.push_back(conn.id);
-    later_.Start(0);
-  }
+  callbacks_.on_request(conn.exchange, std::move(request));
 }
 
 void http_server::Destroy(connection& target) {
@@ -365,6 +274,8 @@
   ev_io_stop(event_loop_.ev(), &target.watcher);
   close(std::exchange(target.fd, -1));
   body_bytes_ -= std::exchange(target.counted_bytes, 0);
+  target.input.Set(0);
+  target.output.Set(0);
   const exchange_id exchange = std::exchange(target.exchange, 0);
   auto node = connections_.extract(target.id);
   closed_.push_back(std::move(node.mapped()));
@@ -377,23 +288,6 @@
   }
 }
 
-void http_server::Sweep() {
-  const base::time_us now = base::MonotonicUs();
-  std::vector<connection*> late;
-  for (const auto& [id, one] : connections_) {
-    if (one->exchange == 0 && now >= one->until_us) {
-      late.push_back(one.get());
-    }
-  }
-  for (connection* one : late) {
-    if (one->current == connection::phase::kReceiving) {
-      RefuseInput(*one, kRequestTimeout, "request not received in time");
-    } else {
-      Destroy(*one);
-    }
-  }
-}
-
 void http_server::RunDeferred() {
   closed_.clear();
   for (const connection_id id : std::exchange(pipelined_connections_, {})) {
@@ -401,6 +295,9 @@
     if (found != connections_.end()) {
       connection& target = *found->second;
       Parse(target);
+      if (target.fd >= 0) {
+        AccountInput(target);
+      }
       UpdateWatcher(target);
     }
   }
@@ -413,95 +310,4 @@
              : connections_.find(exchange->second)->second.get();
 }
 
-void http_server::Respond(exchange_id id,
-                          unsigned status,
-                          const http_headers& headers,
-                          std::string_view body) {
-  connection* target = Find(id);
-  if (target == nullptr || target->current != connection::phase::kWaiting) {
-    return;
-  }
-  http_headers all = headers;
-  if (HasBody(status)) {
-    all.emplace_back("Content-Length", std::to_string(body.size()));
-  }
-  WriteHead(*target, status, all);
-  if (HasBody(status) && !target->head_request) {
-    target->out += body;
-  }
-  FinishExchange(*target);
-}
-
-void http_server::StartStream(exchange_id id,
-                              unsigned status,
-                              const http_headers& headers) {
-  connection* target = Find(id);
-  if (target == nullptr || target->current != connection::phase::kWaiting) {
-    return;
-  }
-  http_headers all = headers;
-  if (target->chunked) {
-    all.emplace_back("Transfer-Encoding", "chunked");
-  } else {
-    target->close_after = true;
-  }
-  WriteHead(*target, status, all);
-  target->current = connection::phase::kStreaming;
-  Flush(*target);
-}
-
-void http_server::Write(exchange_id id, std::string_view data) {
-  connection* target = Find(id);
-  if (target == nullptr || data.empty() ||
-      target->current != connection::phase::kStreaming) {
-    return;
-  }
-  if (target->chunked) {
-    std::array<char, 20> size;
-    const int digits =
-        std::snprintf(size.data(), size.size(), "%zx\r\n", data.size());
-    target->out.append(size.data(), static_cast<std::size_t>(digits));
-    target->out += data;
-    target->out += "\r\n";
-  } else {
-    target->out += data;
-  }
-  Flush(*target);
-}
-
-void http_server::EndStream(exchange_id id) {
-  connection* target = Find(id);
-  if (target != nullptr && target->current == connection::phase::kStreaming) {
-    if (target->chunked) {
-      target->out += "0\r\n\r\n";
-    }
-    FinishExchange(*target);
-  }
-}
-
-void http_server::AbortStream(exchange_id id) {
-  connection* target = Find(id);
-  if (target == nullptr) {
-    return;
-  }
-  if (!target->chunked) {
-    // Without chunked encoding, a regular close would look like the end of the
-    // response, so reset the connection.
-    const linger reset{.l_onoff = 1, .l_linger = 0};
-    setsockopt(target->fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
-  }
-  // The owner ended the exchange itself, so on_abandoned isn't called.
-  exchanges_.erase(std::exchange(target->exchange, 0));
-  Destroy(*target);
-}
-
-std::size_t http_server::BufferedBytes(exchange_id id) const {
-  const auto exchange = exchanges_.find(id);
-  if (exchange == exchanges_.end()) {
-    return 0;
-  }
-  const connection& target = *connections_.find(exchange->second)->second;
-  return target.out.size() - target.sent;
-}
-
 }  // namespace wisteriaroute::net
