gateway: one account of memory and descriptors, and slow callers hold their servers back

Cause: what callers don't read, and large requests, had no bound in sum. The settings memory_mb and max_fds give the process's limits; a net::memory_budget counts unparsed input, requests, answers and unsent output, in total and per workspace. Above it the slowest readers are closed first, then new requests get 503 before they are dispatched. A stream whose caller has 64 KiB unread pauses its server and isn't taken for a silent server meanwhile.

--- a/src/gateway/daemon.cc
+++ b/src/gateway/daemon.cc
@@ -3,6 +3,7 @@
 #include <array>
 #include <csignal>
 #include <cstdio>
+#include <limits>
 #include <utility>
 
 #include "libwisteriaroute/base/digest.h"
@@ -26,6 +27,11 @@
 // The stream of a caller that has more unread data than this is aborted.
 constexpr std::size_t kMaxBufferedBytes = 1024 * 1024;
 
+// Bounds what the kernel holds for a connection; enough for 64 MB/s within a
+// region.
+constexpr std::size_t kSocketBytes = 64 * 1024;
+constexpr base::time_ms kOverloadRetryMs = 1'000;
+
 constexpr unsigned kOk = 200;
 constexpr unsigned kUnavailable = 503;
 
@@ -37,8 +43,18 @@
   return text.data();
 }
 
+std::string ErrorBody(std::string_view code) {
+  return R"({"error":{"code":")" + std::string(code) + R"("}})";
+}
+
 net::http_server_limits CallerLimits(const gateway_settings& settings) {
-  return {.connections = static_cast<unsigned>(settings.max_connections)};
+  const net::descriptor_plan plan =
+      net::PlanDescriptors(settings.max_fds, settings.max_connections);
+  return {.total_body_bytes = std::numeric_limits<std::size_t>::max(),
+          .connections = plan.callers,
+          .requests = plan.requests,
+          .socket_bytes = kSocketBytes,
+          .send_timeout_ms = settings.send_timeout_ms};
 }
 
 }  // namespace
@@ -48,13 +64,17 @@
       settings_(std::move(settings)),
       protocol_(protocol::Select(settings_.process.protocol)),
       incarnation_(base::RandomU64()),
+      budget_(net::BudgetBytes(settings_.memory_mb)),
       hub_(net::MakeLinkContext(event_loop,
                                 settings_.process,
                                 "entry",
                                 incarnation_,
                                 clock_),
            member::ControlLinks(session_)),
-      caller_server_(event_loop, CallerLimits(settings_), CallerCallbacks()),
+      caller_server_(event_loop,
+                     CallerLimits(settings_),
+                     CallerCallbacks(),
+                     &budget_),
       readiness_server_(
           event_loop,
           {},
@@ -101,7 +121,10 @@
               [this](net::exchange_id id) {
                 requests_.erase(id);
                 Handle(caller_left{id});
-              }};
+              },
+          .overload_body = [] { return ErrorBody("overloaded"); },
+          .on_blocked = [this](net::exchange_id id) { SetBlocked(id, true); },
+          .on_drained = [this](net::exchange_id id) { SetBlocked(id, false); }};
 }
 
 member::control_session_callbacks daemon::SessionCallbacks() {
@@ -142,8 +165,23 @@
     return;
   }
   caller_request decoded = DecodeRequest(Headers(protocol_), request);
-  requests_[exchange] =
-      std::make_shared<const net::http_server_request>(std::move(request));
+  const config::traffic_workspace* workspace =
+      state_.traffic != nullptr && decoded.key
+          ? state_.traffic->FindWorkspace(*decoded.key)
+          : nullptr;
+  const std::string name = workspace == nullptr ? "" : workspace->name;
+  if (!budget_.Fits(name, net::HeldBytes(request))) {
+    base::LogInfo("request_shed", {{"cause", "memory budget of the workspace"},
+                                   {"workspace", name}});
+    metrics_.Count("wisteriaroute_requests_shed_total");
+    SendRefusal({.exchange = exchange,
+                 .code = "overloaded",
+                 .retry_after_ms = kOverloadRetryMs});
+    return;
+  }
+  caller_server_.SetWorkspace(exchange, name);
+  requests_.try_emplace(exchange, &budget_, std::move(request))
+      .first->second.held.SetWorkspace(name);
   Handle(request_arrived{exchange, std::move(decoded)});
 }
 
@@ -274,9 +312,9 @@
   if (request == requests_.end()) {
     return;
   }
-  const net::http_server_request& original = *request->second;
+  const net::http_server_request& original = request->second.request;
   const attempt_id id = attempt.attempt;
-  transfers_[id] = backend_client_.Start(
+  transfers_[id] = request->second.transfer = backend_client_.Start(
       {.method = original.method,
        .url = "http://" + attempt.address + original.path + original.query,
        .headers = AttemptHeaders(Headers(protocol_), original, attempt.terms),
@@ -292,8 +330,9 @@
                  id, DecodeHead(Headers(protocol_), status, headers)});
            },
        .on_data =
-           [this, id](std::string_view data) {
+           [this, id, exchange = attempt.exchange](std::string_view data) {
              Handle(attempt_data{id, std::string(data)});
+             AccountAnswer(exchange);
            },
        .on_done =
            [this, id](const net::http_client_result& result) {
@@ -303,6 +342,38 @@
                                   .never_sent = result.never_sent,
                                   .error = result.error});
            }});
+  if (request->second.blocked) {
+    backend_client_.Pause(request->second.transfer);
+  }
+}
+
+void daemon::SetBlocked(net::exchange_id exchange, bool blocked) {
+  const auto found = requests_.find(exchange);
+  if (found == requests_.end()) {
+    return;
+  }
+  found->second.blocked = blocked;
+  if (blocked) {
+    backend_client_.Pause(found->second.transfer);
+  } else {
+    backend_client_.Resume(found->second.transfer);
+  }
+  Handle(stream_blocked{exchange, blocked});
+}
+
+void daemon::AccountAnswer(net::exchange_id exchange) {
+  const auto found = requests_.find(exchange);
+  const auto state = state_.requests.find(exchange);
+  if (found == requests_.end() || state == state_.requests.end()) {
+    return;
+  }
+  found->second.answer.Set(state->second.body.size() +
+                           state->second.failure_body.size() +
+                           state->second.framer.partial_event_bytes());
+  if (!budget_.Fits(0) && !caller_server_.MakeRoom()) {
+    metrics_.Count("wisteriaroute_answers_shed_total");
+    Handle(answer_shed{exchange});
+  }
 }
 
 void daemon::Probe(const probe_server& probe) {
@@ -323,7 +394,7 @@
     headers.emplace_back("Retry-After", FormatSeconds(answer.retry_after_ms));
   }
   caller_server_.Respond(answer.exchange, answer.status, headers,
-                         R"({"error":{"code":")" + answer.code + R"("}})");
+                         ErrorBody(answer.code));
 }
 
 void daemon::WriteToCaller(const write_stream& chunk) {
@@ -353,6 +424,10 @@
     restart.emplace_back("listen_ready");
   }
   settings_.max_connections = next.max_connections;
+  settings_.memory_mb = next.memory_mb;
+  settings_.max_fds = next.max_fds;
+  settings_.send_timeout_ms = next.send_timeout_ms;
+  budget_.SetLimit(net::BudgetBytes(next.memory_mb));
   settings_.serve_without_quorum = next.serve_without_quorum;
   settings_.settle_ms = next.settle_ms;
   settings_.drain_limit_ms = next.drain_limit_ms;
@@ -374,9 +449,30 @@
                static_cast<double>(lease_until_us_ - now_us) / 1e6);
   metrics_.Set("wisteriaroute_log_lines_dropped",
                static_cast<double>(base::DroppedLogLines()));
+  ReportMemory();
   return metrics_.Render();
 }
 
+void daemon::ReportMemory() {
+  for (const net::memory_use use :
+       {net::memory_use::kInput, net::memory_use::kRequests,
+        net::memory_use::kAnswers, net::memory_use::kOutput}) {
+    metrics_.Set("wisteriaroute_held_bytes{use=\"" +
+                     std::string(net::ToString(use)) + "\"}",
+                 static_cast<double>(budget_.used(use)));
+  }
+  metrics_.Set("wisteriaroute_held_bytes_limit",
+               static_cast<double>(budget_.limit()));
+  metrics_.Set("wisteriaroute_server_connections_held_bytes",
+               static_cast<double>(backend_client_.held_bytes()));
+  metrics_.Set("wisteriaroute_slow_callers_closed",
+               static_cast<double>(caller_server_.slow_callers_closed()));
+  metrics_.Set("wisteriaroute_inputs_refused",
+               static_cast<double>(caller_server_.refused_inputs()));
+  metrics_.Set("wisteriaroute_connections_evicted",
+               static_cast<double>(caller_server_.evicted_connections()));
+}
+
 bool daemon::IsReadyNow() const {
   const bool leased =
       settings_.serve_without_quorum || base::MonotonicUs() < lease_until_us_;
--- a/src/gateway/daemon.h
+++ b/src/gateway/daemon.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string_view>
+#include <utility>
 
 #include "gateway/settings.h"
 #include "libwisteriaroute/base/hlc.h"
@@ -16,6 +17,7 @@
 #include "libwisteriaroute/net/http_server.h"
 #include "libwisteriaroute/net/link_hub.h"
 #include "libwisteriaroute/net/loop.h"
+#include "libwisteriaroute/net/memory_budget.h"
 #include "libwisteriaroute/net/metrics_server.h"
 #include "libwisteriaroute/net/settings_reload.h"
 #include "protocol/protocol.h"
@@ -38,7 +40,24 @@
   void Run();
 
  private:
-  using request_pointer = std::shared_ptr<const net::http_server_request>;
+  /** A request in progress, kept to be sent in further attempts. */
+  struct open_request {
+    open_request(net::memory_budget* budget,
+                 net::http_server_request&& received)
+        : request(std::move(received)),
+          held(budget, net::memory_use::kRequests),
+          answer(budget, net::memory_use::kAnswers) {
+      held.Set(net::HeldBytes(request));
+    }
+
+    net::http_server_request request;
+    net::memory_charge held;
+    net::memory_charge answer;
+    /** Transfer of the latest attempt. */
+    net::transfer_id transfer = 0;
+    /** The caller has much unread, so the server's answer isn't read. */
+    bool blocked = false;
+  };
 
   net::http_server_callbacks CallerCallbacks();
   member::control_session_callbacks SessionCallbacks();
@@ -54,6 +73,10 @@
   void Handle(gateway_event event);
   void Run(const gateway_effect& effect);
   void Start(const start_attempt& attempt);
+  /** Stops or restarts reading the answer to a stream's request. */
+  void SetBlocked(net::exchange_id exchange, bool blocked);
+  /** Counts what is held of an answer; gives the answer up above the budget. */
+  void AccountAnswer(net::exchange_id exchange);
   void Probe(const probe_server& probe);
   void SendRefusal(const refuse& answer);
   void WriteToCaller(const write_stream& chunk);
@@ -64,6 +87,7 @@
    */
   net::restart_list Reload(std::string_view text, base::findings& out);
   std::string RenderMetrics();
+  void ReportMemory();
 
   bool IsReadyNow() const;
   void UpdateSession();
@@ -75,6 +99,7 @@
   protocol::any_protocol protocol_;
   std::uint64_t incarnation_;
   base::hybrid_clock clock_;
+  net::memory_budget budget_;
   net::link_hub hub_;
   net::http_server caller_server_;
   net::http_server readiness_server_;
@@ -87,8 +112,7 @@
   std::deque<gateway_event> events_;
   bool handling_events_ = false;
   bool tick_active_ = false;
-  /** Requests in progress, kept to be sent in further attempts. */
-  std::map<exchange_id, request_pointer> requests_;
+  std::map<exchange_id, open_request> requests_;
   std::map<attempt_id, net::transfer_id> transfers_;
   net::timer tick_;
   net::timer drain_timer_;
--- a/src/gateway/main.cc
+++ b/src/gateway/main.cc
@@ -3,6 +3,7 @@
 #include "gateway/daemon.h"
 #include "libwisteriaroute/base/log.h"
 #include "libwisteriaroute/base/program.h"
+#include "libwisteriaroute/net/memory_budget.h"
 
 namespace {
 
@@ -18,7 +19,8 @@
 [process]  name, region, data_center, listen, controls, cluster_key_file;
            optional: advertise, control_port, learn_controls, trusted_network,
            listen_metrics, log_level, protocol
-[gateway]  listen_http, listen_ready; optional: max_connections,
+[gateway]  listen_http, listen_ready; optional: max_connections, memory_mb,
+           max_fds, send_timeout_ms,
            serve_without_quorum, settle_ms, drain_limit_ms, retry_ratio,
            retry_floor, retry_window_ms, server_queue, silent_stream_ms,
            group_start_ms
@@ -50,6 +52,7 @@
            [&] {
              base::InitializeLog(settings.process.name,
                                  settings.process.log_level);
+             net::ReturnFreedMemory();
              net::loop event_loop;
              gateway::daemon daemon(event_loop, settings);
              daemon.Run();
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -27,6 +27,12 @@
   settings.listen_ready = ReadAddress(reader, "listen_ready");
   settings.max_connections =
       reader.Integer("max_connections", settings.max_connections, 1, 1'000'000);
+  settings.memory_mb =
+      reader.Integer("memory_mb", settings.memory_mb, 48, 1'000'000);
+  settings.max_fds =
+      reader.Integer("max_fds", settings.max_fds, 600, 10'000'000);
+  settings.send_timeout_ms =
+      reader.Integer("send_timeout_ms", settings.send_timeout_ms, 100, 600'000);
   settings.serve_without_quorum =
       reader.Boolean("serve_without_quorum", settings.serve_without_quorum);
   settings.settle_ms =
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -18,6 +18,12 @@
   /** `IP:port` of the load balancer's readiness check. */
   std::string listen_ready;
   std::int64_t max_connections = 2'000;
+  /** Memory that the process may use. */
+  std::int64_t memory_mb = 112;
+  /** Descriptors that the process may open. */
+  std::int64_t max_fds = 2'870;
+  /** A caller that doesn't take its output for this long is disconnected. */
+  std::int64_t send_timeout_ms = 60'000;
   /**
    * Whether requests are served after the lease has expired because no quorum
    * of control is reachable. The last known configuration stays in force.
--- a/src/libwisteriaroute/gateway/attempts.cc
+++ b/src/libwisteriaroute/gateway/attempts.cc
@@ -166,7 +166,7 @@
   const char* broken =
       TakeEvents(request, step.state.options.max_event_bytes, data, forwarded);
   if (!forwarded.empty()) {
-    if (follows_event) {
+    if (follows_event && !std::exchange(request.gap_is_callers, false)) {
       RecordEventGap(step, request);
     }
     WriteEvents(step, request, std::move(forwarded));
--- a/src/libwisteriaroute/gateway/gateway.cc
+++ b/src/libwisteriaroute/gateway/gateway.cc
@@ -93,7 +93,7 @@
   for (const auto& [exchange, request] : step.state.requests) {
     if (request.deadline_us <= step.now_us) {
       late.push_back(exchange);
-    } else if (request.phase == request_phase::kStreaming &&
+    } else if (request.phase == request_phase::kStreaming && !request.blocked &&
                step.now_us - request.last_event_us >
                    step.state.options.silent_stream_ms * 1'000) {
       silent.push_back(exchange);
@@ -142,6 +142,22 @@
       Forget(step, found->second);
     }
   }
+  void operator()(const stream_blocked& event) const {
+    const auto found = step.state.requests.find(event.exchange);
+    if (found != step.state.requests.end()) {
+      found->second.blocked = event.blocked;
+      // The time for which the caller didn't read isn't the server's.
+      found->second.last_event_us = step.now_us;
+      found->second.gap_is_callers = true;
+    }
+  }
+  void operator()(const answer_shed& event) const {
+    const auto found = step.state.requests.find(event.exchange);
+    if (found != step.state.requests.end()) {
+      CancelAttempt(step, found->second);
+      GiveUp(step, found->second, "memory_budget");
+    }
+  }
   void operator()(const attempt_head& event) const { HandleHead(step, event); }
   void operator()(const attempt_data& event) const { HandleData(step, event); }
   void operator()(const attempt_ended& event) const {
--- a/src/libwisteriaroute/gateway/gateway.h
+++ b/src/libwisteriaroute/gateway/gateway.h
@@ -96,6 +96,10 @@
   /** Whether the caller has been sent an event without an id. */
   bool has_unnumbered_events = false;
   base::time_us last_event_us = 0;
+  /** The caller has much unread, so nothing is read from the server. */
+  bool blocked = false;
+  /** The next gap between events was caused by the caller. */
+  bool gap_is_callers = false;
   std::uint64_t events = 0;
   /** Events of the current attempt. */
   std::uint64_t attempt_events = 0;
@@ -137,6 +141,15 @@
 struct caller_left {
   exchange_id exchange = 0;
 };
+/** The caller of a stream has much unread, or has read most of it. */
+struct stream_blocked {
+  exchange_id exchange = 0;
+  bool blocked = false;
+};
+/** There is no memory for the answer that is being received. */
+struct answer_shed {
+  exchange_id exchange = 0;
+};
 struct attempt_head {
   attempt_id attempt = 0;
   response_head head;
@@ -179,6 +192,8 @@
                                    members_updated,
                                    request_arrived,
                                    caller_left,
+                                   stream_blocked,
+                                   answer_shed,
                                    attempt_head,
                                    attempt_data,
                                    attempt_ended,
--- a/src/libwisteriaroute/net/http_parser.h
+++ b/src/libwisteriaroute/net/http_parser.h
@@ -78,6 +78,13 @@
         break;
       }
     }
+    // Beast applies its limit to what it hasn't consumed of the header, and
+    // fields that arrive in pieces that end after the first byte of the next
+    // one never exceed it.
+    if (!result.failed && !this->is_header_done() &&
+        consumed_bytes_ + input.size() - result.consumed > header_bytes_) {
+      Limit(result, kHeadersTooLarge, "header limit exceeded");
+    }
     // Beast asks for more input until a chunk header or the trailers are
     // complete, and has no limit for either.
     if (!result.failed && this->is_header_done() && !this->is_done() &&
--- a/src/libwisteriaroute/net/http_server.h
+++ b/src/libwisteriaroute/net/http_server.h
@@ -97,6 +97,10 @@
   /** Counts the output of the exchange's connection for a workspace. */
   void SetWorkspace(exchange_id id, std::string_view workspace);
 
+  /** Closes slow connections until what is held fits the budget; returns
+   * whether it fits, or exceeds it by less than a quarter. */
+  bool MakeRoom();
+
   /** Makes each later response close its connection. */
   void CloseAfterResponses() { closing_ = true; }
   /** Closes connections without a request, even a partially received one. */
--- a/src/libwisteriaroute/net/http_server_guard.cc
+++ b/src/libwisteriaroute/net/http_server_guard.cc
@@ -15,9 +15,8 @@
 constexpr const char* kRetryAfterSeconds = "1";
 // Parsed headers are kept as pairs of strings.
 constexpr std::size_t kBytesPerHeader = 128;
-// A request is copied for its server: the body as received, as sent, and as
-// the parts of the message.
-constexpr std::size_t kCopiesOfBody = 3;
+// A request is kept for further attempts, and copied until it is sent.
+constexpr std::size_t kCopiesOfBody = 2;
 // A caller that takes its output within this time isn't slow.
 constexpr base::time_us kSlowUs = 250'000;
 constexpr std::size_t kMinSlowBytes = 16 * 1024;
@@ -93,6 +92,10 @@
   return true;
 }
 
+bool http_server::MakeRoom() {
+  return FreeMemory(0) || budget_->used() <= budget_->limit() / 4 * 5;
+}
+
 bool http_server::RefuseLargestInput() {
   connection* largest = nullptr;
   for (const auto& [id, one] : connections_) {
--- a/src/libwisteriaroute/net/memory_budget.cc
+++ b/src/libwisteriaroute/net/memory_budget.cc
@@ -1,5 +1,7 @@
 #include "libwisteriaroute/net/memory_budget.h"
 
+#include <malloc.h>
+
 #include <algorithm>
 
 namespace wisteriaroute::net {
@@ -15,6 +17,9 @@
 // allocator and the kernel's socket buffers need memory that isn't counted.
 constexpr std::size_t kBudgetPercent = 60;
 
+constexpr int kLargeBlockBytes = 64 * 1024;
+constexpr int kTrimBytes = 1024 * 1024;
+
 // The platform reserves 200 descriptors for files. The others are for
 // listeners, links to control, probes, the metrics address, and connections to
 // servers that are idle.
@@ -85,6 +90,11 @@
   return std::max(free / 100 * kBudgetPercent, kMinBudgetBytes);
 }
 
+void ReturnFreedMemory() {
+  mallopt(M_MMAP_THRESHOLD, kLargeBlockBytes);
+  mallopt(M_TRIM_THRESHOLD, kTrimBytes);
+}
+
 descriptor_plan PlanDescriptors(std::int64_t max_fds,
                                 std::int64_t max_connections) {
   const std::int64_t free =
--- a/src/libwisteriaroute/net/memory_budget.h
+++ b/src/libwisteriaroute/net/memory_budget.h
@@ -88,6 +88,12 @@
 /** Memory for callers and servers in a process that may use `memory_mb`. */
 std::size_t BudgetBytes(std::int64_t memory_mb);
 
+/**
+ * Makes the allocator return large blocks to the system when they are freed. By
+ * default it keeps them, so that the process stays as large as it ever was.
+ */
+void ReturnFreedMemory();
+
 /** How the descriptors of a process are shared out. */
 struct descriptor_plan {
   /** Connections of callers. */
