--- a/src/entry/daemon.cc
+++ b/src/entry/daemon.cc
@@ -1,6 +1,8 @@
 #include "entry/daemon.h"
 
+#include <algorithm>
 #include <csignal>
+#include <limits>
 #include <utility>
 
 #include "libwisteriaroute/base/digest.h"
@@ -18,13 +20,29 @@
 // Time to send the last responses and the goodbye message to control.
 constexpr base::time_us kExitDelayUs = 100'000;
 // A stream with more unsent bytes than this is aborted: its caller reads too
-// slowly.
+// slowly. A smaller part of the memory budget also counts.
 constexpr std::size_t kMaxBufferedBytes = 16 * 1024 * 1024;
+// Bounds what the kernel holds for a connection.
+constexpr std::size_t kSocketBytes = 64 * 1024;
 
 net::http_server_limits HttpLimits(const entry_settings& settings) {
+  const net::descriptor_plan plan =
+      net::PlanDescriptors(settings.max_fds, settings.max_connections);
   return {.header_bytes = static_cast<std::size_t>(settings.max_header_bytes),
           .body_bytes = static_cast<std::size_t>(settings.max_body_bytes),
-          .connections = static_cast<unsigned>(settings.max_connections)};
+          .total_body_bytes = std::numeric_limits<std::size_t>::max(),
+          .connections = plan.callers,
+          .socket_bytes = kSocketBytes,
+          .header_timeout_ms = settings.header_timeout_ms,
+          .idle_timeout_ms = settings.idle_timeout_ms,
+          .send_timeout_ms = settings.send_timeout_ms};
+}
+
+std::string OverloadBody() {
+  return ErrorBody({.code = "overloaded",
+                    .message = "the entry has no memory for the request",
+                    .ran = wire::outcome::kNotRun},
+                   "");
 }
 
 }  // namespace
@@ -33,13 +51,14 @@
     : loop_(event_loop),
       settings_(settings),
       incarnation_(base::RandomU64()),
+      budget_(net::BudgetBytes(settings.entry.memory_mb)),
       hub_(net::MakeLinkContext(event_loop,
                                 settings.process,
                                 "entry",
                                 incarnation_,
                                 clock_),
            HubCallbacks()),
-      http_(event_loop, HttpLimits(settings.entry), HttpCallbacks()),
+      http_(event_loop, HttpLimits(settings.entry), HttpCallbacks(), &budget_),
       tick_(event_loop.ev(),
             [this] {
               Handle(tick{base::RandomU64()});
@@ -113,22 +132,46 @@
 }
 
 net::http_server_callbacks daemon::HttpCallbacks() {
-  return {
-      .on_request =
-          [this](net::exchange_id id, net::http_server_request request) {
-            Handle(http_received{.exchange = id,
-                                 .request = std::move(request),
-                                 .wall_ms = base::WallMs(),
-                                 .seed = base::RandomU64()});
-          },
-      .on_abandoned = [this](net::exchange_id id) { Handle(caller_left{id}); },
-      .too_large_body =
-          [] {
-            return ErrorBody({.code = "body_too_large",
-                              .message = "the body is too large",
-                              .ran = wire::outcome::kNotRun},
-                             "");
-          }};
+  return {.on_request =
+              [this](net::exchange_id id, net::http_server_request request) {
+                HandleRequest(id, std::move(request));
+              },
+          .on_abandoned =
+              [this](net::exchange_id id) {
+                held_.erase(id);
+                // Another caller's output may have closed this connection while
+                // an effect is being executed.
+                loop_.Defer([this, id] { Handle(caller_left{id}); });
+              },
+          .too_large_body =
+              [] {
+                return ErrorBody({.code = "body_too_large",
+                                  .message = "the body is too large",
+                                  .ran = wire::outcome::kNotRun},
+                                 "");
+              },
+          .overload_body = OverloadBody};
+}
+
+void daemon::HandleRequest(net::exchange_id id,
+                           net::http_server_request request) {
+  held_.try_emplace(id, &budget_, net::memory_use::kRequests)
+      .first->second.Set(net::HeldBytes(request));
+  Handle(http_received{.exchange = id,
+                       .request = std::move(request),
+                       .wall_ms = base::WallMs(),
+                       .seed = base::RandomU64()});
+  // The workspace is known only now; a request that was refused holds nothing.
+  const auto held = held_.find(id);
+  const auto number = state_.request_of_exchange.find(id);
+  if (held == held_.end() || number == state_.request_of_exchange.end()) {
+    return;
+  }
+  const auto open = state_.requests.find(number->second);
+  if (open != state_.requests.end()) {
+    held->second.SetWorkspace(open->second.workspace);
+    http_.SetWorkspace(id, open->second.workspace);
+  }
 }
 
 member::control_session_callbacks daemon::SessionCallbacks() {
@@ -248,6 +291,7 @@
 }
 
 void daemon::Run(const http_respond& effect) {
+  held_.erase(effect.exchange);
   http_.Respond(effect.exchange, effect.status, effect.headers, effect.body);
 }
 
@@ -256,20 +300,24 @@
 }
 
 void daemon::Run(const stream_write& effect) {
-  if (http_.BufferedBytes(effect.exchange) <= kMaxBufferedBytes) {
+  if (http_.BufferedBytes(effect.exchange) <=
+      std::min(kMaxBufferedBytes, budget_.workspace_limit() / 2)) {
     http_.Write(effect.exchange, effect.data);
     return;
   }
+  held_.erase(effect.exchange);
   http_.AbortStream(effect.exchange);
   metrics_.Count("wisteriaroute_slow_callers_total");
   loop_.Defer([this, id = effect.exchange] { Handle(caller_left{id}); });
 }
 
 void daemon::Run(const stream_end& effect) {
+  held_.erase(effect.exchange);
   http_.EndStream(effect.exchange);
 }
 
 void daemon::Run(const stream_abort& effect) {
+  held_.erase(effect.exchange);
   http_.AbortStream(effect.exchange);
 }
 
@@ -283,11 +331,31 @@
   metrics_.Set("wisteriaroute_agent_links",
                static_cast<double>(state_.agent_of_link.size()));
   metrics_.Set("wisteriaroute_revision", static_cast<double>(state_.revision));
+  ReportMemory();
+  held_.erase(effect.exchange);
   http_.Respond(effect.exchange, 200,
                 {{"Content-Type", "text/plain; version=0.0.4"}},
                 metrics_.Render());
 }
 
+void daemon::ReportMemory() {
+  for (const net::memory_use use :
+       {net::memory_use::kInput, net::memory_use::kRequests,
+        net::memory_use::kOutput}) {
+    metrics_.Set("wisteriaroute_held_bytes{use=\"" +
+                     std::string(net::ToString(use)) + "\"}",
+                 static_cast<double>(budget_.used(use)));
+  }
+  metrics_.Set("wisteriaroute_held_bytes_limit",
+               static_cast<double>(budget_.limit()));
+  metrics_.Set("wisteriaroute_slow_callers_closed",
+               static_cast<double>(http_.slow_callers_closed()));
+  metrics_.Set("wisteriaroute_inputs_refused",
+               static_cast<double>(http_.refused_inputs()));
+  metrics_.Set("wisteriaroute_connections_evicted",
+               static_cast<double>(http_.evicted_connections()));
+}
+
 void daemon::Run(const send_work& effect) {
   hub_.Send(effect.link, wire::Encode(effect.message));
 }
--- a/src/entry/daemon.h
+++ b/src/entry/daemon.h
@@ -16,6 +16,7 @@
 #include "libwisteriaroute/net/http_server.h"
 #include "libwisteriaroute/net/link_hub.h"
 #include "libwisteriaroute/net/loop.h"
+#include "libwisteriaroute/net/memory_budget.h"
 #include "libwisteriaroute/net/settings_reload.h"
 
 namespace wisteriaroute::entry {
@@ -40,6 +41,8 @@
    */
   net::restart_list Reload(std::string_view text, base::findings& out);
 
+  void HandleRequest(net::exchange_id id, net::http_server_request request);
+  void ReportMemory();
   void Handle(const entry_event& event);
   void HandleUp(net::link_id link,
                 net::dial_id dial,
@@ -76,8 +79,11 @@
   entry_state state_;
   configuration_mirror mirror_;
   bool was_ready_ = false;
+  net::memory_budget budget_;
   net::link_hub hub_;
   net::http_server http_;
+  /** What requests in progress hold. */
+  std::map<net::exchange_id, net::memory_charge> held_;
   std::optional<member::control_session> session_;
   std::optional<net::settings_reload> reload_;
   std::map<std::string, net::dial_id> dials_;
--- a/src/entry/main.cc
+++ b/src/entry/main.cc
@@ -3,6 +3,7 @@
 #include "entry/daemon.h"
 #include "libwisteriaroute/base/log.h"
 #include "libwisteriaroute/base/program.h"
+#include "libwisteriaroute/net/memory_budget.h"
 
 namespace {
 
@@ -47,6 +48,7 @@
            [&] {
              base::InitializeLog(settings.process.name,
                                  settings.process.log_level);
+             net::ReturnFreedMemory();
              net::loop event_loop;
              entry::daemon daemon(event_loop, settings);
              daemon.Run();
--- a/src/gateway/daemon.cc
+++ b/src/gateway/daemon.cc
@@ -180,8 +180,10 @@
     return;
   }
   caller_server_.SetWorkspace(exchange, name);
-  requests_.try_emplace(exchange, &budget_, std::move(request))
-      .first->second.held.SetWorkspace(name);
+  open_request& open = requests_.try_emplace(exchange, &budget_).first->second;
+  open.request = std::move(request);
+  open.held.SetWorkspace(name);
+  open.held.Set(net::HeldBytes(open.request));
   Handle(request_arrived{exchange, std::move(decoded)});
 }
 
--- a/src/gateway/daemon.h
+++ b/src/gateway/daemon.h
@@ -6,7 +6,6 @@
 #include <memory>
 #include <optional>
 #include <string_view>
-#include <utility>
 
 #include "gateway/settings.h"
 #include "libwisteriaroute/base/hlc.h"
@@ -42,13 +41,9 @@
  private:
   /** A request in progress, kept to be sent in further attempts. */
   struct open_request {
-    open_request(net::memory_budget* budget,
-                 net::http_server_request&& received)
-        : request(std::move(received)),
-          held(budget, net::memory_use::kRequests),
-          answer(budget, net::memory_use::kAnswers) {
-      held.Set(net::HeldBytes(request));
-    }
+    explicit open_request(net::memory_budget* budget)
+        : held(budget, net::memory_use::kRequests),
+          answer(budget, net::memory_use::kAnswers) {}
 
     net::http_server_request request;
     net::memory_charge held;
--- a/src/libwisteriaroute/entry/settings.cc
+++ b/src/libwisteriaroute/entry/settings.cc
@@ -20,6 +20,15 @@
       "max_body_bytes", defaults.max_body_bytes, 1'024, 4 * 1'048'576);
   result.max_connections =
       reader.Integer("max_connections", defaults.max_connections, 1, 65'536);
+  result.memory_mb =
+      reader.Integer("memory_mb", defaults.memory_mb, 48, 1'000'000);
+  result.max_fds = reader.Integer("max_fds", defaults.max_fds, 600, 10'000'000);
+  result.header_timeout_ms = reader.Integer(
+      "header_timeout_ms", defaults.header_timeout_ms, 1, 600'000);
+  result.idle_timeout_ms =
+      reader.Integer("idle_timeout_ms", defaults.idle_timeout_ms, 1, 600'000);
+  result.send_timeout_ms =
+      reader.Integer("send_timeout_ms", defaults.send_timeout_ms, 100, 600'000);
   result.max_queue = reader.Integer("max_queue", defaults.max_queue, 1, 65'536);
   result.default_deadline_ms = reader.Integer(
       "default_deadline_ms", defaults.default_deadline_ms, 1, 86'400'000);
--- a/src/libwisteriaroute/entry/settings.h
+++ b/src/libwisteriaroute/entry/settings.h
@@ -15,6 +15,16 @@
   std::int64_t max_header_bytes = 16 * 1024;
   std::int64_t max_body_bytes = 1024 * 1024;
   std::int64_t max_connections = 4'096;
+  /** Memory that the process may use. */
+  std::int64_t memory_mb = 112;
+  /** Descriptors that the process may open. */
+  std::int64_t max_fds = 4'096;
+  /** Time limit for receiving a request. */
+  std::int64_t header_timeout_ms = 60'000;
+  /** Connections without a request are closed after this time. */
+  std::int64_t idle_timeout_ms = 60'000;
+  /** A caller that doesn't take its output for this long is disconnected. */
+  std::int64_t send_timeout_ms = 60'000;
   std::int64_t max_queue = 1'024;
   /** Deadline of generation requests without X-Request-Deadline-Ms. */
   std::int64_t default_deadline_ms = 120'000;
--- a/src/libwisteriaroute/net/memory_budget.cc
+++ b/src/libwisteriaroute/net/memory_budget.cc
@@ -29,9 +29,9 @@
 }  // namespace
 
 std::string_view ToString(memory_use use) {
-  constexpr std::array<std::string_view, kMemoryUses> names = {
+  constexpr std::array<std::string_view, kMemoryUses> kNames = {
       "input", "requests", "answers", "output"};
-  return names.at(static_cast<std::size_t>(use));
+  return kNames.at(static_cast<std::size_t>(use));
 }
 
 void memory_budget::SetLimit(std::size_t limit_bytes) {
--- a/tests/process/raw_callers.cc
+++ b/tests/process/raw_callers.cc
@@ -22,6 +22,7 @@
 // Keeps unread bytes out of the kernel, which is shared by all tests.
 constexpr int kReceiveBytes = 16 * 1024;
 constexpr int kPollMs = 20;
+constexpr std::size_t kBeginningBytes = 100;
 
 }  // namespace
 
@@ -107,6 +108,8 @@
     const ssize_t count = recv(one.fd, buffer.data(), buffer.size(), 0);
     if (count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK)) {
       Disconnect(one);
+    } else if (count > 0 && one.beginning.size() < kBeginningBytes) {
+      one.beginning.append(buffer, 0, static_cast<std::size_t>(count));
     }
   }
 }
--- a/tests/process/raw_callers.h
+++ b/tests/process/raw_callers.h
@@ -36,6 +36,8 @@
   void SendByte(char byte);
   /** Each caller reads at most `bytes` of what has arrived. */
   void Read(std::size_t bytes);
+  /** The first bytes that the first caller has read. */
+  const std::string& beginning() const { return callers_.front().beginning; }
   /** Number of callers that were not disconnected when they last sent or read.
    */
   std::size_t connected() const;
@@ -46,6 +48,7 @@
   struct caller {
     int fd = -1;
     std::size_t sent = 0;
+    std::string beginning;
   };
 
   /** Sends more of the input; returns whether the caller can go on. */
--- a/tests/process/untrusted_callers_test.cc
+++ b/tests/process/untrusted_callers_test.cc
@@ -122,6 +122,18 @@
       system.RunFor(2'000);
     }
   }
+  SUBCASE("header lines in pieces that end within the next one") {
+    const std::string first = "POST /lookup/1 HTTP/1.1\r\nA";
+    const std::string line = ":b\r\nA";
+    const std::size_t piece = 800 * line.size();
+    for (std::size_t i = 1; i <= 500; ++i) {
+      callers.Send({.prefix = first,
+                    .unit = Repeat(line, piece),
+                    .bytes = first.size() + i * piece},
+                   kSendLimitUs / 1'000);
+      system.RunFor(2'000);
+    }
+  }
   SUBCASE("bytes that are no request") {
     callers.Send({.prefix = "",
                   .unit = Repeat(std::string("\0\r\n\x7f", 4), 64 * kKib),
@@ -132,6 +144,30 @@
   CHECK(IsServed(system));
 }
 
+TEST_CASE("a gateway serves the largest body in chunks of one byte") {
+  gateway_system system(Options());
+  system.PublishAndWait();
+  raw_callers callers(system.HttpAddress(0), 1);
+  const std::string head = Head("/lookup/1", "Transfer-Encoding: chunked\r\n");
+  const std::string chunk = "1\r\nb\r\n";
+  const std::string end = "0\r\n\r\n";
+  const std::size_t body_bytes = 4 * kMib * chunk.size();
+  callers.Send({.prefix = head,
+                .unit = Repeat(chunk, 10'000 * chunk.size()),
+                .bytes = head.size() + body_bytes},
+               kSendLimitUs);
+  callers.Send({.prefix = std::string(head.size() + body_bytes, ' ') + end,
+                .unit = "",
+                .bytes = head.size() + body_bytes + end.size()},
+               kSendLimitUs);
+  for (int i = 0; i < 200 && callers.beginning().empty(); ++i) {
+    callers.Read(kKib);
+    system.RunFor(50'000);
+  }
+  CHECK(callers.beginning().starts_with("HTTP/1.1 200"));
+  CheckProcesses(system);
+}
+
 TEST_CASE("a gateway outlives callers that don't read their answers") {
   gateway_system system(Options());
   system.PublishAndWait();
