--- a/src/libwisteriaroute/policy/demand_tracker.cc
+++ b/src/libwisteriaroute/policy/demand_tracker.cc
@@ -110,8 +110,9 @@
   return weight > 0 ? moved / weight : 0;
 }
 
-void RemoveReport(demand_tracker& tracker,
-                  std::deque<demand_tracker::recent_report>::iterator report) {
+void RemoveReport(demand_tracker& tracker, std::size_t index) {
+  const auto report =
+      tracker.reports.begin() + static_cast<std::ptrdiff_t>(index);
   for (std::size_t i = 0; i < tracker.sum.size(); ++i) {
     tracker.sum[i] -= report->counts.tokens[i];
   }
@@ -121,10 +122,8 @@
 template <typename Test>
 void RemoveReportsIf(demand_tracker& tracker, Test&& test) {
   for (std::size_t i = tracker.reports.size(); i > 0; --i) {
-    const auto report =
-        tracker.reports.begin() + static_cast<std::ptrdiff_t>(i - 1);
-    if (test(*report)) {
-      RemoveReport(tracker, report);
+    if (test(tracker.reports[i - 1])) {
+      RemoveReport(tracker, i - 1);
     }
   }
 }
@@ -132,7 +131,7 @@
 void RemoveOldReports(demand_tracker& tracker, base::time_us now_us) {
   while (!tracker.reports.empty() &&
          tracker.reports.front().at_us < now_us - kMaxReportAgeUs) {
-    RemoveReport(tracker, tracker.reports.begin());
+    RemoveReport(tracker, 0);
   }
 }
 
--- a/src/libwisteriaroute/sidecar/sidecar.cc
+++ b/src/libwisteriaroute/sidecar/sidecar.cc
@@ -155,6 +155,8 @@
       state.ordered_version = order.version;
     }
     state.busy_until_us = now + kBusyUs;
+    state.next_status_us =
+        std::min(state.next_status_us, now + kBusyStatusPeriodUs);
     out.push_back(log_order{order, "passed on"});
     out.push_back(forward_order{std::move(forwarded)});
   }
--- a/tests/coordinator/coordinator_property_test.cc
+++ b/tests/coordinator/coordinator_property_test.cc
@@ -287,6 +287,7 @@
       if (one.prepared != 0 && one.prepared_at_us <= now_us) {
         status.prepared_version = one.prepared;
       }
+      status.pace_permille = RandomChance() < 0.5 ? 1'000 : 2'000;
       // One expert gets most of the tokens; every 3 s it is another one.
       status.first_count_step = group.step > 1 ? group.step - 2 : 0;
       status.last_count_step = group.step;
--- a/tests/coordinator/shift_replay.h
+++ b/tests/coordinator/shift_replay.h
@@ -32,6 +32,8 @@
   double bytes_per_us = 1;
   /** Pace of the last rank between these times; 1: healthy. */
   double slow_pace = 1;
+  /** Whether ranks report their pace. */
+  bool report_pace = true;
   base::time_us slow_from_us = 0;
   base::time_us slow_until_us = 0;
   std::uint32_t seed = 1;
@@ -80,6 +82,13 @@
  */
 replay_result Replay(const replay_settings& settings);
 
+/** The median of a stage over the shifts in which it was reached. */
+base::time_us MedianUs(const replay_result& result,
+                       base::time_us replay_stages::*stage);
+/** The longest time of a stage. */
+base::time_us LongestUs(const replay_result& result,
+                        base::time_us replay_stages::*stage);
+
 /** Prints the stages and totals, one line each. */
 std::string Describe(const replay_settings& settings,
                      const replay_result& result);
--- a/tests/coordinator/shift_replay_harness.cc
+++ b/tests/coordinator/shift_replay_harness.cc
@@ -340,16 +340,21 @@
 
   wire::rank_status Status(std::uint32_t r) const {
     const replay_rank& rank = hosts_[r].rank;
-    wire::rank_status status{.group = "g",
-                             .formation = 1,
-                             .rank = r,
-                             .ranks = settings_.ranks,
-                             .group_running = true,
-                             .step = step_,
-                             .map_version = rank.map_version,
-                             .armed_version = rank.armed_version,
-                             .armed_step = rank.armed_step,
-                             .held_step = rank.held > step_ ? rank.held : 0};
+    wire::rank_status status{
+        .group = "g",
+        .formation = 1,
+        .rank = r,
+        .ranks = settings_.ranks,
+        .group_running = true,
+        .step = step_,
+        .map_version = rank.map_version,
+        .armed_version = rank.armed_version,
+        .armed_step = rank.armed_step,
+        .held_step = rank.held > step_ ? rank.held : 0,
+        .pace_permille =
+            settings_.report_pace
+                ? static_cast<std::uint32_t>(rank.pace * wire::kHealthyPace)
+                : wire::kHealthyPace};
     if (rank.prepared != 0 && rank.prepared_at_us <= now_us_) {
       status.prepared_version = rank.prepared;
     }
@@ -597,27 +602,46 @@
   double cpu_s_ = 0;
 };
 
+/** The times at which a stage was reached, shortest first. */
+std::vector<base::time_us> SortedTimes(const replay_result& result,
+                                       base::time_us replay_stages::*stage) {
+  std::vector<base::time_us> times;
+  for (const replay_stages& one : result.shifts) {
+    if (one.*stage >= 0) {
+      times.push_back(one.*stage);
+    }
+  }
+  std::ranges::sort(times);
+  return times;
+}
+
 }  // namespace
 
 replay_result Replay(const replay_settings& settings) {
   return world(settings).Run();
 }
 
+base::time_us MedianUs(const replay_result& result,
+                       base::time_us replay_stages::*stage) {
+  const std::vector<base::time_us> times = SortedTimes(result, stage);
+  return times.empty() ? -1 : times[times.size() / 2];
+}
+
+base::time_us LongestUs(const replay_result& result,
+                        base::time_us replay_stages::*stage) {
+  const std::vector<base::time_us> times = SortedTimes(result, stage);
+  return times.empty() ? -1 : times.back();
+}
+
 std::string Describe(const replay_settings& settings,
                      const replay_result& result) {
   std::ostringstream out;
   const auto stage = [&](const char* name, auto field) {
-    std::vector<base::time_us> times;
-    for (const replay_stages& one : result.shifts) {
-      if (one.*field >= 0) {
-        times.push_back(one.*field / 1'000);
-      }
-    }
-    std::ranges::sort(times);
+    const std::vector<base::time_us> times = SortedTimes(result, field);
     if (!times.empty()) {
-      out << ' ' << name << ' ' << times[times.size() / 2] << '/'
-          << times[times.size() * 9 / 10] << '/' << times.back() << " ("
-          << times.size() << ')';
+      out << ' ' << name << ' ' << times[times.size() / 2] / 1'000 << '/'
+          << times[times.size() * 9 / 10] / 1'000 << '/' << times.back() / 1'000
+          << " (" << times.size() << ')';
     }
   };
   out << settings.ranks << " ranks, " << settings.shape.sets << " x "
@@ -633,7 +657,7 @@
   stage("held", &replay_stages::held_us);
   stage("armed", &replay_stages::armed_us);
   stage("in_force", &replay_stages::in_force_us);
-  stage("FIT", &replay_stages::fitting_us);
+  stage("fitting", &replay_stages::fitting_us);
   double before = 0;
   double after = 0;
   int changed = 0;
