--- a/tests/policy/demand_tracker_test.cc
+++ b/tests/policy/demand_tracker_test.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "tests/policy/naive_demand_window.h"
+#include "tests/policy/windowed_demand_tracker.h"
 
 namespace wisteriaroute::policy {
 namespace {
@@ -150,6 +151,19 @@
   auto Settled(base::time_us now) { return SettledDemand(state, kRanks, now); }
 };
 
+struct windowed_tracked {
+  windowed::demand_tracker state;
+
+  void Note(std::uint32_t rank,
+            const std::vector<std::uint32_t>& counts,
+            base::time_us now) {
+    windowed::NoteCounts(state, rank, counts, now);
+  }
+  auto Settled(base::time_us now) {
+    return windowed::SettledDemand(state, kRanks, kExperts, now);
+  }
+};
+
 TEST_CASE("demand after a shift") {
   constexpr int kShifts = 80;
   base::time_us slowest = 0;
@@ -157,11 +171,14 @@
   double naive_most_mixed = 0;
   double sum_us = 0;
   double naive_sum_us = 0;
+  double windowed_sum_us = 0;
   for (int i = 0; i < kShifts; ++i) {
     const base::time_us at = 1'000'000 + i * 13'000;
     const counting counted = i % 2 == 0 ? counting::kAtBegin : counting::kAtEnd;
     const outcome seen = FirstDemandAfter(at, counted, tracked());
     const outcome naive = FirstDemandAfter(at, counted, naive_demand_window());
+    windowed_sum_us += static_cast<double>(
+        FirstDemandAfter(at, counted, windowed_tracked()).delay_us);
     slowest = std::max(slowest, seen.delay_us);
     most_mixed = std::max(most_mixed, seen.mixed);
     naive_most_mixed = std::max(naive_most_mixed, naive.mixed);
@@ -169,7 +186,8 @@
     naive_sum_us += static_cast<double>(naive.delay_us);
   }
   MESSAGE("mean delay ", sum_us / kShifts / 1'000, " ms, naive ",
-          naive_sum_us / kShifts / 1'000, " ms; most mixed ", most_mixed,
+          naive_sum_us / kShifts / 1'000, " ms, windowed ",
+          windowed_sum_us / kShifts / 1'000, " ms; most mixed ", most_mixed,
           ", naive ", naive_most_mixed);
 
   SUBCASE("is returned once it contains no counts from before the shift") {
@@ -177,6 +195,10 @@
     CHECK(naive_most_mixed > 0.2);
   }
 
+  SUBCASE("is returned sooner than by comparing windows of 200 ms") {
+    CHECK(sum_us < 0.7 * windowed_sum_us);
+  }
+
   SUBCASE("is returned within three report intervals") {
     CHECK(slowest <= 3 * kReportUs);
   }
