--- a/src/libwisteriaroute/wire/placement_edits.cc
+++ b/src/libwisteriaroute/wire/placement_edits.cc
@@ -17,15 +17,18 @@
   return list;
 }
 
-void AppendList(std::string& bytes, const expert_list& list) {
-  AppendVarint(bytes, static_cast<std::uint32_t>(list.size()));
+// Bits of the number of added experts beside that of removed ones; the largest
+// value means that a varint with the rest follows.
+constexpr std::uint32_t kSizeBits = 3;
+constexpr std::uint32_t kMaxSize = (1U << kSizeBits) - 1;
+
+void AppendExperts(std::string& bytes, const expert_list& list) {
   for (const std::uint16_t expert : list) {
     AppendVarint(bytes, expert);
   }
 }
 
-expert_list TakeList(std::string_view& bytes) {
-  const std::uint32_t size = TakeVarint(bytes);
+expert_list TakeExperts(std::string_view& bytes, std::uint32_t size) {
   if (size > bytes.size()) {
     throw malformed_message("list size exceeds the message size");
   }
@@ -92,45 +95,65 @@
   for (const auto& ranks : placement) {
     AppendVarint(bytes, static_cast<std::uint32_t>(ranks.size()));
     for (const expert_list& list : ranks) {
-      AppendList(bytes, Sorted(list));
+      AppendVarint(bytes, static_cast<std::uint32_t>(list.size()));
+      AppendExperts(bytes, Sorted(list));
     }
   }
   return base::Hash64(bytes);
 }
 
-// Sets and ranks increase, so only their differences are written.
+// Sets and ranks increase, so the differences of their index among all lists
+// are small. An edit of one expert takes four bytes if the experts are below
+// 128; a coordinator sends 130 edits to each of 63 ranks.
 std::string PackEdits(std::span<const placement_edit> edits) {
   std::string bytes;
-  std::uint32_t set = 0;
-  std::uint32_t rank = 0;
+  if (edits.empty()) {
+    return bytes;
+  }
+  std::uint32_t ranks = 0;
+  for (const placement_edit& edit : edits) {
+    ranks = std::max(ranks, edit.rank + 1);
+  }
+  AppendVarint(bytes, ranks);
+  std::uint32_t last = 0;
   for (const placement_edit& edit : edits) {
-    if (edit.set != set) {
-      rank = 0;
+    const std::uint32_t index = edit.set * ranks + edit.rank;
+    AppendVarint(bytes, index - last);
+    last = index;
+    const auto removed = static_cast<std::uint32_t>(edit.removed.size());
+    const auto added = static_cast<std::uint32_t>(edit.added.size());
+    AppendVarint(bytes, (removed << kSizeBits) | std::min(added, kMaxSize));
+    if (added >= kMaxSize) {
+      AppendVarint(bytes, added - kMaxSize);
     }
-    AppendVarint(bytes, edit.set - set);
-    AppendVarint(bytes, edit.rank - rank);
-    set = edit.set;
-    rank = edit.rank;
-    AppendList(bytes, edit.removed);
-    AppendList(bytes, edit.added);
+    AppendExperts(bytes, edit.removed);
+    AppendExperts(bytes, edit.added);
   }
   return bytes;
 }
 
 std::vector<placement_edit> UnpackEdits(std::string_view bytes) {
   std::vector<placement_edit> edits;
-  std::uint32_t set = 0;
-  std::uint32_t rank = 0;
+  if (bytes.empty()) {
+    return edits;
+  }
+  const std::uint32_t ranks = TakeVarint(bytes);
+  if (ranks == 0) {
+    throw malformed_message("edits without ranks");
+  }
+  std::uint32_t index = 0;
   while (!bytes.empty()) {
-    const std::uint32_t sets = TakeVarint(bytes);
-    rank = sets != 0 ? 0 : rank;
-    set += sets;
-    rank += TakeVarint(bytes);
+    index += TakeVarint(bytes);
+    const std::uint32_t sizes = TakeVarint(bytes);
+    std::uint32_t added = sizes & kMaxSize;
+    if (added == kMaxSize) {
+      added += TakeVarint(bytes);
+    }
     placement_edit& edit = edits.emplace_back();
-    edit.set = set;
-    edit.rank = rank;
-    edit.removed = TakeList(bytes);
-    edit.added = TakeList(bytes);
+    edit.set = index / ranks;
+    edit.rank = index % ranks;
+    edit.removed = TakeExperts(bytes, sizes >> kSizeBits);
+    edit.added = TakeExperts(bytes, added);
   }
   return edits;
 }
--- a/tests/platform/platform_codec_test.cc
+++ b/tests/platform/platform_codec_test.cc
@@ -242,10 +242,23 @@
   CHECK(status->group_running);
   CHECK(status->armed_step == 95);
   CHECK(status->held_step == 95);
+  CHECK(status->pace_permille == wire::kHealthyPace);
+  // A rank whose pace can't be read is still reported.
+  const auto pace = [&](const std::string& value) {
+    const auto read = DecodeRankStatus(report.substr(0, report.size() - 1) +
+                                       R"(,"pace":)" + value + "}");
+    return read ? read->pace_permille : 0;
+  };
+  CHECK(pace("1.6") == 1'600);
+  CHECK(pace("1e300") == 1'000'000);
+  for (const char* odd : {"null", "\"x\"", "0", "-2", "{}"}) {
+    CHECK(pace(odd) == wire::kHealthyPace);
+  }
   CHECK_FALSE(DecodeRankStatus("{}"));
   CHECK_FALSE(DecodeRankStatus("not JSON"));
   CHECK(DecodeExpertCounts(R"({"epoch":1,"counts":[1,2]})")->totals.size() ==
         2);
+  CHECK(DecodeExpertCounts(R"({"epoch":1,"step":7,"counts":[1]})")->step == 7);
   CHECK_FALSE(DecodeExpertCounts(R"({"epoch":1,"counts":"x"})"));
   CHECK(DecodeExpertLists(
             R"({"epoch":1,"map":{"version":0,"experts":[[1],[2]]}})")
