--- a/src/libwisteriaroute/coordinator/map_change.cc
+++ b/src/libwisteriaroute/coordinator/map_change.cc
@@ -1,10 +1,10 @@
 #include "libwisteriaroute/coordinator/map_change.h"
 
 #include <algorithm>
-#include <functional>
 #include <span>
 #include <utility>
 
+#include "libwisteriaroute/coordinator/change_details.h"
 #include "libwisteriaroute/policy/expert_spread.h"
 #include "libwisteriaroute/wire/placement_edits.h"
 
@@ -179,19 +179,6 @@
     change.placement = std::move(placement);
   }
 
-  /** The ranks with the most experts to copy first, since sending the orders
-   * takes time. */
-  void SortByCopies(std::vector<rank_view*>& ranks) const {
-    std::map<std::uint32_t, std::size_t> copies;
-    for (const wire::placement_edit& edit : group.change->edits) {
-      copies[edit.rank] += edit.added.size();
-    }
-    std::ranges::stable_sort(ranks, std::greater(), [&](const rank_view* view) {
-      const auto found = copies.find(view->status.rank);
-      return found == copies.end() ? 0 : found->second;
-    });
-  }
-
   rank_view* FindHoldingRank() {
     for (auto& [rank, view] : group.ranks) {
       if (view.status.held_step != 0) {
@@ -277,7 +264,7 @@
         unprepared.push_back(&view);
       }
     }
-    SortByCopies(unprepared);
+    SortByCopies(unprepared, group.change->edits);
     SendDueOrders(unprepared, wire::rank_order_kind::kPrepare, kPrepareRetryUs);
     if (all && unprepared.empty()) {
       group.change->prepared_us = now_us;
@@ -416,31 +403,6 @@
     }
   }
 
-  log_event EndedEvent() const {
-    const rank_map_change& change = *group.change;
-    log_event event{.kind = "map_change_ended",
-                    .group = state.group_name,
-                    .detail = "version " + std::to_string(change.version) +
-                              " copies " + std::to_string(change.copies) +
-                              " skew " + std::to_string(change.skew_before) +
-                              " to " + std::to_string(change.planned_skew)};
-    base::time_us last_us =
-        change.shift_us != 0 ? change.shift_us : change.started_us;
-    const auto stage = [&](const char* name, base::time_us at_us) {
-      if (at_us != 0) {
-        event.stages.emplace_back(name, at_us - last_us);
-        last_us = at_us;
-      }
-    };
-    stage("plan", change.started_us);
-    stage("prepare", change.prepared_us);
-    stage("hold", change.held_us);
-    stage("arm", change.armed_us);
-    stage("switch", now_us);
-    event.stages.emplace_back("total", now_us - change.started_us);
-    return event;
-  }
-
   void Release() {
     ReleaseStray();
     std::vector<rank_view*> holding;
@@ -453,7 +415,7 @@
     if (All([&](const auto& status) {
           return status.map_version == group.change->version;
         })) {
-      out.push_back(EndedEvent());
+      out.push_back(EndedEvent(state.group_name, *group.change, now_us));
       group.may_complete = group.change->shift_us != 0 && !group.may_complete;
       group.next_plan_us = now_us;
       group.change.reset();
