sidecar: a small difference of the pace sends no status

During a change the rank is polled every 10 ms, and a pace with noise would have sent the coordinator 100 statuses a second from each of 63 ranks, about 1.9 MB/s on a link of 8 Mbit/s. A difference above 5% is sent at once; others go with the next status. sidecar_test has the case.

--- a/src/libwisteriaroute/sidecar/sidecar.cc
+++ b/src/libwisteriaroute/sidecar/sidecar.cc
@@ -21,6 +21,7 @@
 // Time after which counts are sent although no pass has ended.
 constexpr base::time_us kMaxWindowUs = 200'000;
 constexpr base::time_us kCountsRetryUs = 50'000;
+constexpr std::uint32_t kPaceNoisePermille = 50;
 // Bytes of a report besides the counts.
 constexpr std::size_t kReportOverheadBytes = 200;
 // The coordinator stops sending orders to the group if the last status of a
@@ -373,6 +374,16 @@
     }
   }
 
+  /** Whether the pace differs from the one last sent by more than noise: a
+   * status for each small difference would fill the coordinator's link. */
+  bool HasPaceChanged() const {
+    const std::uint32_t now_permille = state.status.pace_permille;
+    const std::uint32_t sent_permille = state.last_sent_status.pace_permille;
+    return std::max(now_permille, sent_permille) -
+               std::min(now_permille, sent_permille) >
+           kPaceNoisePermille;
+  }
+
   void SendIfChanged() {
     const wire::rank_status& a = state.status;
     const wire::rank_status& b = state.last_sent_status;
@@ -380,7 +391,7 @@
         a.group_running != b.group_running || a.map_version != b.map_version ||
         a.prepared_version != b.prepared_version ||
         a.armed_version != b.armed_version || a.armed_step != b.armed_step ||
-        a.held_step != b.held_step || a.pace_permille != b.pace_permille ||
+        a.held_step != b.held_step || HasPaceChanged() ||
         a.placement_version != b.placement_version ||
         (IsCoordinator() && a.step != b.step)) {
       Send();
--- a/tests/sidecar/sidecar_test.cc
+++ b/tests/sidecar/sidecar_test.cc
@@ -30,6 +30,7 @@
                       .server = "10.0.0.9:80"};
   base::time_us now_us = 1'000'000;
   std::string group = "g";
+  std::uint32_t pace_permille = wire::kHealthyPace;
   std::vector<sidecar_effect> effects;
 
   void Handle(const sidecar_event& event) {
@@ -41,7 +42,8 @@
                                         .formation = 1,
                                         .rank = 1,
                                         .ranks = kRanks,
-                                        .group_running = true}});
+                                        .group_running = true,
+                                        .pace_permille = pace_permille}});
       } else if (std::holds_alternative<poll_lists>(effect)) {
         Handle(lists_polled{.ok = true,
                             .lists = {.formation = 1, .experts = {{1}}}});
@@ -152,6 +154,24 @@
     CHECK(w.EffectsOfType<forward_order>().size() == 1);
   }
 
+  SUBCASE("sends a new pace at once, but not each small difference") {
+    w.Handle(coordinator_link_changed{true});
+    w.Run(1'000'000);
+    w.effects.clear();
+    w.Run(2'000'000);
+    const std::size_t usual = w.EffectsOfType<send_status>().size();
+    w.effects.clear();
+    for (int i = 0; i < 20; ++i) {
+      w.pace_permille = wire::kHealthyPace + (i % 2 == 0 ? 10 : 0);
+      w.Run(100'000);
+    }
+    CHECK(w.EffectsOfType<send_status>().size() <= usual + 1);
+    w.pace_permille = 2 * wire::kHealthyPace;
+    w.Run(250'000);
+    CHECK(w.EffectsOfType<send_status>().back().status.pace_permille ==
+          w.pace_permille);
+  }
+
   // The coordinator's host takes 300 ms to send whole placements to 63 ranks.
   SUBCASE("expands orders that contain only the changes of a placement") {
     const wire::expert_placement base = {{{1, 2}, {3}}};
