--- a/tests/gateway/cold_servers_test.cc
+++ b/tests/gateway/cold_servers_test.cc
@@ -236,7 +236,7 @@
   CHECK(w.Ask(10) == 0);
   w.Do(members_updated{{.evacuations = {.index = 6}}});
   CHECK(w.Ask(10) == 3);
-  w.now_us += 6 * kSecondUs;
+  w.Pass(6 * kSecondUs);
   CHECK(w.Ask(10) == 10);
 }
 
