sidecar: all ranks get a placement's experts in the same order

Cause: since orders contain edits, a rank whose sidecar has restarted gets the whole placement, and the others apply edits, which appends experts at the end of a list. The digest that guards the edits ignores the order. Now the sidecar sorts each list, whichever way it got the placement. The new checks of sidecar_test fail without it (3 of 93). Ruled out: two coordinators with one version (one term, one sender of all 24 orders).

--- a/src/libwisteriaroute/sidecar/placement_cache.cc
+++ b/src/libwisteriaroute/sidecar/placement_cache.cc
@@ -1,5 +1,6 @@
 #include "libwisteriaroute/sidecar/placement_cache.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "libwisteriaroute/wire/placement_edits.h"
@@ -30,6 +31,13 @@
     order.base_version = 0;
     order.edits.clear();
   }
+  // Some ranks get the whole placement and some the edits of one that they
+  // have. The group needs the same lists in the same order at all ranks.
+  for (auto& ranks : order.placement) {
+    for (wire::expert_list& list : ranks) {
+      std::ranges::sort(list);
+    }
+  }
   placements_[order.version] = order.placement;
   while (placements_.size() > kMaxPlacements) {
     placements_.erase(placements_.begin());
--- a/tests/sidecar/sidecar_test.cc
+++ b/tests/sidecar/sidecar_test.cc
@@ -194,12 +194,27 @@
                              .placement = base}});
     w.Handle(order_received{edited});
     REQUIRE(w.EffectsOfType<forward_order>().size() == 2);
-    CHECK(w.EffectsOfType<forward_order>().back().order.placement == next);
+    CHECK(w.EffectsOfType<forward_order>().back().order.placement ==
+          wire::expert_placement{{{1}, {2, 3}}});
 
-    edited.version = 3;
+    // A rank that got the whole placement lists the experts in another order;
+    // the group takes that for another map.
+    w.Handle(order_received{{.kind = wire::rank_order_kind::kPrepare,
+                             .term = 5,
+                             .version = 4,
+                             .placement = next}});
+    CHECK(w.EffectsOfType<forward_order>().back().order.placement ==
+          wire::expert_placement{{{1}, {2, 3}}});
+    edited.version = 5;
+    w.Handle(order_received{edited});
+    CHECK(w.EffectsOfType<forward_order>().back().order.placement ==
+          wire::expert_placement{{{1}, {2, 3}}});
+    REQUIRE(w.EffectsOfType<forward_order>().size() == 4);
+
+    edited.version = 6;
     edited.placement_digest += 1;
     w.Handle(order_received{edited});
-    CHECK(w.EffectsOfType<forward_order>().size() == 2);
+    CHECK(w.EffectsOfType<forward_order>().size() == 4);
   }
 
   SUBCASE("follows a later grant and ignores an earlier one after that") {
