--- a/tests/coordinator/coordinator_property_test.cc
+++ b/tests/coordinator/coordinator_property_test.cc
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "libwisteriaroute/base/digest.h"
 #include "libwisteriaroute/coordinator/coordinator.h"
 #include "libwisteriaroute/sidecar/placement_cache.h"
 #include "libwisteriaroute/wire/placement_edits.h"
@@ -29,6 +30,21 @@
                                        .spare_slots = kSpareSlots,
                                        .copy_us = 400'000};
 
+/** Digest of the lists as they are. Ranks with the same experts in another
+ * order have another map. */
+std::uint64_t OrderedDigest(const wire::expert_placement& placement) {
+  std::uint64_t digest = 0;
+  for (const auto& ranks : placement) {
+    for (const wire::expert_list& list : ranks) {
+      digest =
+          base::Hash64({reinterpret_cast<const char*>(list.data()),
+                        list.size() * sizeof(wire::expert_list::value_type)},
+                       digest + list.size());
+    }
+  }
+  return digest;
+}
+
 /** A rank that accepts and refuses orders by the platform's rules. */
 struct fake_rank {
   std::vector<wire::expert_list> experts;
@@ -120,7 +136,7 @@
           one.prepared = order.version;
           one.prepared_at_us = now_us + 200'000;
           one.prepared_experts = {order.placement.at(0).at(rank)};
-          one.prepared_digest = wire::PlacementDigest(order.placement);
+          one.prepared_digest = OrderedDigest(order.placement);
         }
         break;
       case wire::rank_order_kind::kArm:
