--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,7 +5,7 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 python3 -c 'import sys; assert sys.version_info >= (3, 11), sys.version'
-for source in common-2/wr.py [6-9]/case.py 10/case.py; do
+for source in common-2/*.py [6-9]/case.py 10/case.py; do
   if [ -f "$source" ]; then
     python3 -c 'import ast, sys; ast.parse(open(sys.argv[1]).read())' "$source"
   fi
