member: ask a leader again for the lists that were dropped

Callers saw: an entry could go on to use a server that had left, and not use one that had come back, until something else changed.

Cause: a member that tries another replica drops what the leader tells it meanwhile. When it came back on the same link, the leader sent nothing again. Now the hello asks for it (session_hello.resend).

--- a/proto/control.capnp
+++ b/proto/control.capnp
@@ -36,6 +36,8 @@
 struct SessionHello {
   info @0 :MemberInfo;
   revision @1 :UInt64;
+  # The member has dropped messages of this link, from before the hello.
+  resend @2 :Bool;
 }
 
 struct SessionHeartbeat {
--- a/src/libwisteriaroute/control/sessions.cc
+++ b/src/libwisteriaroute/control/sessions.cc
@@ -106,8 +106,8 @@
     leader.entries_changed |= hello.info.role == wire::member_role::kEntry;
     RecordMemberEvent(hello.info, "session_opened", out);
   }
-  const bool reconnected = session.link != link;
-  if (reconnected) {
+  const bool lacks_lists = session.link != link || hello.resend;
+  if (lacks_lists) {
     leader.session_links.erase(session.link);
     session.link = link;
     leader.session_links[link] = name;
@@ -122,7 +122,7 @@
       leader.removed_members.erase(name);
     }
   }
-  if (reconnected && FollowsConfig(hello.info.role)) {
+  if (lacks_lists && FollowsConfig(hello.info.role)) {
     SendConfig(state, session, now, out);
     SendInitialLists(state, session, now, out);
   }
--- a/src/libwisteriaroute/member/session.cc
+++ b/src/libwisteriaroute/member/session.cc
@@ -55,8 +55,10 @@
 }
 
 void SendHello(session_state& state, effects& out) {
-  out.push_back(send_control{state.session_link,
-                             wire::session_hello{state.info, state.revision}});
+  const bool resend = state.incomplete_links.erase(state.session_link) > 0;
+  out.push_back(
+      send_control{state.session_link,
+                   wire::session_hello{state.info, state.revision, resend}});
 }
 
 void OpenSession(session_state& state,
@@ -170,6 +172,7 @@
 
   void operator()(const control_down& event) {
     state.controls.erase(event.link);
+    state.incomplete_links.erase(event.link);
     state.non_leader_links.erase(event.link);
     if (state.session_link == event.link) {
       TryNextReplica(state, now, out);
@@ -182,6 +185,10 @@
       return;
     }
     if (event.link != state.session_link) {
+      if (!std::holds_alternative<wire::session_ack>(event.message) &&
+          state.controls.contains(event.link)) {
+        state.incomplete_links.insert(event.link);
+      }
       return;
     }
     if (const auto* ack = std::get_if<wire::session_ack>(&event.message)) {
--- a/src/libwisteriaroute/member/session.h
+++ b/src/libwisteriaroute/member/session.h
@@ -34,6 +34,9 @@
   net::link_id session_link = 0;
   /** Whether the replica of session_link has acknowledged a heartbeat. */
   bool confirmed = false;
+  /** Links of which messages were dropped while another one held the session;
+   * removed when their replica is asked to repeat them. */
+  std::set<net::link_id> incomplete_links;
   /** Links whose replica has answered that it isn't the leader. */
   std::set<net::link_id> non_leader_links;
 
--- a/src/libwisteriaroute/wire/control_messages.cc
+++ b/src/libwisteriaroute/wire/control_messages.cc
@@ -362,6 +362,7 @@
     auto to = root.initSessionHello();
     WriteFields(from.info, to.initInfo());
     to.setRevision(from.revision);
+    to.setResend(from.resend);
   }
   void operator()(const session_heartbeat& from) {
     auto to = root.initSessionHeartbeat();
@@ -447,7 +448,8 @@
   switch (root.which()) {
     case proto::ControlMessage::SESSION_HELLO:
       return session_hello{ReadFields(root.getSessionHello().getInfo()),
-                           root.getSessionHello().getRevision()};
+                           root.getSessionHello().getRevision(),
+                           root.getSessionHello().getResend()};
     case proto::ControlMessage::SESSION_HEARTBEAT: {
       const auto from = root.getSessionHeartbeat();
       return session_heartbeat{from.getSequence(), from.getRevision(),
--- a/src/libwisteriaroute/wire/control_messages.h
+++ b/src/libwisteriaroute/wire/control_messages.h
@@ -67,6 +67,9 @@
   member_info info;
   /** Configuration revision that is in force at the member. */
   std::uint64_t revision = 0;
+  /** The member has dropped messages of this link while another one held its
+   * session, so it lacks what they told it. */
+  bool resend = false;
 
   bool operator==(const session_hello&) const = default;
 };
--- a/tests/member/session_test.cc
+++ b/tests/member/session_test.cc
@@ -60,6 +60,23 @@
     CHECK(state.lease_until_us == 2'000 + kLeaseUs);
   }
 
+  // Guards against an entry that never hears of a departure: it had turned to
+  // another replica as the leader told of it, and came back on the same link.
+  SUBCASE("which asks for what it dropped of a link when it returns to it") {
+    Step(state, control_up{2, "c2"}, 0);
+    effects = Step(state, session_tick{}, 1'000'000);
+    REQUIRE(state.session_link == 2);
+    CHECK_FALSE(SentTo<wire::session_hello>(2, effects).at(0).resend);
+    Step(state, control_received{1, wire::member_update{}}, 1'010'000);
+    effects = Step(state, session_tick{}, 3'000'000);
+    REQUIRE(state.session_link == 1);
+    CHECK(SentTo<wire::session_hello>(1, effects).at(0).resend);
+    Step(state, session_tick{}, 5'000'000);
+    effects = Step(state, session_tick{}, 7'000'000);
+    REQUIRE(state.session_link == 1);
+    CHECK_FALSE(SentTo<wire::session_hello>(1, effects).at(0).resend);
+  }
+
   SUBCASE("which moves to the leader that a replica names") {
     Step(state, control_up{2, "c2"}, 0);
     Step(state, control_up{3, "c3"}, 0);
