control: departures of servers are in the log

Cause: that a server leaves was known in memory only. Now a drain or goodbye is a command in the log (id and run) and is acknowledged once it is committed. Every leader marks later reports of that run as leaving. A run that starts again has another number and gets work again; where control has to raise a number, it takes the time, so that no two leaders use the same one.

--- a/proto/command.capnp
+++ b/proto/command.capnp
@@ -30,6 +30,13 @@
   drained @1 :Bool;
 }
 
+# A run of a backend server has said that it leaves or is gone.
+struct DepartureCommand {
+  name @0 :Text;
+  # As the server reports it.
+  incarnation @1 :UInt64;
+}
+
 struct GroupRank {
   agent @0 :Text;
   incarnation @1 :UInt64;
@@ -103,6 +110,7 @@
     crashReports @18 :Control.CrashReports;
     answersBegun @19 :Control.AnswersBegun;
     evacuate @20 :Control.EvacuationOrder;
+    departure @21 :DepartureCommand;
   }
 }
 
@@ -186,6 +194,13 @@
   ended @2 :List(EvacuationEnd);
 }
 
+struct DepartureRecord {
+  name @0 :Text;
+  incarnation @1 :UInt64;
+  # Log time.
+  timeMs @2 :Int64;
+}
+
 struct ControlState {
   timeMs @0 :Int64;
   revision @1 :UInt64;
@@ -203,4 +218,6 @@
   crashes @13 :List(CrashRecord);
   # Missing in snapshots of earlier versions: nothing is evacuated.
   evacuations @14 :EvacuationTable;
+  # Missing in snapshots of earlier versions.
+  departures @15 :List(DepartureRecord);
 }
--- a/src/libwisteriaroute/control/admin.cc
+++ b/src/libwisteriaroute/control/admin.cc
@@ -96,8 +96,8 @@
     Submit(request);
   }
   void operator()(const wire::report_server& report) const {
-    // The entries are notified before the quorum round ends. The reply then
-    // confirms that this replica was still the leader.
+    // The entries are notified before the quorum round or the commit ends. The
+    // reply then confirms that this replica was still the leader.
     if (!HandleServerReport(state, report, now, out)) {
       out.push_back(send_to_links{
           {link},
@@ -105,6 +105,10 @@
                             .result = wire::admin_result::kUnavailable}});
       return;
     }
+    if (auto departure = FindUnrecordedDeparture(state, report, now)) {
+      Submit(std::move(*departure));
+      return;
+    }
     state.leadership->next_batch.reads.push_back({link, correlation, report});
     BeginConfirm(state, now, out);
   }
--- a/src/libwisteriaroute/control/command.cc
+++ b/src/libwisteriaroute/control/command.cc
@@ -70,6 +70,11 @@
   void operator()(const wire::evacuation_order& from) {
     wire::WriteFields(from, root.initEvacuate());
   }
+  void operator()(const departure_command& from) {
+    auto to = root.initDeparture();
+    to.setName(from.name);
+    to.setIncarnation(from.incarnation);
+  }
   void operator()(const form_group_command& from) {
     auto to = root.initFormGroup();
     to.setGroup(from.group);
@@ -205,6 +210,10 @@
       return wire::ReadFields(root.getAnswersBegun());
     case proto::Command::EVACUATE:
       return wire::ReadFields(root.getEvacuate());
+    case proto::Command::DEPARTURE:
+      return departure_command{
+          .name = root.getDeparture().getName(),
+          .incarnation = root.getDeparture().getIncarnation()};
     case proto::Command::GRANT:
       return ReadBody(root.getGrant());
     case proto::Command::FORM_GROUP:
--- a/src/libwisteriaroute/control/command.h
+++ b/src/libwisteriaroute/control/command.h
@@ -8,6 +8,7 @@
 
 #include "libwisteriaroute/control/claim_table.h"
 #include "libwisteriaroute/control/config_history.h"
+#include "libwisteriaroute/control/departure_table.h"
 #include "libwisteriaroute/control/group_table.h"
 #include "libwisteriaroute/wire/control_messages.h"
 
@@ -64,7 +65,8 @@
                                   grant_command,
                                   wire::crash_reports,
                                   wire::answers_begun,
-                                  wire::evacuation_order>;
+                                  wire::evacuation_order,
+                                  departure_command>;
 
 /** One entry of the replicated log. */
 struct command {
--- a/src/libwisteriaroute/control/control_state.cc
+++ b/src/libwisteriaroute/control/control_state.cc
@@ -13,6 +13,7 @@
   command_result operator()(const clock_tick& tick) {
     ExpireClaims(state.claims, tick.retention_ms, state.time_ms);
     ExpireEvacuationEnds(state.evacuations, state.time_ms);
+    ExpireDepartures(state.departures, state.time_ms);
     return ExpireSuspects(state.quarantine, state.time_ms);
   }
   command_result operator()(const publish_command& publish) {
@@ -39,6 +40,10 @@
     return change_result{
         ApplyEvacuation(state.evacuations, order, index, state.time_ms)};
   }
+  command_result operator()(const departure_command& departure) {
+    return change_result{
+        RecordDeparture(state.departures, departure, state.time_ms)};
+  }
   command_result operator()(const wire::suspect_report& report) {
     return ReportSuspects(state.quarantine, report, state.time_ms);
   }
--- a/src/libwisteriaroute/control/control_state.h
+++ b/src/libwisteriaroute/control/control_state.h
@@ -11,6 +11,7 @@
 #include "libwisteriaroute/control/claim_table.h"
 #include "libwisteriaroute/control/command.h"
 #include "libwisteriaroute/control/config_history.h"
+#include "libwisteriaroute/control/departure_table.h"
 #include "libwisteriaroute/control/evacuation_table.h"
 #include "libwisteriaroute/control/group_table.h"
 #include "libwisteriaroute/control/quarantine_table.h"
@@ -37,6 +38,7 @@
   claim_table claims;
   std::set<std::string, std::less<>> drained;
   evacuation_table evacuations;
+  departure_table departures;
   quarantine_table quarantine;
   group_table groups;
   /** Keyed by group name. */
--- a/src/libwisteriaroute/control/replica.cc
+++ b/src/libwisteriaroute/control/replica.cc
@@ -62,6 +62,9 @@
            .detail = order.data_center}});
     }
   }
+  void operator()(const departure_command& departure) const {
+    HandleDeparture(state, departure, now, out);
+  }
   void operator()(const form_group_command& form) const {
     RecordGroupEvent(form.group, "group_formed", form.generation);
   }
--- a/src/libwisteriaroute/control/server_reports.cc
+++ b/src/libwisteriaroute/control/server_reports.cc
@@ -85,6 +85,32 @@
   return true;
 }
 
+/**
+ * Before the first report of a server at this leader: if a later run of it has
+ * left, that run is the known one, as at the leader that it told.
+ */
+void RestoreDepartedRun(replica_state& state,
+                        const wire::report_server& report,
+                        const step_time& now) {
+  const std::string& name = report.info.name;
+  if (report.gone || state.leadership->sessions.contains(name)) {
+    return;
+  }
+  const auto last = LastDeparted(state.durable.departures, name);
+  if (!last || *last <= report.info.incarnation ||
+      HasDeparted(state.durable.departures, name, report.info.incarnation)) {
+    return;
+  }
+  member_session& session = state.leadership->sessions[name];
+  session.info = report.info;
+  session.info.cold_left_ms.reset();
+  session.info.incarnation = *last;
+  session.info.leaving = true;
+  session.reported_incarnation = *last;
+  // Silent since before this report, see JudgeEarlierRun().
+  session.last_message_us = now.now_us - 1;
+}
+
 }  // namespace
 
 bool HandleServerReport(replica_state& state,
@@ -93,6 +119,9 @@
                         replica_effects& out) {
   leader_state& leader = *state.leadership;
   const std::string& name = report.info.name;
+  const bool departed =
+      HasDeparted(state.durable.departures, name, report.info.incarnation);
+  RestoreDepartedRun(state, report, now);
   const auto found = leader.sessions.find(name);
   if (found != leader.sessions.end() &&
       found->second.info.role != wire::member_role::kServer) {
@@ -109,6 +138,10 @@
       return true;
     }
     RecordMemberEvent(report.info, "server_opened", out);
+  } else if (departed &&
+             found->second.reported_incarnation != report.info.incarnation) {
+    // Its server has started again since.
+    return true;
   } else if (const report_kind kind = Judge(found->second, report, now.now_us);
              kind != report_kind::kCurrent) {
     if (kind == report_kind::kUncertain) {
@@ -121,15 +154,18 @@
   const bool same_run = session.reported_incarnation == report.info.incarnation;
   wire::member_info info = report.info;
   info.cold_left_ms.reset();
-  if (!is_new) {
-    info.incarnation =
-        same_run ? session.info.incarnation
-                 : std::max(info.incarnation, session.info.incarnation + 1);
+  if (same_run) {
+    info.incarnation = session.info.incarnation;
+  } else if (!is_new && info.incarnation <= session.info.incarnation) {
+    // The time, so that no other leader has given another run this number.
+    info.incarnation = std::max(
+        session.info.incarnation + 1,
+        static_cast<std::uint64_t>(std::max<base::time_ms>(0, now.wall_ms)));
   }
   if (report.gone) {
     info = session.info;
     info.leaving = true;
-  } else if (same_run && session.info.leaving) {
+  } else if (departed || (same_run && session.info.leaving)) {
     // A leaving server doesn't return under the same incarnation.
     info.leaving = true;
   }
@@ -160,6 +196,48 @@
   return true;
 }
 
+std::optional<departure_command> FindUnrecordedDeparture(
+    const replica_state& state,
+    const wire::report_server& report,
+    const step_time& now) {
+  if (!report.gone && !report.info.leaving) {
+    return std::nullopt;
+  }
+  const std::string& name = report.info.name;
+  departure_command departure{.name = name,
+                              .incarnation = report.info.incarnation};
+  if (departure.incarnation == 0) {
+    const auto& sessions = state.leadership->sessions;
+    const auto known = sessions.find(name);
+    // Of a run that isn't known only its start before now is certain.
+    departure.incarnation =
+        known != sessions.end() && known->second.reported_incarnation != 0
+            ? known->second.reported_incarnation
+            : static_cast<std::uint64_t>(now.wall_ms);
+  }
+  if (HasDeparted(state.durable.departures, name, departure.incarnation)) {
+    return std::nullopt;
+  }
+  return departure;
+}
+
+void HandleDeparture(replica_state& state,
+                     const departure_command& departure,
+                     const step_time& now,
+                     replica_effects& out) {
+  leader_state& leader = *state.leadership;
+  const auto found = leader.sessions.find(departure.name);
+  if (found == leader.sessions.end() || found->second.info.leaving ||
+      found->second.info.role != wire::member_role::kServer ||
+      found->second.reported_incarnation != departure.incarnation) {
+    return;
+  }
+  found->second.info.leaving = true;
+  RecordMemberEvent(found->second.info, "server_leaving", out);
+  leader.changed_members.insert(departure.name);
+  FlushMembers(state, now, out);
+}
+
 void HandleServerCrash(replica_state& state,
                        net::link_id reporter,
                        const wire::server_crash& crash,
--- a/src/libwisteriaroute/control/server_reports.h
+++ b/src/libwisteriaroute/control/server_reports.h
@@ -1,6 +1,9 @@
 #ifndef LIBWISTERIAROUTE_CONTROL_SERVER_REPORTS_H_
 #define LIBWISTERIAROUTE_CONTROL_SERVER_REPORTS_H_
 
+#include <optional>
+
+#include "libwisteriaroute/control/departure_table.h"
 #include "libwisteriaroute/control/replica.h"
 
 namespace wisteriaroute::control {
@@ -25,6 +28,25 @@
                         const step_time& now,
                         replica_effects& out);
 
+/**
+ * The departure that the log must hold before an accepted report is
+ * acknowledged, so that it outlives this leader; nothing if the report tells of
+ * none or the log holds it already. `state.leadership` must be set.
+ */
+std::optional<departure_command> FindUnrecordedDeparture(
+    const replica_state& state,
+    const wire::report_server& report,
+    const step_time& now);
+
+/**
+ * Marks the run as leaving if this leader knows it as current, as it may if
+ * another leader had proposed the command. `state.leadership` must be set.
+ */
+void HandleDeparture(replica_state& state,
+                     const departure_command& departure,
+                     const step_time& now,
+                     replica_effects& out);
+
 /**
  * Tells all entries but the one that reported it that a server has crashed,
  * once for each incarnation. `state.leadership` must be set.
--- a/src/libwisteriaroute/control/snapshot.cc
+++ b/src/libwisteriaroute/control/snapshot.cc
@@ -240,6 +240,26 @@
   return table;
 }
 
+void WriteDepartures(const departure_table& from,
+                     proto::ControlState::Builder to) {
+  auto records = to.initDepartures(wire::Count(from.runs));
+  unsigned position = 0;
+  for (const auto& [run, time_ms] : from.runs) {
+    records[position].setName(run.first);
+    records[position].setIncarnation(run.second);
+    records[position++].setTimeMs(time_ms);
+  }
+}
+
+departure_table ReadDepartures(proto::ControlState::Reader from) {
+  departure_table table;
+  for (const auto record : from.getDepartures()) {
+    table.runs[{record.getName(), record.getIncarnation()}] =
+        record.getTimeMs();
+  }
+  return table;
+}
+
 void WriteState(const control_state& from, proto::ControlState::Builder to) {
   to.setTimeMs(from.time_ms);
   WriteConfig(from.config, to);
@@ -255,6 +275,7 @@
     drained.set(position++, name);
   }
   WriteEvacuations(from.evacuations, to.initEvacuations());
+  WriteDepartures(from.departures, to);
   WriteQuarantine(from.quarantine, to);
   auto groups = to.initGroups(wire::Count(from.groups.groups));
   position = 0;
@@ -282,6 +303,7 @@
     state.drained.emplace(name.cStr(), name.size());
   }
   state.evacuations = ReadEvacuations(from.getEvacuations());
+  state.departures = ReadDepartures(from);
   state.quarantine = ReadQuarantine(from);
   for (const auto group : from.getGroups()) {
     state.groups.groups[group.getName()] = ReadGroup(group);
--- a/tests/control/control_state_test.cc
+++ b/tests/control/control_state_test.cc
@@ -358,7 +358,9 @@
   std::uint64_t Pick(std::uint64_t count) { return random_() % count; }
 
   command_body Body(const control_state& state) {
-    switch (Pick(13)) {
+    switch (Pick(14)) {
+      case 13:
+        return departure_command{"i" + std::to_string(Pick(5)), Pick(3)};
       case 12:
         return wire::evacuation_order{"dc" + std::to_string(Pick(3)),
                                       Pick(2) == 0};
