net: an answer that ends while its request is sent isn't complete

Cause: send() took the reset, recv() then returned 0 as at an orderly end, and an answer without a length counted as complete. Now such an answer is complete only if all of the request was sent before its end. Answers with a length or in chunks aren't concerned.

--- a/src/libwisteriaroute/net/http_client_input.cc
+++ b/src/libwisteriaroute/net/http_client_input.cc
@@ -162,15 +162,25 @@
     Destroy(conn);
     return;
   }
-  if (error.empty() && conn.head_delivered && conn.parser->FinishAtEof()) {
+  // A response that ends with its connection isn't known to be whole while the
+  // request is still being sent: a server that is done has read the request,
+  // and send() may have taken the error that told of a reset.
+  const bool request_sent = !conn.send_failed && conn.out.empty();
+  if (error.empty() && request_sent && conn.head_delivered &&
+      conn.parser->FinishAtEof()) {
     DeliverBody(conn);
     if (conn.fd >= 0 && conn.current != nullptr) {
       Complete(conn);
     }
     return;
   }
-  Fail(*conn.current,
-       error.empty() ? "the server closed the connection" : error, false);
+  std::string cause = error;
+  if (error.empty()) {
+    cause = request_sent
+                ? "the server closed the connection"
+                : "the connection ended while the request was being sent";
+  }
+  Fail(*conn.current, std::move(cause), false);
 }
 
 }  // namespace wisteriaroute::net
--- a/tests/net/raw_server.h
+++ b/tests/net/raw_server.h
@@ -52,6 +52,26 @@
   }
   std::size_t sent() const { return sent_; }
   bool peer_closed() const { return peer_closed_; }
+  /** The connection is reset, as by a crash. */
+  void Reset() {
+    const linger reset{.l_onoff = 1, .l_linger = 0};
+    setsockopt(fd_, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+    Close();
+  }
+  /** Nothing more is sent, but the connection stays open. */
+  void HalfClose() const { shutdown(fd_, SHUT_WR); }
+  /** Reads until a request's header is complete. */
+  void ReadHeader(net::loop& event_loop) const {
+    std::string header;
+    REQUIRE(RunUntil(event_loop, [&] {
+      char one = 0;
+      while (header.find("\r\n\r\n") == std::string::npos &&
+             recv(fd_, &one, 1, MSG_DONTWAIT) == 1) {
+        header += one;
+      }
+      return header.find("\r\n\r\n") != std::string::npos;
+    }));
+  }
   void Close() {
     if (fd_ >= 0) {
       close(std::exchange(fd_, -1));
