net: answers that aren't HTTP fail

Callers saw, on other systems: answers with a status of 000, and heads in which a field's name held a blank or a control byte. Here, http_answer_syntax_test failed before for statuses 101 and 600 to 999, control bytes in reason phrases and values, and transfer encodings other than chunked.

Cause: the parser library accepts more than HTTP allows. The parser now checks status, names, values and that the length is told in one way, for requests too.

Evidence: http_answer_syntax_test passes, as do the tests of the parser, of the server's limits and of fuzzing.

--- a/src/libwisteriaroute/net/http_client_input.cc
+++ b/src/libwisteriaroute/net/http_client_input.cc
@@ -14,6 +14,7 @@
 
 namespace {
 
+constexpr unsigned kSwitchingProtocols = 101;
 constexpr std::size_t kReadBytes = 16 * 1024;
 // Limit of bytes before the final response to the request: interim responses,
 // and late responses to earlier requests including their bodies.
@@ -81,7 +82,7 @@
     Fail(*conn.current, "invalid response: header of more than 64 KiB", false);
     return false;
   }
-  if (parser.is_header_done() && !conn.head_delivered && !conn.discarding &&
+  if (parser.has_valid_header && !conn.head_delivered && !conn.discarding &&
       !DeliverHead(conn)) {
     return false;
   }
@@ -113,6 +114,10 @@
 bool http_client::DeliverHead(connection& conn) {
   transfer& target = *conn.current;
   const http_response_parser& parser = *conn.parser;
+  if (parser.status == kSwitchingProtocols) {
+    Fail(target, "invalid response: a protocol that wasn't asked for", false);
+    return false;
+  }
   if (parser.status < 200) {
     conn.discarding = true;
     return true;
--- a/src/libwisteriaroute/net/http_message.cc
+++ b/src/libwisteriaroute/net/http_message.cc
@@ -64,6 +64,46 @@
   return lower;
 }
 
+bool IsFieldName(std::string_view text) {
+  constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
+  return !text.empty() && std::ranges::all_of(text, [&](char c) {
+    return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') ||
+           (c >= 'A' && c <= 'Z') || kMarks.find(c) != kMarks.npos;
+  });
+}
+
+bool IsFieldText(std::string_view text) {
+  constexpr unsigned char kDelete = 127;
+  return std::ranges::all_of(text, [](unsigned char c) {
+    return c == '\t' || (c >= ' ' && c != kDelete);
+  });
+}
+
+bool HasOneFraming(const http_headers& headers, int version) {
+  std::string_view length;
+  int encodings = 0;
+  for (const auto& [name, value] : headers) {
+    if (name == "content-length") {
+      const bool is_number =
+          !value.empty() && std::ranges::all_of(value, [](char c) {
+            return c >= '0' && c <= '9';
+          });
+      if (!is_number || (!length.empty() && length != value)) {
+        return false;
+      }
+      length = value;
+    } else if (name == "transfer-encoding") {
+      ++encodings;
+      if (!EqualIgnoringCase(Trim(value), "chunked")) {
+        return false;
+      }
+    }
+  }
+  constexpr int kFirstChunkedVersion = 11;
+  return encodings == 0 ||
+         (encodings == 1 && length.empty() && version >= kFirstChunkedVersion);
+}
+
 bool IsHopByHop(std::string_view name) {
   return std::ranges::find(kHopByHop, name) != kHopByHop.end();
 }
--- a/src/libwisteriaroute/net/http_message.h
+++ b/src/libwisteriaroute/net/http_message.h
@@ -18,6 +18,19 @@
 
 std::string LowerCase(std::string_view text);
 
+/** Whether the text may be the name of a header. */
+bool IsFieldName(std::string_view text);
+
+/** Whether the text may be the value of a header: no control bytes but tabs. */
+bool IsFieldText(std::string_view text);
+
+/**
+ * Whether the headers, with names in lower case, state the length of the body
+ * in at most one way: no two lengths, none beside `chunked`, no other transfer
+ * encoding. `version` is 11 for HTTP/1.1.
+ */
+bool HasOneFraming(const http_headers& headers, int version);
+
 /** Whether the header with this lower-case name is hop-by-hop. */
 bool IsHopByHop(std::string_view name);
 
--- a/src/libwisteriaroute/net/http_parser.h
+++ b/src/libwisteriaroute/net/http_parser.h
@@ -109,6 +109,7 @@
   unsigned status = 0;
   /** Names in lower case. */
   http_headers headers;
+  bool has_valid_header = false;
   /** Body bytes that were parsed and not yet taken by the owner. */
   std::string body;
 
@@ -116,6 +117,8 @@
   // A body in chunks of one byte has five bytes of framing for each.
   static constexpr std::uint64_t kFramingPerBodyByte = 16;
   static constexpr std::uint64_t kMinFramingBytes = 16 * 1024;
+  static constexpr unsigned kMinStatus = 100;
+  static constexpr unsigned kMaxStatus = 599;
   static constexpr unsigned kBadRequest = 400;
   static constexpr unsigned kBodyTooLarge = 413;
   static constexpr unsigned kHeadersTooLarge = 431;
@@ -141,21 +144,41 @@
     method = View(method_text);
     target = View(target_text);
   }
-  void on_response_impl(int code, view, int, error_code& error) override {
+  void on_response_impl(int code,
+                        view reason,
+                        int version_number,
+                        error_code& error) override {
     error = {};
+    version = version_number;
     status = static_cast<unsigned>(code);
+    if (status < kMinStatus || status > kMaxStatus) {
+      error = boost::beast::http::error::bad_status;
+    } else if (!IsFieldText(View(reason))) {
+      error = boost::beast::http::error::bad_reason;
+    }
   }
   void on_field_impl(boost::beast::http::field,
                      view name,
                      view value,
                      error_code& error) override {
     error = {};
+    if (!IsFieldName(View(name))) {
+      error = boost::beast::http::error::bad_field;
+    } else if (!IsFieldText(View(value))) {
+      error = boost::beast::http::error::bad_value;
+    }
     // Trailers aren't used, and must not pass for headers.
     if (!this->is_header_done()) {
       headers.emplace_back(LowerCase(View(name)), View(value));
     }
   }
-  void on_header_impl(error_code& error) override { error = {}; }
+  void on_header_impl(error_code& error) override {
+    error = {};
+    has_valid_header = HasOneFraming(headers, version);
+    if (!has_valid_header) {
+      error = boost::beast::http::error::bad_content_length;
+    }
+  }
   void on_body_init_impl(const boost::optional<std::uint64_t>& length,
                          error_code& error) override {
     error = {};
