gateway: a planned stop answers what it has read

Callers saw, on other systems: requests that came late in a planned stop were taken and cut at its end with no answer.

Cause, here as well: a request was taken whenever it was complete, however long it may take, and what was open at the drain limit was closed. Now a request that arrives after settle_ms is taken only if it ends before the process does; others get 503 at once. What is left at the limit is answered.

--- a/src/gateway/daemon.cc
+++ b/src/gateway/daemon.cc
@@ -16,6 +16,9 @@
 namespace {
 
 constexpr base::time_us kDrainPollUs = 50'000;
+// For what is answered when the drain limit has passed. The platform kills the
+// process 8 s after SIGTERM.
+constexpr base::time_ms kLastAnswersMs = 350;
 // A request that must not be repeated uses an idle connection only if it was
 // used within this time: the server may have closed an older one, and the
 // request would be lost.
@@ -497,6 +500,9 @@
   base::LogInfo("stopping",
                 {{"requests", std::uint64_t{state_.requests.size()}}});
   caller_server_.CloseAfterResponses();
+  Handle(stop_requested{
+      .settled_us = stop_requested_us_ + settings_.settle_ms * 1'000,
+      .end_us = stop_requested_us_ + settings_.drain_limit_ms * 1'000});
   UpdateSession();
   drain_timer_.Start(kDrainPollUs, kDrainPollUs);
 }
@@ -509,8 +515,13 @@
   }
   caller_server_.StopListening();
   caller_server_.CloseIdle();
+  if (waited_ms >= settings_.drain_limit_ms && !std::exchange(ended_, true)) {
+    // Callers get an answer, not a closed connection.
+    Handle(stop_due{});
+    caller_server_.RefuseIncomplete();
+  }
   if (caller_server_.connection_count() == 0 ||
-      waited_ms >= settings_.drain_limit_ms) {
+      waited_ms >= settings_.drain_limit_ms + kLastAnswersMs) {
     base::LogInfo("drained",
                   {{"waited_ms", waited_ms},
                    {"requests", std::uint64_t{state_.requests.size()}}});
--- a/src/gateway/daemon.h
+++ b/src/gateway/daemon.h
@@ -115,6 +115,8 @@
   base::time_us lease_until_us_ = 0;
   /** When SIGTERM or SIGINT was received; 0 if neither was. */
   base::time_us stop_requested_us_ = 0;
+  /** The drain limit has passed, and all requests were answered. */
+  bool ended_ = false;
 };
 
 }  // namespace wisteriaroute::gateway
--- a/src/libwisteriaroute/gateway/gateway.cc
+++ b/src/libwisteriaroute/gateway/gateway.cc
@@ -15,6 +15,8 @@
 // A process without a configuration receives one within a second unless control
 // is down.
 constexpr base::time_ms kStartingRetryMs = 500;
+// New connections of callers go to other gateways.
+constexpr base::time_ms kStoppingRetryMs = 10;
 
 const std::string& ChooseTarget(step_context& step,
                                 const config::route& route) {
@@ -81,6 +83,11 @@
     wait_ms = std::min(wait_ms, event.request.deadline_ms);
   }
   request.deadline_us = step.now_us + wait_ms * 1'000;
+  if (state.stopping && step.now_us >= state.stopping->settled_us &&
+      request.deadline_us > state.stopping->end_us) {
+    Refuse(step, request, kUnavailable, "stopping", kStoppingRetryMs);
+    return;
+  }
   request.service = ChooseTarget(step, *request.route);
   state.budgets[request.service].CountRequest(step.now_us,
                                               state.options.retries);
@@ -113,6 +120,18 @@
   }
 }
 
+void EndAll(step_context& step) {
+  std::vector<exchange_id> open;
+  for (const auto& [exchange, request] : step.state.requests) {
+    open.push_back(exchange);
+  }
+  for (const exchange_id exchange : open) {
+    request_state& request = step.state.requests.find(exchange)->second;
+    CancelAttempt(step, request);
+    GiveUp(step, request, "stopping");
+  }
+}
+
 struct event_handler {
   step_context& step;
 
@@ -181,6 +200,10 @@
   }
   void operator()(const control_opened&) const { HandleControlOpened(step); }
   void operator()(const control_confirmed&) const { EndUnsure(step); }
+  void operator()(const stop_requested& event) const {
+    step.state.stopping = event;
+  }
+  void operator()(const stop_due&) const { EndAll(step); }
   void operator()(const gateway_tick&) const {
     CheckTimes(step);
     SendReports(step);
--- a/src/libwisteriaroute/gateway/gateway.h
+++ b/src/libwisteriaroute/gateway/gateway.h
@@ -114,6 +114,16 @@
   base::time_us first_event_us = 0;
 };
 
+/**
+ * The process is told to stop. Requests that arrive after `settled_us`, when
+ * the platform sends no new callers, are taken only if they end before
+ * `end_us`.
+ */
+struct stop_requested {
+  base::time_us settled_us = 0;
+  base::time_us end_us = 0;
+};
+
 struct gateway_state {
   gateway_options options;
   std::shared_ptr<const config::traffic_index> traffic;
@@ -132,6 +142,8 @@
   std::map<std::string, policy::peer_capacity, std::less<>> peer_capacities;
   crash_watch crashes;
   cold_watch cold;
+  /** Set while the process is stopping. */
+  std::optional<stop_requested> stopping;
   attempt_id next_attempt = 1;
   std::uint64_t random = 1;
 };
@@ -198,6 +210,8 @@
 /** Control has acknowledged a heartbeat, so what it sent before has been read.
  */
 struct control_confirmed {};
+/** `end_us` of stop_requested has come: all requests in progress end now. */
+struct stop_due {};
 /** Due every kGatewayTickUs while NeedsTick(). */
 struct gateway_tick {};
 
@@ -218,6 +232,8 @@
                                    server_crash_reported,
                                    control_opened,
                                    control_confirmed,
+                                   stop_requested,
+                                   stop_due,
                                    gateway_tick>;
 
 // Effects.
--- a/src/libwisteriaroute/net/http_server.h
+++ b/src/libwisteriaroute/net/http_server.h
@@ -106,6 +106,10 @@
   /** Closes connections without a request, even a partially received one. */
   void CloseIdle();
 
+  /** Answers requests that are partly received with 503, and closes their
+   * connections. */
+  void RefuseIncomplete();
+
   /** Sends a complete response. This and the calls below ignore unknown ids. */
   void Respond(exchange_id id,
                unsigned status,
--- a/src/libwisteriaroute/net/http_server_guard.cc
+++ b/src/libwisteriaroute/net/http_server_guard.cc
@@ -58,6 +58,20 @@
   StartLinger(conn);
 }
 
+void http_server::RefuseIncomplete() {
+  std::vector<connection*> incomplete;
+  for (const auto& [id, one] : connections_) {
+    if (one->current == connection::phase::kReceiving) {
+      incomplete.push_back(one.get());
+    }
+  }
+  for (connection* one : incomplete) {
+    if (one->fd >= 0) {
+      RefuseInput(*one, kUnavailable, "stopping");
+    }
+  }
+}
+
 void http_server::AccountInput(connection& conn) {
   std::size_t bytes = conn.in.size();
   if (conn.parser != nullptr) {
