net, gateway: incomplete answers are bounded over all connections

Callers saw, on other systems: a faulty server sent heads or bodies without end, and the host that had called it ran out of memory.

Cause, here: each answer had limits, but the incomplete heads and framing of all connections together had none. The HTTP client now counts them in the gateway's memory budget and fails such answers above it; an answer has at most 256 fields. Above the budget the largest answers are given up first.

--- a/src/gateway/daemon.cc
+++ b/src/gateway/daemon.cc
@@ -1,5 +1,6 @@
 #include "gateway/daemon.h"
 
+#include <algorithm>
 #include <array>
 #include <csignal>
 #include <cstdio>
@@ -34,6 +35,9 @@
 // region.
 constexpr std::size_t kSocketBytes = 64 * 1024;
 constexpr base::time_ms kOverloadRetryMs = 1'000;
+// Above the budget, answers larger than this are given up first: a faulty
+// server sends without end, and others must not suffer from it.
+constexpr std::size_t kLargeAnswerBytes = 256 * 1024;
 
 constexpr unsigned kOk = 200;
 constexpr unsigned kUnavailable = 503;
@@ -85,7 +89,7 @@
                [this](net::exchange_id id, const net::http_server_request&) {
                  HandleReadinessCheck(id);
                }}),
-      backend_client_(event_loop),
+      backend_client_(event_loop, &budget_),
       metrics_server_(event_loop, [this] { return RenderMetrics(); }),
       tick_(event_loop.ev(), [this] { Handle(gateway_tick{}); }),
       drain_timer_(event_loop.ev(), [this] { StopIfDrained(); }) {
@@ -377,10 +381,34 @@
   found->second.answer.Set(state->second.body.size() +
                            state->second.failure_body.size() +
                            state->second.framer.partial_event_bytes());
+  while (!budget_.Fits(0) && ShedLargestAnswer()) {
+  }
   if (!budget_.Fits(0) && !caller_server_.MakeRoom()) {
-    metrics_.Count("wisteriaroute_answers_shed_total");
-    Handle(answer_shed{exchange});
+    ShedAnswer(exchange);
+  }
+}
+
+bool daemon::ShedLargestAnswer() {
+  const auto largest = std::ranges::max_element(
+      requests_, {},
+      [](const auto& item) { return item.second.answer.bytes(); });
+  if (largest == requests_.end() ||
+      largest->second.answer.bytes() < kLargeAnswerBytes) {
+    return false;
   }
+  const net::exchange_id exchange = largest->first;
+  base::LogInfo("answer_shed",
+                {{"exchange", std::uint64_t{exchange}},
+                 {"bytes", std::uint64_t{largest->second.answer.bytes()}},
+                 {"held", std::uint64_t{budget_.used()}}});
+  largest->second.answer.Set(0);
+  ShedAnswer(exchange);
+  return true;
+}
+
+void daemon::ShedAnswer(net::exchange_id exchange) {
+  metrics_.Count("wisteriaroute_answers_shed_total");
+  Handle(answer_shed{exchange});
 }
 
 void daemon::Probe(const probe_server& probe) {
--- a/src/gateway/daemon.h
+++ b/src/gateway/daemon.h
@@ -72,6 +72,10 @@
   void SetBlocked(net::exchange_id exchange, bool blocked);
   /** Counts what is held of an answer; gives the answer up above the budget. */
   void AccountAnswer(net::exchange_id exchange);
+  /** Gives up the answer of which most is held; returns whether it was large.
+   */
+  bool ShedLargestAnswer();
+  void ShedAnswer(net::exchange_id exchange);
   void Probe(const probe_server& probe);
   void SendRefusal(const refuse& answer);
   void WriteToCaller(const write_stream& chunk);
--- a/src/libwisteriaroute/net/http_client.cc
+++ b/src/libwisteriaroute/net/http_client.cc
@@ -22,6 +22,8 @@
 namespace {
 
 constexpr std::size_t kMaxIdlePerAddress = 16;
+// Parsed headers are kept as pairs of strings.
+constexpr std::size_t kBytesPerField = 128;
 // Lifetime of idle connections if the server states no keep-alive timeout.
 constexpr base::time_us kDefaultIdleUs = 2'000'000;
 // Subtracted from a stated timeout, which is in whole seconds of the server's
@@ -101,8 +103,8 @@
 
 }  // namespace
 
-http_client::http_client(loop& event_loop)
-    : event_loop_(event_loop), later_(event_loop.ev(), [this] {
+http_client::http_client(loop& event_loop, memory_budget* budget)
+    : event_loop_(event_loop), budget_(budget), later_(event_loop.ev(), [this] {
         closed_.clear();
         ended_.clear();
       }) {}
@@ -251,7 +253,7 @@
     return nullptr;
   }
   ++connections_made_;
-  auto made = std::make_unique<connection>();
+  auto made = std::make_unique<connection>(budget_);
   connection* conn = made.get();
   conn->client = this;
   conn->fd = fd;
@@ -284,6 +286,13 @@
   const std::size_t bytes = conn.fd < 0 ? 0 : conn.in.size() + conn.out.size();
   held_bytes_ = held_bytes_ - conn.counted_bytes + bytes;
   conn.counted_bytes = bytes;
+  conn.held.Set(conn.fd < 0 ? 0 : HeldInput(conn));
+}
+
+std::size_t http_client::HeldInput(const connection& conn) {
+  const std::size_t fields =
+      conn.parser == nullptr ? 0 : conn.parser->headers.size();
+  return conn.in.size() + fields * kBytesPerField;
 }
 
 void http_client::HandleWritable(connection& conn) {
--- a/src/libwisteriaroute/net/http_client.h
+++ b/src/libwisteriaroute/net/http_client.h
@@ -13,6 +13,7 @@
 
 #include "libwisteriaroute/net/http_message.h"
 #include "libwisteriaroute/net/loop.h"
+#include "libwisteriaroute/net/memory_budget.h"
 
 namespace wisteriaroute::net {
 
@@ -74,10 +75,16 @@
   std::function<void(const http_client_result&)> on_done;
 };
 
-/** HTTP/1.1 client on the process's event loop. Never retries a request. */
+/**
+ * HTTP/1.1 client on the process's event loop. Never retries a request.
+ *
+ * With a budget, which must outlive the client, the incomplete heads and
+ * framing of responses are counted in it. Above it, responses for which more
+ * than kReadBytes are kept fail.
+ */
 class http_client {
  public:
-  explicit http_client(loop& event_loop);
+  explicit http_client(loop& event_loop, memory_budget* budget = nullptr);
   ~http_client();
   http_client(const http_client&) = delete;
   http_client& operator=(const http_client&) = delete;
@@ -125,11 +132,14 @@
   void KeepOrClose(connection& conn);
   void UpdateWatcher(connection& conn);
   void SetPaused(transfer_id id, bool paused);
-  /** Updates the connection's part of `held_bytes_`. */
+  /** Updates the connection's part of `held_bytes_` and of the budget. */
   void CountBytes(connection& conn);
+  /** Bytes of input that the connection keeps. */
+  static std::size_t HeldInput(const connection& conn);
   void Destroy(connection& target);
 
   loop& event_loop_;
+  memory_budget* budget_;
   timer later_;
   transfer_id next_id_ = 1;
   std::uint64_t connections_made_ = 0;
--- a/src/libwisteriaroute/net/http_client_input.cc
+++ b/src/libwisteriaroute/net/http_client_input.cc
@@ -66,6 +66,12 @@
          false);
   } else if (!conn.head_delivered && conn.before_head > kMaxDiscardedBytes) {
     Fail(*conn.current, "no final response to the request within 1 MiB", false);
+  } else {
+    CountBytes(conn);
+    if (budget_ != nullptr && !budget_->Fits(0) &&
+        conn.held.bytes() > kReadBytes) {
+      Fail(*conn.current, "no memory for an incomplete response", false);
+    }
   }
 }
 
--- a/src/libwisteriaroute/net/http_client_state.h
+++ b/src/libwisteriaroute/net/http_client_state.h
@@ -23,6 +23,9 @@
 inline constexpr std::size_t kMaxHeaderBytes = 64 * 1024;
 
 struct http_client::connection {
+  explicit connection(memory_budget* budget)
+      : held(budget, memory_use::kAnswers) {}
+
   http_client* client = nullptr;
   int fd = -1;
   ev_io watcher;
@@ -48,6 +51,8 @@
   transfer* current = nullptr;
   /** Bytes of the connection that are included in the client's total. */
   std::size_t counted_bytes = 0;
+  /** Input that is kept. */
+  memory_charge held;
   base::time_us idle_since_us = 0;
   base::time_us idle_until_us = 0;
 };
--- a/src/libwisteriaroute/net/http_parser.h
+++ b/src/libwisteriaroute/net/http_parser.h
@@ -117,6 +117,8 @@
   // A body in chunks of one byte has five bytes of framing for each.
   static constexpr std::uint64_t kFramingPerBodyByte = 16;
   static constexpr std::uint64_t kMinFramingBytes = 16 * 1024;
+  // A field takes much more memory than its shortest form has bytes.
+  static constexpr std::size_t kMaxResponseFields = 256;
   static constexpr unsigned kMinStatus = 100;
   static constexpr unsigned kMaxStatus = 599;
   static constexpr unsigned kBadRequest = 400;
@@ -169,6 +171,10 @@
     }
     // Trailers aren't used, and must not pass for headers.
     if (!this->is_header_done()) {
+      if (!IsRequest && headers.size() >= kMaxResponseFields) {
+        error = boost::beast::http::error::header_limit;
+        return;
+      }
       headers.emplace_back(LowerCase(View(name)), View(value));
     }
   }
