--- a/tests/process/demo_system.h
+++ b/tests/process/demo_system.h
@@ -26,6 +26,10 @@
   bool done = false;
   /** Whether a complete HTTP response was received. */
   bool ok = false;
+  /** Whether the request was sent on a connection that was used before. */
+  bool reused = false;
+  /** Whether no connection could be made. */
+  bool never_sent = false;
   unsigned status = 0;
   std::string body;
   base::time_us started_us = 0;
--- a/tests/process/gateway_process_harness.cc
+++ b/tests/process/gateway_process_harness.cc
@@ -253,7 +253,8 @@
               addresses_["gateway-" + std::to_string(gateway) + "/http"] + path,
        .headers = all,
        .body = body,
-       .timeout_ms = 20'000},
+       .timeout_ms = 20'000,
+       .reuse_connection = options_.keep_connections},
       {.on_head = [result](unsigned status,
                            const auto&) { result->status = status; },
        .on_data = [result](std::string_view data) { result->body += data; },
@@ -261,6 +262,8 @@
            [result](const net::http_client_result& end) {
              result->done = true;
              result->ok = end.ok;
+             result->reused = end.reused;
+             result->never_sent = end.never_sent;
              result->ended_us = base::MonotonicUs();
            }});
   return result;
--- a/tests/process/gateway_process_harness.h
+++ b/tests/process/gateway_process_harness.h
@@ -26,6 +26,8 @@
   std::string gateway_lines;
   /** Lines that are added to the traffic configuration. */
   std::string traffic_lines;
+  /** Callers send their requests on kept connections. */
+  bool keep_connections = false;
 };
 
 /**
