policy: a request that alone crashes three servers at once counts twice

Cause: all crashes within a second counted as one for a whole request, so servers that crash together and come back together crashed twice before the request was blamed, and once more. Three crashes of a window in which nothing else ran now count as two, as they do for parts of prompts.

Evidence: crash_evidence_test's new case failed before ("blame it with the next crash") and passes.

--- a/src/libwisteriaroute/policy/crash_evidence.cc
+++ b/src/libwisteriaroute/policy/crash_evidence.cc
@@ -13,6 +13,7 @@
 // A rack or all servers may fail at once, so the crashes of one window are one
 // crash for what they have in common. This many servers that fail with the
 // same part in different requests count as two, unless most others fail, too.
+// So do this many with the same request, if nothing else ran there.
 constexpr std::size_t kSameWindowCrashes = 3;
 constexpr std::uint32_t kCrashesNeeded = 2;
 // A part that servers have answered before is less likely to be the cause than
@@ -33,6 +34,8 @@
   std::set<base::digest128> requests;
   /** Indexes of the unexplained crashes, in order. */
   std::vector<std::size_t> crashes;
+  /** Those of a whole request in which no other request is a suspect. */
+  std::set<std::size_t> alone;
 };
 
 using evidence_table = std::map<base::digest128, evidence>;
@@ -99,6 +102,14 @@
   }
 }
 
+/** Whether all suspects of the crash are attempts of the same request. */
+bool IsOnlySuspect(const crash& one, const wire::suspect_request& request) {
+  return std::ranges::all_of(
+      one.suspects, [&](const wire::suspect_request& suspect) {
+        return suspect.fingerprint == request.fingerprint;
+      });
+}
+
 evidence_table Collect(std::span<const crash> crashes,
                        const explanations& known) {
   evidence_table table;
@@ -111,6 +122,9 @@
         evidence& whole = table[suspect.fingerprint];
         whole.position = kWholeRequest;
         Add(whole, i, suspect);
+        if (IsOnlySuspect(crashes[i], suspect)) {
+          whole.alone.insert(i);
+        }
       }
       for (std::size_t at = 0; at < suspect.parts.size(); ++at) {
         const wire::suspect_part& part = suspect.parts[at];
@@ -128,18 +142,21 @@
 std::uint32_t CountCrashes(const evidence& found,
                            const std::vector<std::size_t>& windows,
                            const std::map<std::size_t, std::size_t>& totals) {
+  const bool is_whole = found.position == kWholeRequest;
   std::map<std::size_t, std::size_t> in_window;
+  std::map<std::size_t, std::size_t> strong;
   for (const std::size_t index : found.crashes) {
     ++in_window[windows[index]];
+    strong[windows[index]] += !is_whole || found.alone.contains(index) ? 1 : 0;
   }
   std::size_t count = 0;
   for (const auto& [window, crashes] : in_window) {
-    const bool shared_by_most =
-        crashes >= kSameWindowCrashes && 2 * crashes > totals.at(window);
-    count += found.position != kWholeRequest && shared_by_most ? 2 : 1;
+    const bool shared_by_most = strong[window] >= kSameWindowCrashes &&
+                                2 * strong[window] > totals.at(window);
+    count += shared_by_most ? 2 : 1;
   }
   // Another attempt of the same request is no evidence against its parts.
-  if (found.position != kWholeRequest) {
+  if (!is_whole) {
     count = std::min(count, found.requests.size());
   }
   return static_cast<std::uint32_t>(count);
--- a/tests/policy/crash_evidence_test.cc
+++ b/tests/policy/crash_evidence_test.cc
@@ -189,6 +189,35 @@
   CHECK(log.Culprits() == fingerprints{Part("bad")});
 }
 
+// Guards against review/9: servers that crash together with one request, and
+// come back together, crashed twice before the request was blamed, and once
+// more.
+TEST_CASE("three servers of one window that crash with one request alone") {
+  crash_log log;
+  for (const base::time_ms at_ms : {0, 100, 300}) {
+    log.CrashOf(at_ms, {}, "again");
+  }
+  CHECK(log.Culprits().empty());
+  SUBCASE("blame it with the next crash") {
+    log.CrashOf(4'500, {}, "again");
+    CHECK(log.Culprits() == fingerprints{base::Digest128("again")});
+  }
+  SUBCASE("don't blame it if most servers of the window had others") {
+    for (const base::time_ms at_ms : {400, 500, 600}) {
+      log.CrashOf(at_ms, {}, "other " + std::to_string(at_ms));
+    }
+    log.CrashOf(4'500, {}, "again");
+    CHECK(log.Culprits().empty());
+  }
+  SUBCASE("don't blame it if another request ran beside it") {
+    for (crash& one : log.crashes) {
+      one.suspects.push_back(log.Request({}, "beside"));
+    }
+    log.CrashOf(4'500, {}, "again");
+    CHECK(log.Culprits().empty());
+  }
+}
+
 TEST_CASE("properties of culprits") {
   // Sound parts come from a few sessions, half of them answered before.
   const auto random_log = [](bool with_culprit) {
