--- a/tests/process/soak_test.cc
+++ b/tests/process/soak_test.cc
@@ -25,6 +25,8 @@
 constexpr base::time_us kMs = 1'000;
 constexpr base::time_us kRoundUs = 100 * kMs;
 constexpr base::time_us kSoakUs = 14'000 * kMs;
+// A signal before exec() would meet the handlers of the test itself.
+constexpr base::time_us kNewUs = 300 * kMs;
 constexpr int kEvents = 20;
 // As the platform's balancer, which asks each second and counts two misses.
 constexpr base::time_us kBalancerUs = 2'000 * kMs;
@@ -112,6 +114,12 @@
   void Disturb() {
     const std::string name = PickProcess();
     const std::uint64_t kind = Pick(planned_only_ ? 3 : 6);
+    const auto started = started_us_.find(name);
+    const bool is_new = started != started_us_.end() &&
+                        base::MonotonicUs() - started->second < kNewUs;
+    if (is_new || (kind == 0 && lost_.contains(name))) {
+      return;
+    }
     if (kind == 0) {
       Log("SIGHUP", name);
       system_.Signal(name, SIGHUP);
@@ -146,6 +154,14 @@
   }
 
   void RestartEnded() {
+    for (const std::string& name : system_.ProductProcesses()) {
+      if (!lost_.contains(name) && !system_.IsRunning(name)) {
+        Log("ended by itself:", name);
+        INFO(history_);
+        FAIL_CHECK(name << " ended by itself");
+        lost_.insert(name);
+      }
+    }
     for (auto at = paused_until_.begin(); at != paused_until_.end();) {
       if (base::MonotonicUs() < at->second) {
         ++at;
@@ -162,6 +178,7 @@
       }
       Log("start", *at);
       system_.StartProcess(*at);
+      started_us_[*at] = base::MonotonicUs();
       stopping_since_.erase(*at);
       at = lost_.erase(at);
     }
@@ -307,6 +324,7 @@
   std::set<std::string> lost_;
   std::map<std::string, base::time_us> stopping_since_;
   std::map<std::string, base::time_us> paused_until_;
+  std::map<std::string, base::time_us> started_us_;
   std::string history_ = "\n";
 };
 
