control: standbys wait before they become further voters

A standby now becomes a further voter only after 2.5 s in which all voters are live; it still replaces a silent one at once. A voter that a new leader hasn't heard for 0.75 s is replaced: after an election of 2.4 s, 1.5 s more were too long.

The decisions are split into functions; erase() no longer takes a reference into the vector that it changes.

--- a/src/libwisteriaroute/control/replica.h
+++ b/src/libwisteriaroute/control/replica.h
@@ -217,6 +217,8 @@
   base::time_ms silent_ms = 0;
   /** Leader only: false if there was no message since the election. */
   bool answered = true;
+  /** Leader only: time since its first message to this leader. */
+  base::time_ms known_ms = 0;
   /** Leader only: it may become a voter at once. */
   bool caught_up = false;
   /** Leader only: its process has said that it is about to stop. */
--- a/src/libwisteriaroute/control/replica_membership.cc
+++ b/src/libwisteriaroute/control/replica_membership.cc
@@ -13,9 +13,16 @@
 // A standby takes the place of a silent voter, so the set isn't weaker if that
 // one returns. Shorter than a replaced host takes to stop counting as lost.
 constexpr base::time_ms kReplacementSilenceMs = 1'500;
+// The same for a voter that a new leader hasn't heard at all: the time before
+// the election, which it was silent for as well, isn't known.
+constexpr base::time_ms kNeverHeardMs = 750;
 // A live voter answers every heartbeat, sent each 100 ms.
 constexpr base::time_ms kMaxLiveSilenceMs = 1'000;
 
+// A standby becomes a further voter only after this time. A host that was lost
+// as it came is then known to be silent, and the standby takes its place.
+constexpr base::time_ms kFurtherVoterMs = 2'500;
+
 // Ticks that are later than this many periods show a pause.
 constexpr base::time_us kLatePeriods = 2;
 
@@ -35,6 +42,8 @@
   /** Voters that are leaving, then those that are silent. */
   std::vector<std::string> going;
   std::vector<std::string> standbys;
+  /** Of the standbys, those that may become further voters. */
+  std::size_t settled_standbys = 0;
   std::size_t leaving = 0;
   std::size_t live_voters = 0;
   bool all_voters_live = true;
@@ -48,13 +57,15 @@
     if (!one.voter) {
       if (live && one.caught_up && !one.leaving) {
         groups.standbys.push_back(one.name);
+        groups.settled_standbys += one.known_ms >= kFurtherVoterMs ? 1 : 0;
       }
       continue;
     }
     groups.live_voters += live ? 1 : 0;
     groups.all_voters_live = groups.all_voters_live && live;
     const bool silent =
-        one.name != self && one.silent_ms > kReplacementSilenceMs;
+        one.name != self &&
+        one.silent_ms > (one.answered ? kReplacementSilenceMs : kNeverHeardMs);
     if (one.leaving) {
       groups.going.insert(
           groups.going.begin() + static_cast<long>(groups.leaving++), one.name);
@@ -77,44 +88,59 @@
   from.erase(from.begin(), end);
 }
 
+/**
+ * Standbys take the votes of voters that are going. Votes of leaving voters
+ * that none takes are dropped if enough others are live; the rest stays.
+ */
+void ReplaceGoing(member_groups& groups, std::size_t target_voters) {
+  const std::size_t taken =
+      std::min(groups.going.size(), groups.standbys.size());
+  const std::size_t not_taken = std::max(groups.leaving, taken) - taken;
+  const bool may_drop = groups.live_voters >= target_voters + groups.leaving;
+  const std::size_t replaced = taken + (may_drop ? not_taken : 0);
+  groups.going.erase(groups.going.begin(),
+                     groups.going.begin() + static_cast<long>(replaced));
+  MoveFirst(groups.standbys, taken, groups.staying);
+  MoveFirst(groups.going, groups.going.size(), groups.staying);
+}
+
+/** While all voters are live, as many standbys become voters as leave the
+ * number odd. */
+void AddStandbys(member_groups& groups) {
+  if (groups.standbys.empty() || !groups.all_voters_live ||
+      groups.settled_standbys < groups.standbys.size()) {
+    return;
+  }
+  const std::size_t all = groups.staying.size() + groups.standbys.size();
+  const std::size_t largest_odd = (all - 1) | 1U;
+  MoveFirst(groups.standbys, largest_odd - groups.staying.size(),
+            groups.staying);
+}
+
+/** An even number of voters bears no more losses than the odd one below it. */
+void MakeOdd(std::vector<std::string>& voters, std::string_view self) {
+  if (voters.size() % 2 == 0) {
+    voters.erase(voters.back() == self ? voters.end() - 2 : voters.end() - 1);
+  }
+}
+
 std::optional<raft::change_replicas> NextVoters(
     std::span<const replica_view> replicas,
     std::string_view self,
     std::size_t target_voters) {
   member_groups groups = GroupMembers(replicas, self);
-  std::vector<std::string>& voters = groups.staying;
-  const std::size_t before = voters.size() + groups.going.size();
+  std::vector<std::string> before = groups.staying;
+  before.insert(before.end(), groups.going.begin(), groups.going.end());
 
-  // Votes of leaving voters that no standby takes are dropped if enough others
-  // are live.
-  const std::size_t taken =
-      std::min(groups.going.size(), groups.standbys.size());
-  const std::size_t untaken_leaving = std::max(groups.leaving, taken) - taken;
-  const bool drop = untaken_leaving > 0 &&
-                    groups.live_voters >= target_voters + groups.leaving;
-  groups.going.erase(
-      groups.going.begin(),
-      groups.going.begin() +
-          static_cast<long>(taken + (drop ? untaken_leaving : 0)));
-  MoveFirst(groups.standbys, taken, voters);
-  MoveFirst(groups.going, groups.going.size(), voters);
-
-  // A standby is kept for a voter that may be lost.
-  if (!groups.standbys.empty() && groups.all_voters_live) {
-    const std::size_t odd = (voters.size() + groups.standbys.size() - 1) | 1U;
-    MoveFirst(groups.standbys,
-              std::min(odd - voters.size(), groups.standbys.size()), voters);
-  }
-  const bool changed = taken > 0 || drop || voters.size() != before;
-  // An even number bears no more losses than the odd one below it.
-  if (voters.size() % 2 == 0 && voters.size() > target_voters &&
-      (changed || groups.all_voters_live)) {
-    std::erase(voters, *std::ranges::find_if(
-                           voters.rbegin(), voters.rend(),
-                           [&](const auto& name) { return name != self; }));
-    return SetVoters(std::move(voters));
+  ReplaceGoing(groups, target_voters);
+  AddStandbys(groups);
+  std::vector<std::string>& voters = groups.staying;
+  if (voters.size() > target_voters &&
+      (voters != before || groups.all_voters_live)) {
+    MakeOdd(voters, self);
   }
-  return changed ? std::optional(SetVoters(std::move(voters))) : std::nullopt;
+  return voters == before ? std::nullopt
+                          : std::optional(SetVoters(std::move(voters)));
 }
 
 }  // namespace
@@ -153,6 +179,9 @@
         view.silent_ms = silence.SilentMs(peer->second.last_reply_us, now_us);
         view.caught_up = raft::HasCaughtUp(raft, peer->second);
         view.answered = peer->second.identity != 0;
+        view.known_ms = peer->second.first_reply_us == 0
+                            ? 0
+                            : (now_us - peer->second.first_reply_us) / 1'000;
         view.leaving = peer->second.leaving;
       }
     }
--- a/src/libwisteriaroute/raft/peer.cc
+++ b/src/libwisteriaroute/raft/peer.cc
@@ -142,6 +142,9 @@
     }
   }
   peer.last_reply_us = step.now_us;
+  if (peer.first_reply_us == 0) {
+    peer.first_reply_us = step.now_us;
+  }
   peer.round = std::max(peer.round, std::min(round, state.leader.round));
   return &peer;
 }
--- a/src/libwisteriaroute/raft/state.h
+++ b/src/libwisteriaroute/raft/state.h
@@ -68,6 +68,8 @@
   /** Highest round that this identity acknowledged. */
   std::uint64_t round = 0;
   base::time_us last_reply_us = 0;
+  /** Time of the first reply of this identity; 0 if there was none. */
+  base::time_us first_reply_us = 0;
   /** Its process has said that it is about to stop. */
   bool leaving = false;
   /** The leader's commit index at the first reply of this identity. */
