--- a/tests/process/soak_test.cc
+++ b/tests/process/soak_test.cc
@@ -202,6 +202,7 @@
   void Calm() {
     for (const auto& [name, until] : paused_until_) {
       system_.Signal(name, SIGCONT);
+      lost_.erase(name);
     }
     paused_until_.clear();
     for (const char* server : {"desk-a", "desk-b", "desk-c"}) {
