--- a/tests/process/endless_answers_test.cc
+++ b/tests/process/endless_answers_test.cc
@@ -86,8 +86,8 @@
     if (at != input.npos) {
       ++answered_;
       const std::string id = input.substr(at, input.find('\r', at) - at);
-      std::string rest = "HTTP/1.1 200 OK\r\n" + id +
-                         "\r\nX-Server-Id: s\r\n" + answer_.head;
+      std::string rest =
+          "HTTP/1.1 200 OK\r\n" + id + "\r\nX-Server-Id: s\r\n" + answer_.head;
       while (!stopping_) {
         const ssize_t count = send(fd, rest.data(), rest.size(), MSG_NOSIGNAL);
         if (count < 0 && errno != EAGAIN) {
