--- a/tests/control/departure_property_test.cc
+++ b/tests/control/departure_property_test.cc
@@ -203,9 +203,11 @@
       }
       const auto left =
           server.departed().find(known->second.reported_incarnation);
-      RC_ASSERT(left == server.departed().end() ||
-                state.applied_index < left->second ||
-                known->second.info.leaving);
+      // RC_ASSERT would keep references to the parts of the condition.
+      const bool holds = left == server.departed().end() ||
+                         state.applied_index < left->second ||
+                         known->second.info.leaving;
+      RC_ASSERT(holds);
     };
     gateways all;
     for (const char* name : {"g1", "g2"}) {
