--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,4 +1,4 @@
-"""A request that crashes each server after its first event is never stopped."""
+"""A server that has left gets requests again after reports without `born`."""
 
 import os
 import sys
@@ -6,80 +6,76 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common-3"))
 from harness import *  # noqa: E402,F403
 
-CONTACT_S = 3.0
-MOST_RETRIES = 3
-DOWN_S = 2.0
-SERVERS = 4
-LASTS_S = 45.0
-DEADLY = b"the request that crashes servers"
-MODEL = [("Wisteriaroute-Model", "m"), ("Wisteriaroute-Token-Usage", "460,80")]
+DRAIN_MS = 2000
+# "It continues serving for drain_ms after the acknowledgement and a little
+# longer (at times many seconds)."
+SERVES_ON_S = 8.0
+BEAT_S = 1.2
 
 
-async def scenario(system):
-    servers = [Runner(system, "assistant", f"127.13.0.{i + 1}", ZONES[i % 3])
-               for i in range(SERVERS)]
-    crashes = []
+async def book(runner, method, path, headers, body, writer):
+    await asyncio.sleep(0.3)
+    await answer_plainly(runner, method, path, headers, body, writer)
 
-    async def generate(runner, method, path, headers, body, writer):
-        if body != DEADLY or not TROUBLE:
-            await answer_stream(runner, method, path, headers, body, writer, pieces=30)
-            return
-        # It "begins to run with its first token", and that token is sent.
-        begin_stream(runner, headers, writer)
-        writer.write(chunk(event(int(headers.get("last-event-id", 0)) + 1)))
-        await writer.drain()
-        await asyncio.sleep(0.02)
-        crashes.append(time.monotonic())
-        runner.crash(back_after=DOWN_S)
 
-    for one in servers:
-        one.handler = generate
-    document = configuration(3, [route("notes", "/model/", "assistant", "streaming")],
-                             [service("assistant", 418)])
+async def scenario(system):
+    leaving = Runner(system, "orders", "127.13.0.1")
+    staying = Runner(system, "orders", "127.13.0.2", ZONES[1])
+    for one in (leaving, staying):
+        one.handler = book
+    document = configuration(3, [route("book", "/orders/", "orders")], [service("orders")])
     answer = await put(system, document)
     if answer is None or answer.status != 200:
         raise CouldNotRun("the first configuration wasn't acknowledged")
-    for one in servers:
-        await one.start()
+    await leaving.start()
+    await staying.start()
     await system.wait_ready()
 
-    others = []
     stopping = False
+    clients = []
 
     async def press():
-        """Sound requests of other prompts."""
         number = 0
         while not stopping:
-            prompt = f"5c1e07a2:400,{random.getrandbits(32):08x}:60"
-            others.append(asyncio.ensure_future(client(
-                system, number % 2, "POST", "/model/sound", b"sound %d" % number, deadline_ms=8000,
-                more=MODEL + [("Wisteriaroute-Prompt-Prefix", prompt)])))
+            clients.append(asyncio.ensure_future(
+                client(system, number % 2, "POST", f"/orders/{number}", deadline_ms=2500)))
             number += 1
-            await asyncio.sleep(0.2)
+            await asyncio.sleep(0.05)
 
     pressing = asyncio.ensure_future(press())
-    end = system.record.time() + LASTS_S
-    retry = 0
-    # "Such a request comes again, with the same path, caller and body, at any
-    # machine."
-    while system.record.time() < end:
-        await client(system, retry % 2, "POST", "/model/deadly", DEADLY, deadline_ms=8000,
-                     more=MODEL + [("Wisteriaroute-Prompt-Prefix", "5c1e07a2:400,e4402b7d:60")])
-        retry += 1
-        await asyncio.sleep(1.0)
+    await asyncio.sleep(4.0)
+
+    # "Some runners never report draining: they send POST /instances/ID/leave
+    # first, continue to serve for the same length of time, and exit."
+    leaving.beating.cancel()
+    answer = await call_any(system, "POST", f"/instances/{leaving.id}/leave",
+                            {"born": leaving.born, "sequence": leaving.sequence + 1})
+    if answer is None or answer.status // 100 != 2:
+        raise CouldNotRun("the leave wasn't acknowledged")
+    acknowledged = time.monotonic()
+    system.record(f"the leave of {leaving.id} is acknowledged")
+
+    # The other writer: the same report as before, but `born` is missing.
+    while time.monotonic() < acknowledged + SERVES_ON_S - 2:
+        if TROUBLE:
+            report = leaving.report()
+            del report["born"]
+            answer = await call_any(system, "POST", f"/instances/{leaving.id}/heartbeat", report)
+            system.record(f"a heartbeat for {leaving.id} without 'born' from another writer "
+                          f"is answered {answer.status if answer else 'nothing'}")
+        await asyncio.sleep(BEAT_S)
+    await asyncio.sleep(max(0.0, acknowledged + SERVES_ON_S - time.monotonic()))
+    leaving.crash()  # Its process exits, as it said it would.
+    await asyncio.sleep(1.0)
     stopping = True
     await pressing
-    answers = await asyncio.gather(*others)
+    answers = await asyncio.gather(*clients)
 
-    arrived = [(at, id) for one in servers for at, id, path, _ in one.arrived
-               if path == "/model/deadly"]
-    since = crashes[2] + CONTACT_S if len(crashes) > 2 else float("inf")
-    late = {id for at, id in arrived if at > since}
-    lost = sum(1 for one in answers if one is None or one.status not in (200, 503))
-    system.record(f"the deadly request was sent {retry} times and crashed servers {len(crashes)} "
-                  f"times; {len(late)} retries reached servers later than {CONTACT_S} s after the "
-                  f"third crash; of {len(answers)} sound streams {lost} were cut or failed")
-    return BROKEN if len(late) > MOST_RETRIES else HELD
+    late = [one for one in leaving.arrived if one[0] > acknowledged + DRAIN_MS / 1000]
+    unanswered = sum(1 for one in answers if one is None or one.status == 502)
+    system.record(f"{len(late)} requests reached {leaving.id} later than {DRAIN_MS} ms after its "
+                  f"leave was acknowledged; {unanswered} orders ended with 502 or without an answer")
+    return BROKEN if late else HELD
 
 
 main(__file__, scenario)
--- a/review/common-3/harness.py
+++ b/review/common-3/harness.py
@@ -126,7 +126,7 @@
             file.write(text)
         return Process(self, name, program, settings, os.path.join(self.folder, name + ".log"))
 
-    def _control(self, i, bootstrap=True):
+    def _control(self, i, bootstrap=True, tolerated=None):
         ip, name = self.control_ips[i], f"control-{i + 1}"
         zones = ", ".join(f'"{zone}"' for zone in ZONES)
         return self._make(name, "wisteriaroute-control",
@@ -135,7 +135,8 @@
             f'bootstrap = {"true" if bootstrap else "false"}\n'
             f'listen_http = "{ip}:{self.control_port}"\ndata_centers = [{zones}]\n'
             'replicas_from_controls = true\nsnapshot_entries = 100\nkept_entries = 32\n'
-            f'join_automatically = true\ntolerated_losses = {(len(self.control_ips) - 1) // 2}\n')
+            f'join_automatically = true\ntolerated_losses = '
+            f'{(len(self.control_ips) - 1) // 2 if tolerated is None else tolerated}\n')
 
     def _gateway(self, i):
         ip = self.gateway_ips[i]
