--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,4 +1,4 @@
-"""A server that has left gets requests again after reports without `born`."""
+"""A machine of control is gone without notice, and another one 1 s later."""
 
 import os
 import sys
@@ -6,76 +6,73 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common-3"))
 from harness import *  # noqa: E402,F403
 
-DRAIN_MS = 2000
-# "It continues serving for drain_ms after the acknowledgement and a little
-# longer (at times many seconds)."
-SERVES_ON_S = 8.0
-BEAT_S = 1.2
+CATCH_UP_S = 4.0
+RECOVERY_S = 12.0
+# The successor has had catch_up_s twice before its predecessor goes.
+TOGETHER_S = 2 * CATCH_UP_S
+GAP_S = float(os.environ.get("GAP_S", "1.0"))
+WAIT_S = 45.0
 
 
-async def book(runner, method, path, headers, body, writer):
-    await asyncio.sleep(0.3)
-    await answer_plainly(runner, method, path, headers, body, writer)
+async def leader_ip(system):
+    """The replica that the others redirect to, or that answers itself."""
+    for ip in system.control_ips:
+        answer = await call(f"{ip}:{system.control_port}", "GET", "/configuration/get", redirects=0)
+        if answer is not None and answer.status == 307:
+            return answer.headers["location"].removeprefix("http://").split(":")[0]
+        if answer is not None and answer.status == 200:
+            return ip
+    raise CouldNotRun("control has no leader")
 
 
 async def scenario(system):
-    leaving = Runner(system, "orders", "127.13.0.1")
-    staying = Runner(system, "orders", "127.13.0.2", ZONES[1])
-    for one in (leaving, staying):
-        one.handler = book
     document = configuration(3, [route("book", "/orders/", "orders")], [service("orders")])
     answer = await put(system, document)
     if answer is None or answer.status != 200:
         raise CouldNotRun("the first configuration wasn't acknowledged")
-    await leaving.start()
-    await staying.start()
+    await Runner(system, "orders", "127.13.0.1").start()
     await system.wait_ready()
 
-    stopping = False
-    clients = []
-
-    async def press():
-        number = 0
-        while not stopping:
-            clients.append(asyncio.ensure_future(
-                client(system, number % 2, "POST", f"/orders/{number}", deadline_ms=2500)))
-            number += 1
-            await asyncio.sleep(0.05)
-
-    pressing = asyncio.ensure_future(press())
-    await asyncio.sleep(4.0)
-
-    # "Some runners never report draining: they send POST /instances/ID/leave
-    # first, continue to serve for the same length of time, and exit."
-    leaving.beating.cancel()
-    answer = await call_any(system, "POST", f"/instances/{leaving.id}/leave",
-                            {"born": leaving.born, "sequence": leaving.sequence + 1})
-    if answer is None or answer.status // 100 != 2:
-        raise CouldNotRun("the leave wasn't acknowledged")
-    acknowledged = time.monotonic()
-    system.record(f"the leave of {leaving.id} is acknowledged")
+    # The successor: a new machine at another address, with an empty disk.
+    system.control_ips.append("127.11.0.4")
+    successor = system._control(3, bootstrap=False, tolerated=1)
+    system.controls.append(successor)
+    successor.start()
+    await asyncio.sleep(TOGETHER_S)
+    newer = configuration(4, document["routes"], document["services"])
+    answer = await put(system, newer)
+    if answer is None or answer.status != 200:
+        raise CouldNotRun("version 4 wasn't acknowledged")
 
-    # The other writer: the same report as before, but `born` is missing.
-    while time.monotonic() < acknowledged + SERVES_ON_S - 2:
-        if TROUBLE:
-            report = leaving.report()
-            del report["born"]
-            answer = await call_any(system, "POST", f"/instances/{leaving.id}/heartbeat", report)
-            system.record(f"a heartbeat for {leaving.id} without 'born' from another writer "
-                          f"is answered {answer.status if answer else 'nothing'}")
-        await asyncio.sleep(BEAT_S)
-    await asyncio.sleep(max(0.0, acknowledged + SERVES_ON_S - time.monotonic()))
-    leaving.crash()  # Its process exits, as it said it would.
-    await asyncio.sleep(1.0)
-    stopping = True
-    await pressing
-    answers = await asyncio.gather(*clients)
+    leader = await leader_ip(system)
+    old = [one for one, ip in zip(system.controls[:3], system.control_ips)
+           if ip != leader]
+    if len(old) < 2:
+        raise CouldNotRun("the leader isn't one of the first three")
+    gone, next_lost = old[0], old[1]
+    gone.signal(signal.SIGKILL)
+    gone.wait()
+    system.record(f"{gone.name} is gone for good; its successor has run for {TOGETHER_S:.0f} s")
+    if TROUBLE:
+        await asyncio.sleep(GAP_S)
+        next_lost.signal(signal.SIGKILL)
+        next_lost.wait()
+        system.record(f"{next_lost.name} is lost {GAP_S:.2f} s later; "
+                      f"two sound replicas and their disks are left")
 
-    late = [one for one in leaving.arrived if one[0] > acknowledged + DRAIN_MS / 1000]
-    unanswered = sum(1 for one in answers if one is None or one.status == 502)
-    system.record(f"{len(late)} requests reached {leaving.id} later than {DRAIN_MS} ms after its "
-                  f"leave was acknowledged; {unanswered} orders ended with 502 or without an answer")
-    return BROKEN if late else HELD
+    end = time.monotonic() + WAIT_S
+    lost_at = time.monotonic()
+    while time.monotonic() < end:
+        answer = await call_any(system, "GET", "/configuration/get", seconds=3.0)
+        if answer is not None and answer.status == 200:
+            version = json.loads(answer.body).get("version")
+            system.record(f"operator reads version {version}, "
+                          f"{time.monotonic() - lost_at:.1f} s after the last loss")
+            return HELD if version == 4 else BROKEN
+        system.record("operator: no replica answers the read but with 503 or not at all")
+        await asyncio.sleep(1.0)
+    system.record(f"the configuration wasn't read within {WAIT_S:.0f} s of the last loss")
+    return BROKEN
 
 
 main(__file__, scenario)
--- a/review/common-3/harness.py
+++ b/review/common-3/harness.py
@@ -108,7 +108,8 @@
         self.controls = [self._control(i) for i in range(controls)]
         self.gateways = [self._gateway(i) for i in range(gateways)]
         self.tasks = []
-        for program in ("wisteriaroute-control", "wisteriaroute-gateway"):
+        for program in ("wisteriaroute-control", "wisteriaroute-gateway",
+                        "wisteriaroute-sidecar"):
             if not os.access(os.path.join(TARGET, program), os.X_OK):
                 raise CouldNotRun(f"target/{program} isn't built")
 
