coordinator: a takeover relies only on reports that late orders can't make untrue

Cause: a takeover decided from the reported state alone. Ranks fence on arrival only, so orders that they accepted from earlier coordinators may be carried out seconds later: orders to disarm after the next coordinator has released the step, orders to release after the next one has begun to disarm, and orders to release a stray hold that the next one uses.

Change: ranks are disarmed only of a version that one rank refuses for good, because it has prepared a later one; ranks that aren't armed prepare the new version first. All ranks armed therefore means that no order to disarm is under way, also if late orders armed them while the new version was being prepared. Of several holds the highest is used.

Evidence: coordinator_property_test draws series of 2 to 5 takeovers with late orders.

--- a/src/libwisteriaroute/coordinator/map_change.cc
+++ b/src/libwisteriaroute/coordinator/map_change.cc
@@ -179,42 +179,49 @@
     change.placement = std::move(placement);
   }
 
-  rank_view* FindHoldingRank() {
-    for (auto& [rank, view] : group.ranks) {
-      if (view.status.held_step != 0) {
-        return &view;
-      }
+  /**
+   * The highest step that a rank holds; 0: none does. An order to release it
+   * can't be under way: a coordinator releases a step only if all ranks are
+   * armed for it, or if a later one is held, which stays held until it begins.
+   */
+  std::uint64_t HighestHeldStep() const {
+    std::uint64_t step = 0;
+    for (const auto& [rank, view] : group.ranks) {
+      step = std::max(step, view.status.held_step);
     }
-    return nullptr;
+    return step;
+  }
+
+  /** The status of a rank that is armed; null: none is. */
+  const wire::rank_status* FindArmedStatus() const {
+    const auto armed = std::ranges::find_if(group.ranks, [](const auto& item) {
+      return item.second.status.armed_version != 0;
+    });
+    return armed == group.ranks.end() ? nullptr : &armed->second.status;
+  }
+
+  /**
+   * Whether it is certain that not all ranks will be armed for `version`: one
+   * of them has prepared a later one and refuses to be armed for this one, no
+   * matter which orders are still under way.
+   */
+  bool IsVoid(std::uint64_t version) const {
+    return std::ranges::any_of(group.ranks, [&](const auto& item) {
+      const wire::rank_status& status = item.second.status;
+      return status.prepared_version > version || status.map_version > version;
+    });
   }
 
   /**
-   * Takes over a change that another coordinator left unfinished. Continues it
+   * Takes over a change that another coordinator left unfinished. Completes it
    * if all ranks are armed; otherwise replaces it by a change with a new
    * version that keeps the current placement.
    */
   void Adopt() {
-    const rank_view* holding_rank = FindHoldingRank();
-    const auto armed = std::ranges::find_if(group.ranks, [](const auto& item) {
-      return item.second.status.armed_version != 0;
-    });
-    if (holding_rank == nullptr && armed == group.ranks.end()) {
+    if (ReleaseIfAllArmed() ||
+        (FindArmedStatus() == nullptr && HighestHeldStep() == 0)) {
       return;
     }
-    if (armed != group.ranks.end()) {
-      const wire::rank_status& status = armed->second.status;
-      group.change = rank_map_change{.phase = change_phase::kReleasing,
-                                     .version = status.armed_version,
-                                     .step = status.armed_step,
-                                     .started_us = now_us};
-      if (All([&](const auto& reported) { return IsArmed(reported); })) {
-        Log("map_change_adopted",
-            "version " + std::to_string(group.change->version));
-        EnterPhase(change_phase::kReleasing);
-        return;
-      }
-      group.change.reset();
-    }
     const wire::expert_placement current = CurrentPlacement();
     if (current.empty()) {
       return;
@@ -227,6 +234,26 @@
         "version " + std::to_string(group.change->version));
   }
 
+  /**
+   * Releases the step of another coordinator's change if all ranks are armed
+   * for it. They stay so: ranks are disarmed only of void versions.
+   */
+  bool ReleaseIfAllArmed() {
+    const wire::rank_status* armed = FindArmedStatus();
+    if (armed == nullptr || !All([&](const auto& status) {
+          return IsArmed(status, armed->armed_version, armed->armed_step);
+        })) {
+      return false;
+    }
+    group.change = rank_map_change{.version = armed->armed_version,
+                                   .step = armed->armed_step,
+                                   .started_us = now_us};
+    Log("map_change_adopted",
+        "version " + std::to_string(group.change->version));
+    EnterPhase(change_phase::kReleasing);
+    return true;
+  }
+
   /** A version above all reported ones, which no other coordinator uses. */
   std::uint64_t NextVersion() {
     group.last_version =
@@ -253,13 +280,20 @@
 
   void Prepare() {
     const rank_map_change& change = *group.change;
+    // An earlier coordinator's orders to arm may have been carried out late.
+    if (ReleaseIfAllArmed()) {
+      return;
+    }
     bool all = true;
     std::vector<rank_view*> unprepared;
     for (auto& [rank, view] : group.ranks) {
-      if (view.status.armed_version != 0 &&
-          view.status.armed_version != change.version) {
+      if (view.status.armed_version != 0) {
         all = false;
-        Disarm(view);
+        // Until another rank has prepared this change, all ranks may yet be
+        // armed for the other one, and its step be released.
+        if (IsVoid(view.status.armed_version)) {
+          Disarm(view);
+        }
       } else if (view.status.prepared_version != change.version) {
         unprepared.push_back(&view);
       }
@@ -271,7 +305,7 @@
       BeginHold();
       return;
     }
-    if (change.forward_only || FindHoldingRank() != nullptr) {
+    if (change.forward_only || HighestHeldStep() != 0) {
       return;
     }
     if (IsOutdated()) {
@@ -334,9 +368,8 @@
   void Hold() {
     // The hold may be a late one of an earlier coordinator. It blocks the group
     // in the same way and can be used, since all ranks are prepared here.
-    const rank_view* holding_rank = FindHoldingRank();
-    if (holding_rank != nullptr) {
-      group.change->step = holding_rank->status.held_step;
+    if (const std::uint64_t held_step = HighestHeldStep(); held_step != 0) {
+      group.change->step = held_step;
       group.change->held_us = now_us;
       EnterPhase(change_phase::kArming);
       Arm();
@@ -361,10 +394,11 @@
     return &group.ranks.begin()->second;
   }
 
-  bool IsArmed(const wire::rank_status& status) const {
-    return (status.armed_version == group.change->version &&
-            status.armed_step == group.change->step) ||
-           status.map_version == group.change->version;
+  static bool IsArmed(const wire::rank_status& status,
+                      std::uint64_t version,
+                      std::uint64_t step) {
+    return (status.armed_version == version && status.armed_step == step) ||
+           status.map_version == version;
   }
 
   /**
@@ -390,7 +424,7 @@
     ReleaseStray();
     std::vector<rank_view*> unarmed;
     for (auto& [rank, view] : group.ranks) {
-      if (!IsArmed(view.status)) {
+      if (!IsArmed(view.status, group.change->version, group.change->step)) {
         unarmed.push_back(&view);
       }
     }
--- a/src/libwisteriaroute/coordinator/rank_group.h
+++ b/src/libwisteriaroute/coordinator/rank_group.h
@@ -44,12 +44,19 @@
  *
  * The hold ensures that no rank begins the step before all ranks are armed. It
  * is never released earlier, because an order to arm may be carried out seconds
- * after the coordinator has abandoned it. A coordinator that finds a hold whose
- * change it can't complete therefore completes a change with a new version.
- * This invalidates late orders to arm: their version is no longer prepared.
+ * after the coordinator has abandoned it.
  *
  * A coordinator sends these orders only when the sidecars of all ranks refuse
- * orders of older terms (fencing).
+ * orders of older terms (fencing). Orders that ranks accepted before may still
+ * be carried out, so a takeover relies only on reports that no such order can
+ * make untrue:
+ *   - a rank that has prepared a version refuses to prepare or arm a lower one;
+ *   - an armed rank stays armed until it is disarmed or the step begins, and
+ *     ranks are disarmed only of a version that one rank refuses for good;
+ *   - the highest held step stays held until all ranks are armed for it.
+ * A hold or armed ranks that are found are resolved by a change with a new
+ * version, which the ranks that aren't armed prepare first. The other change is
+ * completed if all ranks turn out to be armed for it.
  */
 enum class change_phase : std::uint8_t {
   kPreparing,
--- a/tests/coordinator/coordinator_property_test.cc
+++ b/tests/coordinator/coordinator_property_test.cc
@@ -2,6 +2,7 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <array>
 #include <deque>
 #include <map>
 #include <optional>
@@ -192,10 +193,22 @@
   std::deque<delayed<wire::rank_order>> orders;
   std::deque<delayed<wire::rank_status>> statuses;
   std::vector<fake_sidecar> sidecars = std::vector<fake_sidecar>(kRanks);
-  double late_probability = 0.3;
+  /** Probability that a rank carries out an order seconds late, by kind. */
+  std::map<wire::rank_order_kind, double> late_probability;
   int edited_orders = 0;
+  /** Takeovers that follow one another while a change is in progress. */
+  int takeovers_left = 0;
+  base::time_us next_takeover_us = 0;
+  base::time_us series_end_us = 0;
+  bool idle_in_series = false;
 
-  explicit simulation(std::uint32_t seed) : random(seed) { Grant(); }
+  explicit simulation(std::uint32_t seed, double late = 0.3) : random(seed) {
+    using enum wire::rank_order_kind;
+    for (const auto kind : {kPrepare, kArm, kDisarm, kHold, kRelease}) {
+      late_probability[kind] = late;
+    }
+    Grant();
+  }
 
   double RandomChance() { return std::uniform_real_distribution<>()(random); }
   base::time_us RandomBetween(base::time_us low, base::time_us high) {
@@ -267,7 +280,7 @@
             continue;
           }
         }
-        if (RandomChance() < late_probability) {
+        if (RandomChance() < late_probability[one.body.kind]) {
           one.coordinator = kAccepted;
           one.at_us = now_us + RandomBetween(2'000'000, 12'000'000);
           rest.push_back(one);
@@ -354,7 +367,7 @@
     }
     if (!faults) {
       group.idle = false;
-      late_probability = 0;
+      late_probability.clear();
     }
     group.BeginStepIfDue(now_us);
     DeliverOrders();
@@ -367,6 +380,59 @@
     }
   }
 
+  bool IsChanging() const {
+    return std::ranges::any_of(group.ranks, [&](const fake_rank& one) {
+      return one.armed_version != 0 || one.held > group.step;
+    });
+  }
+
+  /**
+   * Draws, for each kind of order, how often it is carried out late. Uneven
+   * probabilities leave orders of one kind under way while the others arrive.
+   */
+  void DrawLateness() {
+    for (auto& [kind, probability] : late_probability) {
+      probability = std::array{0.0, 0.3, 1.0}[Pick(3)];
+    }
+  }
+
+  std::size_t Pick(std::size_t count) {
+    return static_cast<std::size_t>(
+        RandomBetween(0, static_cast<base::time_us>(count) - 1));
+  }
+
+  /**
+   * Runs series of 2 to 5 takeovers that begin while a change is in progress,
+   * so that orders of several coordinators are under way at once. Some
+   * coordinators last only for their first orders, others until late orders
+   * have been carried out. In most series the group is idle, so the step of
+   * the change doesn't begin meanwhile.
+   */
+  void TakeOverInSeries() {
+    if (now_us >= series_end_us) {
+      if (!IsChanging() || RandomChance() > 0.1) {
+        return;
+      }
+      takeovers_left = static_cast<int>(RandomBetween(2, 5));
+      next_takeover_us = now_us;
+      series_end_us = now_us + RandomBetween(8'000'000, 16'000'000);
+      idle_in_series = RandomChance() < 0.8;
+    }
+    group.idle = idle_in_series;
+    if (takeovers_left == 0 || now_us < next_takeover_us) {
+      return;
+    }
+    --takeovers_left;
+    next_takeover_us =
+        now_us + (RandomChance() < 0.5 ? RandomBetween(150'000, 400'000)
+                                       : RandomBetween(1'000'000, 4'000'000));
+    DrawLateness();
+    Grant();
+    if (RandomChance() < 0.9) {
+      Step(coordinators[coordinators.size() - 2], coordination_lost{}, now_us);
+    }
+  }
+
   static constexpr std::size_t kAccepted = static_cast<std::size_t>(-1);
 };
 
@@ -386,11 +452,34 @@
   CHECK(edited_orders > 100);
 }
 
+constexpr std::uint32_t kSchedulesPerSeed = 10;
+
+// Guards against a takeover that trusts the reported state of the ranks while
+// orders of earlier coordinators may still be carried out.
+TEST_CASE("orders of several earlier coordinators are carried out late") {
+  int switches = 0;
+  CHECK(rc::check("all ranks begin every step with the same map", [&] {
+    const auto seed = *rc::gen::noShrink(
+        rc::gen::resize(rc::kNominalSize, rc::gen::arbitrary<std::uint32_t>()));
+    for (std::uint32_t schedule = 0; schedule < kSchedulesPerSeed; ++schedule) {
+      simulation w(seed + schedule);
+      for (int i = 0; i < 4'000; ++i) {
+        w.TakeOverInSeries();
+        w.Tick(true);
+        RC_ASSERT(w.group.consistent);
+      }
+      switches += w.group.switches;
+    }
+  }));
+  CHECK(switches > 100);
+}
+
 TEST_CASE("a group doesn't stay held forever") {
   CHECK(
       rc::check("the group begins steps again after the faults have ended", [] {
         simulation w(*rc::gen::arbitrary<std::uint32_t>());
         for (int i = 0; i < 1'000; ++i) {
+          w.TakeOverInSeries();
           w.Tick(true);
         }
         // Accepted orders may be carried out up to 12 s later; this takes 16 s.
