control: of 2f + 2 hosts all vote, the last one with two votes

Each call to control got 503 for good.

Cause: the successor was a standby, so two of three voters were gone, and nothing could be committed any more, also not that the standby takes a vote.

Change: all of 2f + 2 hosts vote, and the one that joined last has two votes, so the number of votes is odd and any two quorums meet, without evidence or time limits. A voter that leaves or is silent for 1.5 s loses its vote if 2f + 1 others are live. Changes from and to such sets need quorums of both.

--- a/proto/raft.capnp
+++ b/proto/raft.capnp
@@ -11,6 +11,7 @@
   identity @2 :UInt64;
   voter @3 :Bool;
   promoteWhenReady @4 :Bool;
+  castingVote @5 :Bool;
 }
 
 struct ReplicaList {
--- a/src/libwisteriaroute/control/replica.h
+++ b/src/libwisteriaroute/control/replica.h
@@ -209,6 +209,8 @@
   /** Id of its data directory; changes if it restarts with an empty one. */
   std::uint64_t identity = 0;
   bool voter = false;
+  /** It has two votes. */
+  bool casting_vote = false;
   bool leader = false;
   /** Leader only: highest log index known to be synced on the replica. */
   std::uint64_t match_index = 0;
--- a/src/libwisteriaroute/control/replica_membership.cc
+++ b/src/libwisteriaroute/control/replica_membership.cc
@@ -31,9 +31,11 @@
          (one.answered && one.silent_ms <= kMaxLiveSilenceMs);
 }
 
-raft::change_replicas SetVoters(std::vector<std::string> voters) {
+raft::change_replicas SetVoters(std::vector<std::string> voters,
+                                std::string casting_voter) {
   return {.change = raft::replica_change::kSetVoters,
-          .voters = std::move(voters)};
+          .voters = std::move(voters),
+          .casting_voter = std::move(casting_voter)};
 }
 
 /** The replica set, by what its members may contribute. */
@@ -45,7 +47,8 @@
   /** Of the standbys, those that may become further voters. */
   std::size_t settled_standbys = 0;
   std::size_t leaving = 0;
-  std::size_t live_voters = 0;
+  /** Of those that stay. */
+  std::size_t live_staying = 0;
   bool all_voters_live = true;
 };
 
@@ -61,7 +64,6 @@
       }
       continue;
     }
-    groups.live_voters += live ? 1 : 0;
     groups.all_voters_live = groups.all_voters_live && live;
     const bool silent =
         one.name != self &&
@@ -73,6 +75,7 @@
       groups.going.push_back(one.name);
     } else {
       groups.staying.push_back(one.name);
+      groups.live_staying += live ? 1 : 0;
     }
   }
   return groups;
@@ -89,41 +92,74 @@
 }
 
 /**
- * Standbys take the votes of voters that are going. Votes of leaving voters
- * that none takes are dropped if enough others are live; the rest stays.
+ * Standbys take the votes of voters that are going. Votes that none takes are
+ * dropped if `target_voters` live voters stay.
  */
 void ReplaceGoing(member_groups& groups, std::size_t target_voters) {
   const std::size_t taken =
       std::min(groups.going.size(), groups.standbys.size());
-  const std::size_t not_taken = std::max(groups.leaving, taken) - taken;
-  const bool may_drop = groups.live_voters >= target_voters + groups.leaving;
-  const std::size_t replaced = taken + (may_drop ? not_taken : 0);
+  const bool may_drop = groups.live_staying + taken >= target_voters;
   groups.going.erase(groups.going.begin(),
-                     groups.going.begin() + static_cast<long>(replaced));
+                     may_drop
+                         ? groups.going.end()
+                         : groups.going.begin() + static_cast<long>(taken));
   MoveFirst(groups.standbys, taken, groups.staying);
   MoveFirst(groups.going, groups.going.size(), groups.staying);
 }
 
-/** While all voters are live, as many standbys become voters as leave the
- * number odd. */
-void AddStandbys(member_groups& groups) {
+/**
+ * An even number of voters bears no more losses than the odd one below it. The
+ * exception is one successor beside `target_voters`: a predecessor that goes
+ * without notice must not leave too few that hold the log. See
+ * docs/design/control-membership.md.
+ */
+std::size_t UsefulVoters(std::size_t available, std::size_t target_voters) {
+  return available <= target_voters + 1 ? available : (available - 1) | 1U;
+}
+
+/** While all voters are live, standbys become further voters. */
+void AddStandbys(member_groups& groups, std::size_t target_voters) {
   if (groups.standbys.empty() || !groups.all_voters_live ||
       groups.settled_standbys < groups.standbys.size()) {
     return;
   }
-  const std::size_t all = groups.staying.size() + groups.standbys.size();
-  const std::size_t largest_odd = (all - 1) | 1U;
-  MoveFirst(groups.standbys, largest_odd - groups.staying.size(),
+  const std::size_t wanted = UsefulVoters(
+      groups.staying.size() + groups.standbys.size(), target_voters);
+  MoveFirst(groups.standbys,
+            std::max(wanted, groups.staying.size()) - groups.staying.size(),
             groups.staying);
 }
 
-/** An even number of voters bears no more losses than the odd one below it. */
-void MakeOdd(std::vector<std::string>& voters, std::string_view self) {
-  if (voters.size() % 2 == 0) {
+/** Drops the vote of the last voter that isn't `self` if it has no use. */
+void DropUselessVote(std::vector<std::string>& voters,
+                     std::string_view self,
+                     std::size_t target_voters) {
+  if (UsefulVoters(voters.size(), target_voters) < voters.size()) {
     voters.erase(voters.back() == self ? voters.end() - 2 : voters.end() - 1);
   }
 }
 
+/**
+ * The voter that has two votes; empty: none. Of `target_voters` and one
+ * successor, no rule without a second vote lets those decide that remain if a
+ * predecessor and one more are lost at the same time. It is the member that
+ * joined last, as that is the one whose removal is least likely.
+ */
+std::string CastingVoter(std::span<const replica_view> replicas,
+                         const std::vector<std::string>& voters,
+                         std::size_t target_voters) {
+  if (voters.size() != target_voters + 1 || voters.size() % 2 != 0) {
+    return {};
+  }
+  std::string last;
+  for (const replica_view& one : replicas) {
+    if (std::ranges::find(voters, one.name) != voters.end()) {
+      last = one.name;
+    }
+  }
+  return last;
+}
+
 std::optional<raft::change_replicas> NextVoters(
     std::span<const replica_view> replicas,
     std::string_view self,
@@ -133,14 +169,20 @@
   before.insert(before.end(), groups.going.begin(), groups.going.end());
 
   ReplaceGoing(groups, target_voters);
-  AddStandbys(groups);
+  AddStandbys(groups, target_voters);
   std::vector<std::string>& voters = groups.staying;
-  if (voters.size() > target_voters &&
-      (voters != before || groups.all_voters_live)) {
-    MakeOdd(voters, self);
+  if (voters != before || groups.all_voters_live) {
+    DropUselessVote(voters, self, target_voters);
+  }
+  const std::string casting = CastingVoter(replicas, voters, target_voters);
+  const bool same_casting =
+      std::ranges::all_of(replicas, [&](const replica_view& one) {
+        return (one.voter && one.casting_vote) == (one.name == casting);
+      });
+  if (voters == before && (same_casting || !groups.all_voters_live)) {
+    return std::nullopt;
   }
-  return voters == before ? std::nullopt
-                          : std::optional(SetVoters(std::move(voters)));
+  return SetVoters(std::move(voters), casting);
 }
 
 }  // namespace
@@ -167,6 +209,7 @@
                       .address = replica.address,
                       .identity = replica.identity,
                       .voter = replica.voter,
+                      .casting_vote = replica.casting_vote,
                       .leader = replica.name == raft.leader_name};
     if (replica.name == raft.self) {
       view.leader = is_leader;
--- a/src/libwisteriaroute/control/replica_membership.h
+++ b/src/libwisteriaroute/control/replica_membership.h
@@ -38,13 +38,17 @@
  * that replaces hosts automatically.
  *
  * - A connected replica that isn't in the set is added as a learner.
- * - The number of voters is odd and as large as the number of live replicas
- *   allows. The others are standbys: learners that hold the log.
+ * - The number of voters is as large as the number of live replicas allows,
+ *   and odd. The others are standbys: learners that hold the log.
+ * - `target_voters` and one more all vote; the one that joined last has two
+ *   votes. So those that remain decide even if a voter is removed without
+ *   notice and another one, not the last, is lost at the same time.
  * - A standby takes the vote of a voter that is leaving or silent, in one
  *   change, so that the set isn't even meanwhile.
- * - Without a standby, the vote of a leaving voter is dropped at once and a
- *   silent voter is removed, while at least `target_voters` others are live. A
- *   removed replica is added again if it reconnects.
+ * - Without a standby, the vote of a voter that is leaving or silent is
+ * dropped, and a silent replica is removed later, while at least
+ * `target_voters` others are live. A removed replica is added again if it
+ * reconnects.
  */
 std::optional<raft::change_replicas> NextReplicaChange(
     std::span<const replica_view> replicas,
--- a/src/libwisteriaroute/raft/membership.cc
+++ b/src/libwisteriaroute/raft/membership.cc
@@ -37,11 +37,13 @@
 /** Makes the members named in `voters` the only voters of `replicas`. */
 change_error SetVoters(step_context& step,
                        const std::vector<std::string>& voters,
+                       std::string_view casting_voter,
                        wire::replica_list& replicas) {
   const wire::replica_list before = replicas;
   std::size_t found = 0;
   for (wire::replica& one : replicas) {
     one.promote_when_ready = false;
+    one.casting_vote = one.name == casting_voter;
     if (std::ranges::find(voters, one.name) == voters.end()) {
       one.voter = false;
       one.identity = 0;
@@ -63,6 +65,9 @@
   if (found == 0 || found != voters.size()) {
     return {"a voter isn't in the replica set", true};
   }
+  if (!casting_voter.empty() && (found % 2 != 0 || !HasCastingVote(replicas))) {
+    return {"only one of an even number of voters may have two votes", true};
+  }
   if (HaveSameVoters(before, replicas)) {
     return {"these are the voters already", true};
   }
@@ -78,7 +83,7 @@
                          const change_replicas& event,
                          wire::replica_list& replicas) {
   if (event.change == replica_change::kSetVoters) {
-    return SetVoters(step, event.voters, replicas);
+    return SetVoters(step, event.voters, event.casting_voter, replicas);
   }
   const auto found =
       std::find_if(replicas.begin(), replicas.end(),
@@ -102,6 +107,9 @@
     if (found->voter && voters == 1) {
       return {"the replica is the last voter", true};
     }
+    if (found->voter) {
+      ClearCastingVote(replicas);
+    }
     replicas.erase(found);
     // While another voter is lost, the removal might never commit and would
     // block the repair of that voter. Both sets may have to agree, without the
@@ -121,6 +129,7 @@
   if (!HasCaughtUp(step.state, peer)) {
     return {"the replica hasn't caught up with the leader"};
   }
+  ClearCastingVote(replicas);
   found->voter = true;
   found->identity = peer.identity;
   found->promote_when_ready = false;
@@ -173,11 +182,13 @@
     }
     const peer_progress& peer = PeerOf(step, one.name);
     if (one.voter && state.lost_voters.contains({one.name, one.identity})) {
+      ClearCastingVote(replicas);
       one.voter = false;
       one.identity = 0;
       one.promote_when_ready = true;
     } else if (!one.voter && one.promote_when_ready &&
                HasCaughtUp(state, peer)) {
+      ClearCastingVote(replicas);
       one.voter = true;
       one.identity = peer.identity;
       one.promote_when_ready = false;
--- a/src/libwisteriaroute/raft/raft.h
+++ b/src/libwisteriaroute/raft/raft.h
@@ -57,6 +57,8 @@
   bool promote_when_ready = false;
   /** kSetVoters only. */
   std::vector<std::string> voters;
+  /** kSetVoters only: the voter that has two votes; empty: none. */
+  std::string casting_voter;
 };
 
 /** This process is about to stop; the leader is told. */
--- a/src/libwisteriaroute/raft/state.cc
+++ b/src/libwisteriaroute/raft/state.cc
@@ -1,6 +1,7 @@
 #include "libwisteriaroute/raft/state.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace wisteriaroute::raft {
@@ -106,10 +107,10 @@
 
 bool HaveSameVoters(const wire::replica_list& a, const wire::replica_list& b) {
   const auto voters = [](const wire::replica_list& replicas) {
-    std::set<std::pair<std::string, std::uint64_t>> found;
+    std::set<std::tuple<std::string, std::uint64_t, bool>> found;
     for (const wire::replica& one : replicas) {
       if (one.voter) {
-        found.emplace(one.name, one.identity);
+        found.emplace(one.name, one.identity, one.casting_vote);
       }
     }
     return found;
@@ -117,6 +118,18 @@
   return voters(a) == voters(b);
 }
 
+bool HasCastingVote(const wire::replica_list& replicas) {
+  return std::ranges::any_of(replicas, [](const wire::replica& one) {
+    return one.voter && one.casting_vote;
+  });
+}
+
+void ClearCastingVote(wire::replica_list& replicas) {
+  for (wire::replica& one : replicas) {
+    one.casting_vote = false;
+  }
+}
+
 bool IsVoter(const raft_state& state) {
   const wire::replica* self = FindReplica(state, state.self);
   return self != nullptr && self->voter &&
--- a/src/libwisteriaroute/raft/state.h
+++ b/src/libwisteriaroute/raft/state.h
@@ -214,9 +214,16 @@
 const wire::replica* FindReplica(const raft_state& state,
                                  std::string_view name);
 
-/** Whether both sets have the same voters, with the same identities. */
+/** Whether both sets have the same voters, with the same identities and votes.
+ */
 bool HaveSameVoters(const wire::replica_list& a, const wire::replica_list& b);
 
+/** Whether one of the voters has two votes. */
+bool HasCastingVote(const wire::replica_list& replicas);
+
+/** Leaves each voter one vote. */
+void ClearCastingVote(wire::replica_list& replicas);
+
 /**
  * The replica set before the latest change, if it isn't known that the change
  * is committed; otherwise null.
--- a/src/libwisteriaroute/raft/step_context.cc
+++ b/src/libwisteriaroute/raft/step_context.cc
@@ -194,7 +194,7 @@
       continue;
     }
     const contribution given = of(one);
-    all.push_back(given.value);
+    all.insert(all.end(), one.casting_vote ? 2 : 1, given.value);
     if (state.lost_voters.contains({one.name, one.identity})) {
       has_lost = true;
     } else if (given.after_loss) {
@@ -202,15 +202,15 @@
     }
   }
   const std::int64_t value = NthLargest(all, all.size() / 2 + 1);
-  const bool half_decides =
-      kind == quorum::kHalfAfterLoss && has_lost && all.size() % 2 == 0;
+  const bool half_decides = kind == quorum::kHalfAfterLoss && has_lost &&
+                            all.size() % 2 == 0 && !HasCastingVote(replicas);
   return half_decides ? std::max(value, NthLargest(after_loss, all.size() / 2))
                       : value;
 }
 
-// Quorums of sets that differ by more than one voter may have none in common,
-// so until such a change is certain a quorum of both is needed. For other
-// changes the following holds. Majorities of two sets that differ by one voter
+// Quorums of sets that differ by more than one vote may have none in common, so
+// until such a change is certain a quorum of both is needed. For other changes
+// the following holds. Majorities of two sets that differ by one voter
 // have a voter in common, but a half of one set and a majority of the other may
 // have none. So until a change is certain, a half of the new set needs a
 // majority of the old one besides, and a majority of the new set the agreement
@@ -221,7 +221,8 @@
   if (previous == nullptr) {
     return QuorumOf(state, current, quorum::kHalfAfterLoss, of);
   }
-  if (VoterDifference(current, *previous) > 1) {
+  if (VoterDifference(current, *previous) > 1 || HasCastingVote(current) ||
+      HasCastingVote(*previous)) {
     return std::min(QuorumOf(state, current, quorum::kHalfAfterLoss, of),
                     QuorumOf(state, *previous, quorum::kHalfAfterLoss, of));
   }
--- a/src/libwisteriaroute/wire/raft_messages.cc
+++ b/src/libwisteriaroute/wire/raft_messages.cc
@@ -16,6 +16,7 @@
     to[i].setIdentity(from[i].identity);
     to[i].setVoter(from[i].voter);
     to[i].setPromoteWhenReady(from[i].promote_when_ready);
+    to[i].setCastingVote(from[i].casting_vote);
   }
 }
 
@@ -27,7 +28,8 @@
                         .address = one.getAddress(),
                         .identity = one.getIdentity(),
                         .voter = one.getVoter(),
-                        .promote_when_ready = one.getPromoteWhenReady()});
+                        .promote_when_ready = one.getPromoteWhenReady(),
+                        .casting_vote = one.getCastingVote()});
   }
   return replicas;
 }
--- a/src/libwisteriaroute/wire/raft_messages.h
+++ b/src/libwisteriaroute/wire/raft_messages.h
@@ -23,6 +23,8 @@
   bool voter = false;
   /** The leader promotes this learner to a voter once it has caught up. */
   bool promote_when_ready = false;
+  /** This voter has two votes. At most one has, of an even number of voters. */
+  bool casting_vote = false;
 
   bool operator==(const replica&) const = default;
 };
--- a/tests/raft/schedules.h
+++ b/tests/raft/schedules.h
@@ -68,6 +68,10 @@
         change.voters.push_back(one.name);
       }
     }
+    if (!change.voters.empty() && change.voters.size() % 2 == 0 &&
+        pick.Below(2) == 0) {
+      change.casting_voter = change.voters[pick.Below(change.voters.size())];
+    }
     replicas.Run(target, change);
     return;
   }
