control: a replica goes on after a failed write

Here a replica ended itself at each failed write, 4 or 5 times a fault.

Cause: the writer gave up at the first I/O error, because a sync after a failed one may succeed without writing; only a restart led back.

Change: the writer probes the disk, reads the directory again, as a start does, and writes all batches that aren't synced anew. Meanwhile the replica hands over if it leads, neither campaigns nor votes nor takes entries, and answers the leader with a reply that acknowledges nothing, so it keeps its vote. A start waits for the disk, too.

--- a/src/control/daemon.cc
+++ b/src/control/daemon.cc
@@ -261,6 +261,7 @@
   metrics_.Set("wisteriaroute_term", static_cast<double>(raft.metadata.term));
   metrics_.Set("wisteriaroute_applied_index",
                static_cast<double>(state_.applied_index));
+  metrics_.Set("wisteriaroute_disk_writable", raft.disk_writable ? 1 : 0);
   metrics_.Set("wisteriaroute_synced_index",
                static_cast<double>(raft.synced_index));
   metrics_.Set("wisteriaroute_replicas",
--- a/src/control/raft_runner.cc
+++ b/src/control/raft_runner.cc
@@ -1,6 +1,9 @@
 #include "control/raft_runner.h"
 
 #include <algorithm>
+#include <chrono>
+#include <system_error>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -10,11 +13,38 @@
 
 namespace wisteriaroute::control {
 
+namespace {
+
+constexpr std::chrono::milliseconds kDiskRetryPeriod(200);
+
+void WaitForDisk(const std::system_error& error) {
+  base::LogError("disk_not_writable", {{"cause", error.what()}});
+  std::this_thread::sleep_for(kDiskRetryPeriod);
+}
+
+/** Calls `function` until it throws no I/O error; returns its result. */
+template <typename Function>
+auto RetryWhileDiskFails(Function function) {
+  for (;;) {
+    try {
+      return function();
+    } catch (const std::system_error& error) {
+      WaitForDisk(error);
+    }
+  }
+}
+
+storage::log_store OpenStore(const std::string& directory) {
+  return RetryWhileDiskFails([&] { return storage::log_store(directory); });
+}
+
+}  // namespace
+
 raft_runner::raft_runner(net::loop& event_loop,
                          const control_settings& settings,
                          raft_runner_callbacks callbacks)
     : callbacks_(std::move(callbacks)),
-      store_(settings.data_dir),
+      store_(OpenStore(settings.data_dir)),
       state_(raft::MakeState(
           settings.process.name,
           Open(settings),
@@ -25,13 +55,41 @@
                    [this](std::uint64_t sequence) {
                      Post(raft::persisted{sequence});
                    },
+               .on_disk_failed =
+                   [this](const std::string& reason) {
+                     SetDiskWritable(false, reason);
+                   },
+               .on_disk_recovered = [this] { SetDiskWritable(true, {}); },
                .on_failed =
                    [this](const std::string& reason) {
                      callbacks_.on_failed(reason);
                    }}),
       tick_(event_loop.ev(), [this] { Post(raft::tick{}); }) {}
 
+void raft_runner::SetDiskWritable(bool writable, const std::string& reason) {
+  if (writable) {
+    base::LogInfo("disk_writable", {{"term", state_.metadata.term}});
+  } else {
+    base::LogError("disk_not_writable",
+                   {{"cause", reason},
+                    {"role", raft::ToString(state_.current_role)},
+                    {"term", state_.metadata.term}});
+  }
+  Post(raft::disk_state_changed{writable});
+}
+
 raft::stored_state raft_runner::Open(const control_settings& settings) {
+  for (;;) {
+    try {
+      return OpenOnce(settings);
+    } catch (const std::system_error& error) {
+      WaitForDisk(error);
+    }
+    RetryWhileDiskFails([&] { store_.Reopen(); });
+  }
+}
+
+raft::stored_state raft_runner::OpenOnce(const control_settings& settings) {
   if (store_.completed_initialization()) {
     base::LogInfo("data_directory_completed", {{"path", settings.data_dir}});
   }
--- a/src/control/raft_runner.h
+++ b/src/control/raft_runner.h
@@ -19,7 +19,7 @@
 struct raft_runner_callbacks {
   /** Receives all effects except `persist`, in order. */
   std::function<void(raft::effect)> on_effect;
-  /** Writing to the data directory failed; the process must exit. */
+  /** The data directory is damaged; the process must exit. */
   std::function<void(const std::string& reason)> on_failed;
 };
 
@@ -27,8 +27,9 @@
 class raft_runner {
  public:
   /**
-   * Opens the data directory, and initializes it if it is empty. Throws if it
-   * is damaged or in use.
+   * Opens the data directory, and initializes it if it is empty. Waits while
+   * the disk refuses to be written. Throws if the directory is damaged or in
+   * use.
    */
   raft_runner(net::loop& event_loop,
               const control_settings& settings,
@@ -50,8 +51,10 @@
 
  private:
   raft::stored_state Open(const control_settings& settings);
+  raft::stored_state OpenOnce(const control_settings& settings);
   void Handle(const raft::event& event);
   void LogLostVoters();
+  void SetDiskWritable(bool writable, const std::string& reason);
 
   raft_runner_callbacks callbacks_;
   storage::log_store store_;
--- a/src/libwisteriaroute/net/loop.cc
+++ b/src/libwisteriaroute/net/loop.cc
@@ -44,6 +44,8 @@
   // Writes to closed connections and pipes must return an error instead of
   // ending the process.
   std::signal(SIGPIPE, SIG_IGN);
+  // A write beyond the limit of a file's size then fails as on a full disk.
+  std::signal(SIGXFSZ, SIG_IGN);
   ev_prepare_init(&prepare_, [](struct ev_loop*, ev_prepare* watcher, int) {
     loop& self = *static_cast<loop*>(watcher->data);
     self.RunPending();
--- a/src/libwisteriaroute/raft/election.cc
+++ b/src/libwisteriaroute/raft/election.cc
@@ -132,7 +132,8 @@
 
 void ElectionTick(step_context& step) {
   raft_state& state = step.state;
-  if (state.election_deadline_us == 0 || !MayCampaign(state)) {
+  if (state.election_deadline_us == 0 || !state.disk_writable ||
+      !MayCampaign(state)) {
     ResetElectionDeadline(step);
   } else if (step.now_us >= state.election_deadline_us) {
     StartPreVote(step);
@@ -185,6 +186,10 @@
     SendVoteReply(step, from, message, false);
     return;
   }
+  if (!state.disk_writable) {
+    SendVoteReply(step, from, message, false);
+    return;
+  }
   if (message.pre_vote) {
     SendVoteReply(step, from, message,
                   message.term > state.metadata.term && !HasLiveLeader(step) &&
@@ -248,7 +253,8 @@
                   const wire::timeout_now& message) {
   const raft_state& state = step.state;
   if (message.term == state.metadata.term && from == state.leader_name &&
-      state.current_role == role::kFollower && IsVoter(state)) {
+      state.current_role == role::kFollower && IsVoter(state) &&
+      state.disk_writable) {
     StartElection(step, true);
   }
 }
--- a/src/libwisteriaroute/raft/follower.cc
+++ b/src/libwisteriaroute/raft/follower.cc
@@ -109,6 +109,20 @@
   return true;
 }
 
+/**
+ * Tells the leader only that this replica is live. Neither its term nor any
+ * entry is sure to be on disk, so the reply acknowledges no round and no match,
+ * and the leader takes it for an outdated rejection.
+ */
+void ReportAlive(step_context& step, const std::string& to) {
+  const raft_state& state = step.state;
+  Send(step, to,
+       wire::append_reply{.term = state.metadata.term,
+                          .identity = state.metadata.identity,
+                          .asked_identity = state.asked_identity,
+                          .leaving = state.leaving});
+}
+
 void SendSnapshotReply(step_context& step,
                        const std::string& to,
                        const wire::snapshot_chunk& message,
@@ -176,6 +190,10 @@
     return;
   }
   state.asked_identity = message.receiver_identity;
+  if (!state.disk_writable) {
+    ReportAlive(step, from);
+    return;
+  }
   if (!MatchesPrevious(state, message)) {
     Reject(step, from, message);
     return;
@@ -193,8 +211,14 @@
                      const std::string& from,
                      const wire::snapshot_chunk& message) {
   raft_state& state = step.state;
-  if (!AcceptLeader(step, from, message.term, message.round) ||
-      !MetadataSynced(state)) {
+  if (!AcceptLeader(step, from, message.term, message.round)) {
+    return;
+  }
+  if (!state.disk_writable) {
+    ReportAlive(step, from);
+    return;
+  }
+  if (!MetadataSynced(state)) {
     return;
   }
   if (message.last_index <= state.commit_index) {
@@ -221,7 +245,7 @@
 void ReportMatch(step_context& step, bool always) {
   raft_state& state = step.state;
   if (state.current_role != role::kFollower || state.leader_name.empty() ||
-      !MetadataSynced(state)) {
+      !MetadataSynced(state) || !state.disk_writable) {
     return;
   }
   const std::uint64_t match = std::min(state.leader_match, state.synced_index);
--- a/src/libwisteriaroute/raft/raft.cc
+++ b/src/libwisteriaroute/raft/raft.cc
@@ -33,6 +33,20 @@
   }
 }
 
+void OnDiskStateChanged(step_context& step, const disk_state_changed& event) {
+  raft_state& state = step.state;
+  if (event.writable == std::exchange(state.disk_writable, event.writable)) {
+    return;
+  }
+  if (state.current_role == role::kLeader) {
+    StepDown(step);
+  } else if (state.current_role != role::kFollower) {
+    BecomeFollower(step, state.metadata.term, {});
+  } else {
+    ResetElectionDeadline(step);
+  }
+}
+
 /** Index of the first entry that is kept after a snapshot at `index`. */
 std::uint64_t FirstKeptIndex(const raft_state& state, std::uint64_t index) {
   const raft_options& options = state.options;
@@ -53,8 +67,8 @@
   raft_state& state = step.state;
   const bool newer = state.latest_snapshot == nullptr ||
                      event.index > state.latest_snapshot->last_index;
-  if (!newer || event.data == nullptr || event.index > state.applied_index ||
-      !state.log.HasTermAt(event.index)) {
+  if (!newer || !state.disk_writable || event.data == nullptr ||
+      event.index > state.applied_index || !state.log.HasTermAt(event.index)) {
     return;
   }
   state.latest_snapshot = std::make_shared<const snapshot>(
@@ -125,6 +139,9 @@
     OnConfirmLeadership(step, event);
   }
   void operator()(const persisted& event) { OnPersisted(step, event); }
+  void operator()(const disk_state_changed& event) {
+    OnDiskStateChanged(step, event);
+  }
   void operator()(const snapshot_made& event) { OnSnapshotMade(step, event); }
   void operator()(const transfer_leadership& event) {
     OnTransferLeadership(step, event);
--- a/src/libwisteriaroute/raft/raft.h
+++ b/src/libwisteriaroute/raft/raft.h
@@ -78,6 +78,15 @@
   std::uint64_t sequence = 0;
 };
 
+/**
+ * Writing to disk fails, or works again. Meanwhile this replica neither leads
+ * nor votes nor takes entries, but answers the leader, which shows that it is
+ * live. What `persist` effects hold is still to be written, in their order.
+ */
+struct disk_state_changed {
+  bool writable = true;
+};
+
 /** The state machine's content after it applied `index`. */
 struct snapshot_made {
   std::uint64_t index = 0;
@@ -97,6 +106,7 @@
                            announce_leaving,
                            confirm_leadership,
                            persisted,
+                           disk_state_changed,
                            snapshot_made,
                            transfer_leadership>;
 
--- a/src/libwisteriaroute/raft/replication.cc
+++ b/src/libwisteriaroute/raft/replication.cc
@@ -146,6 +146,26 @@
   StartRound(step);
 }
 
+void StepDown(step_context& step) {
+  const raft_state& state = step.state;
+  const std::string* successor = nullptr;
+  std::uint64_t best_match = 0;
+  for (const wire::replica& one : Replicas(state)) {
+    const peer_progress* peer =
+        one.name == state.self ? nullptr : FindQuorumPeer(state, one);
+    if (one.voter && peer != nullptr && !peer->leaving &&
+        step.now_us - peer->last_reply_us < state.options.election_min_us &&
+        (successor == nullptr || peer->match_index > best_match)) {
+      successor = &one.name;
+      best_match = peer->match_index;
+    }
+  }
+  if (successor != nullptr) {
+    Send(step, *successor, wire::timeout_now{.term = state.metadata.term});
+  }
+  BecomeFollower(step, state.metadata.term, {});
+}
+
 void LeaderTick(step_context& step) {
   raft_state& state = step.state;
   if (!IsQuorumActive(step)) {
--- a/src/libwisteriaroute/raft/replication.h
+++ b/src/libwisteriaroute/raft/replication.h
@@ -9,6 +9,9 @@
 
 void BecomeLeader(step_context& step);
 
+/** Ends the leadership and tells the voter that holds most to take over. */
+void StepDown(step_context& step);
+
 /**
  * Sends heartbeats, resends snapshot chunks, maintains the replica set and ends
  * a leadership transfer that timed out. Steps down if no quorum replied within
--- a/src/libwisteriaroute/raft/state.h
+++ b/src/libwisteriaroute/raft/state.h
@@ -127,6 +127,7 @@
   std::uint64_t applied_index = 0;
 
   // Disk.
+  bool disk_writable = true;
   std::uint64_t last_sequence = 0;
   std::uint64_t synced_sequence = 0;
   /** Sequence of the last batch that held metadata. */
--- a/src/libwisteriaroute/storage/log_store.cc
+++ b/src/libwisteriaroute/storage/log_store.cc
@@ -20,6 +20,8 @@
 constexpr std::string_view kSegmentPrefix = "log-";
 constexpr std::string_view kSnapshotPrefix = "snapshot-";
 constexpr std::size_t kBufferBytes = 1 << 20;
+constexpr std::string_view kProbeName = "probe";
+constexpr std::size_t kProbeBytes = 4096;
 
 std::string NumberedName(std::string_view prefix, std::uint64_t index) {
   char digits[21];
@@ -67,6 +69,44 @@
   Load();
 }
 
+void log_store::Reopen() {
+  tail_.Close();
+  segments_.clear();
+  buffer_.clear();
+  content_ = {};
+  last_index_ = synced_index_ = snapshot_index_ = 0;
+  empty_ = true;
+  RemoveTemporaryFiles();
+  CompleteInitialization();
+  Load();
+}
+
+void log_store::WriteAgain(raft::persist batch) {
+  if (batch.reset_log_to == 0) {
+    // Reopening may have found a snapshot that covers entries which were still
+    // to be written, and has begun the log after it.
+    const std::uint64_t first = segments_.front().first_index;
+    std::erase_if(batch.entries,
+                  [&](const auto& entry) { return entry.index < first; });
+    if (batch.truncate_from != 0) {
+      batch.truncate_from = std::max(batch.truncate_from, first);
+    }
+    if (!batch.entries.empty() &&
+        (batch.truncate_from == 0 ||
+         batch.truncate_from > batch.entries.front().index)) {
+      batch.truncate_from = batch.entries.front().index;
+    }
+  }
+  Write(batch);
+}
+
+void log_store::ProbeDisk() const {
+  std::filesystem::path probe = directory_ / kProbeName;
+  probe += kTemporarySuffix;
+  WriteNewFile(probe, std::string(kProbeBytes, '\0'));
+  RemoveFile(probe);
+}
+
 void log_store::Initialize(const raft::stored_state& content) {
   if (!empty_) {
     throw std::logic_error("the data directory holds a log");
--- a/src/libwisteriaroute/storage/log_store.h
+++ b/src/libwisteriaroute/storage/log_store.h
@@ -61,6 +61,19 @@
   /** Syncs all written entries: on return they survive a power loss. */
   void Sync();
 
+  /**
+   * Reads the directory again, as opening does, after Write, Sync or Initialize
+   * has thrown std::system_error. What was written since the last Sync may be
+   * missing; all of it has to be written again.
+   */
+  void Reopen();
+
+  /** As Write, of a batch of which entries may be in the store already. */
+  void WriteAgain(raft::persist batch);
+
+  /** Throws if the disk takes no data; may leave a temporary file then. */
+  void ProbeDisk() const;
+
   std::uint64_t last_index() const { return last_index_; }
 
  private:
--- a/src/libwisteriaroute/storage/log_writer.cc
+++ b/src/libwisteriaroute/storage/log_writer.cc
@@ -1,10 +1,19 @@
 #include "libwisteriaroute/storage/log_writer.h"
 
+#include <chrono>
 #include <exception>
+#include <iterator>
+#include <system_error>
 #include <utility>
 
 namespace wisteriaroute::storage {
 
+namespace {
+
+constexpr std::chrono::milliseconds kRetryPeriod(200);
+
+}  // namespace
+
 log_writer::log_writer(struct ev_loop* loop,
                        log_store& store,
                        log_writer_callbacks callbacks)
@@ -53,38 +62,99 @@
     }
     std::string failure;
     try {
-      for (const raft::persist& batch : batches) {
-        store_.Write(batch);
-      }
-      store_.Sync();
+      WriteAll(batches);
     } catch (const std::exception& exception) {
       failure = exception.what();
+      if (dynamic_cast<const std::system_error*>(&exception) != nullptr) {
+        ReportDiskFailure(failure);
+      }
+    }
+    if (!disk_failure_.empty()) {
+      try {
+        if (!RetryUntilWritten(batches)) {
+          return;
+        }
+        failure.clear();
+      } catch (const std::exception& exception) {
+        failure = exception.what();
+      }
     }
     {
       const std::lock_guard lock(mutex_);
       ++sync_count_;
       failure_ = failure;
       if (failure.empty()) {
+        disk_failure_.clear();
         synced_sequence_ = batches.back().sequence;
       }
     }
     ev_async_send(loop_, &wake_loop_);
-    // Not retried: after a failed sync the kernel may have dropped the dirty
-    // pages, so a later sync may succeed without writing them.
     if (!failure.empty()) {
       return;
     }
   }
 }
 
+void log_writer::WriteAll(const std::vector<raft::persist>& batches) {
+  for (const raft::persist& batch : batches) {
+    store_.Write(batch);
+  }
+  store_.Sync();
+}
+
+bool log_writer::RetryUntilWritten(std::vector<raft::persist>& batches) {
+  for (;;) {
+    {
+      std::unique_lock lock(mutex_);
+      if (wake_thread_.wait_for(lock, kRetryPeriod,
+                                [&] { return stopping_; })) {
+        return false;
+      }
+      std::move(queue_.begin(), queue_.end(), std::back_inserter(batches));
+      queue_.clear();
+    }
+    try {
+      // Cheaper than reading the directory.
+      store_.ProbeDisk();
+      store_.Reopen();
+      store_.TakeContent();
+      for (const raft::persist& batch : batches) {
+        store_.WriteAgain(batch);
+      }
+      store_.Sync();
+      return true;
+    } catch (const std::system_error& error) {
+      ReportDiskFailure(error.what());
+    }
+  }
+}
+
+void log_writer::ReportDiskFailure(const std::string& reason) {
+  {
+    const std::lock_guard lock(mutex_);
+    disk_failure_ = reason;
+  }
+  ev_async_send(loop_, &wake_loop_);
+}
+
 void log_writer::Report() {
   std::string failure;
+  std::string disk_failure;
   std::uint64_t sequence = 0;
   {
     const std::lock_guard lock(mutex_);
     failure = std::exchange(failure_, {});
+    disk_failure = disk_failure_;
     sequence = synced_sequence_;
   }
+  if (disk_failure.empty() == reported_disk_failure_) {
+    reported_disk_failure_ = !disk_failure.empty();
+    if (reported_disk_failure_) {
+      callbacks_.on_disk_failed(disk_failure);
+    } else {
+      callbacks_.on_disk_recovered();
+    }
+  }
   if (sequence > reported_sequence_) {
     reported_sequence_ = sequence;
     callbacks_.on_persisted(sequence);
--- a/tests/process/control_process_harness.cc
+++ b/tests/process/control_process_harness.cc
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -126,6 +127,17 @@
   pids_[replica] = pid;
 }
 
+void control_harness::SetDiskFull(std::size_t replica, bool full) {
+  rlimit limit{};
+  prlimit(pids_[replica], RLIMIT_FSIZE, nullptr, &limit);
+  limit.rlim_cur = full ? 0 : limit.rlim_max;
+  prlimit(pids_[replica], RLIMIT_FSIZE, &limit, nullptr);
+}
+
+bool control_harness::IsAlive(std::size_t replica) const {
+  return pids_[replica] > 0 && waitpid(pids_[replica], nullptr, WNOHANG) == 0;
+}
+
 void control_harness::Signal(std::size_t replica, int signal_number) {
   if (pids_[replica] > 0) {
     kill(pids_[replica], signal_number);
--- a/tests/process/control_process_harness.h
+++ b/tests/process/control_process_harness.h
@@ -33,6 +33,10 @@
   /** Sends the signal and waits until it exits; returns the exit status. */
   int SignalAndWait(std::size_t replica, int signal_number);
   void WipeDisk(std::size_t replica);
+  /** While its disk is full, the process can write no data to files. */
+  void SetDiskFull(std::size_t replica, bool full);
+  /** Whether the process that was started last still runs. */
+  bool IsAlive(std::size_t replica) const;
   /** Returns the size of all files in its data directory. */
   std::uintmax_t DataBytes(std::size_t replica) const;
 
--- a/tests/process/control_process_test.cc
+++ b/tests/process/control_process_test.cc
@@ -1,12 +1,16 @@
 #include <doctest/doctest.h>
 #include <signal.h>
 
+#include <map>
+#include <string>
+
 #include "tests/process/control_process_harness.h"
 
 namespace wisteriaroute::testing {
 namespace {
 
 constexpr base::time_us kLeaderChangeUs = 3'000'000;
+constexpr base::time_us kSecond = 1'000'000;
 
 bool Accepted(const std::optional<wire::admin_reply>& reply) {
   return reply && reply->result == wire::admin_result::kOk;
@@ -215,5 +219,68 @@
   CHECK(control.Eventually([&] { return IsCaughtUpVoter(control, old); }));
 }
 
+/** The voters' identities by name. */
+std::map<std::string, std::uint64_t> Voters(control_harness& control) {
+  std::map<std::string, std::uint64_t> voters;
+  const nlohmann::json status = control.CallJson(wire::get_status{});
+  if (!status.contains("replicas")) {
+    return voters;
+  }
+  for (const auto& one : status["replicas"]) {
+    if (one["voter"] == true) {
+      voters[one["name"]] = one["identity"];
+    }
+  }
+  return voters;
+}
+
+// Guards against the report of other operators: after the disks of control's
+// hosts had been full one after another, changes were refused for good. Here a
+// replica ended itself at each failed write.
+TEST_CASE("the disks of control are full one after another") {
+  control_harness control;
+  REQUIRE(control.Leader());
+  std::map<std::string, std::uint64_t> voters;
+  REQUIRE(control.Eventually([&] {
+    voters = Voters(control);
+    return voters.size() == 3;
+  }));
+  std::uint64_t revision = 0;
+  const auto publish = [&] {
+    const auto reply = control.Call(
+        control.MakeRegionRequest(revision, "r" + std::to_string(revision)));
+    CAPTURE(revision);
+    REQUIRE(reply);
+    REQUIRE(reply->result == wire::admin_result::kOk);
+    ++revision;
+  };
+  for (int round = 0; round < 2; ++round) {
+    for (std::size_t full = 0; full < 3; ++full) {
+      CAPTURE(round);
+      CAPTURE(full);
+      // The first one is the leader, which has to step down.
+      const std::size_t replica = full == 0 ? *control.Leader() : full;
+      control.SetDiskFull(replica, true);
+      for (int i = 0; i < 20; ++i) {
+        publish();
+        control.RunFor(kSecond / 10);
+      }
+      CHECK(control.Leader() != replica);
+      CHECK(Voters(control) == voters);
+      control.SetDiskFull(replica, false);
+      publish();
+      control.RunFor(kSecond);
+    }
+  }
+  for (std::size_t i = 0; i < 3; ++i) {
+    CHECK(control.IsAlive(i));
+  }
+  CHECK(Voters(control) == voters);
+  CHECK(control.CallJson(wire::get_config{})["revision"] == revision);
+  // Each replica votes again: control bears the loss of any other one.
+  control.SignalAndWait(*control.Leader(), SIGKILL);
+  publish();
+}
+
 }  // namespace
 }  // namespace wisteriaroute::testing
--- a/tests/raft/cluster.h
+++ b/tests/raft/cluster.h
@@ -35,6 +35,7 @@
     stored_state disk;
     std::deque<persist> unsynced;
     bool alive = true;
+    bool disk_full = false;
     std::uint64_t applied = 0;
     /** State machine: payloads of the applied commands, one per line. */
     std::string machine;
@@ -68,6 +69,7 @@
 
   void Start(node& target) {
     target.alive = true;
+    target.disk_full = false;
     target.unsynced.clear();
     target.machine.clear();
     target.applied = 0;
@@ -103,9 +105,14 @@
     reads_[id] = acknowledged_index;
     Run(target, confirm_leadership{id});
   }
+  /** While the disk is full, nothing is synced. */
+  void SetDiskFull(node& target, bool full) {
+    target.disk_full = full;
+    Run(target, disk_state_changed{!full});
+  }
   /** Completes the sync of the oldest unsynced batch. */
   void Sync(node& target) {
-    if (target.alive && !target.unsynced.empty()) {
+    if (target.alive && !target.disk_full && !target.unsynced.empty()) {
       const persist batch = std::move(target.unsynced.front());
       target.unsynced.pop_front();
       Store(target.disk, batch);
@@ -141,7 +148,7 @@
   void SyncAndDeliverAll() {
     for (int round = 0; round < 50; ++round) {
       for (node& one : nodes) {
-        while (one.alive && !one.unsynced.empty()) {
+        while (one.alive && !one.disk_full && !one.unsynced.empty()) {
           Sync(one);
         }
       }
--- a/tests/raft/schedules.h
+++ b/tests/raft/schedules.h
@@ -44,6 +44,8 @@
   bool bursts = false;
   /** Half of an even number of disks may be lost. */
   bool halves = false;
+  /** Disks are full for a while. */
+  bool full_disks = false;
 };
 
 /** Random choices of one step, all derived from one number. */
@@ -183,6 +185,10 @@
                        std::uint64_t number) {
   choices pick{number};
   cluster::node& target = replicas.nodes[pick.Below(replicas.nodes.size())];
+  if (faults.full_disks && choices{~number}.Below(50) == 0) {
+    replicas.SetDiskFull(target, !target.disk_full);
+    return;
+  }
   cluster::node* leader = replicas.Leader();
   const std::uint64_t kind = pick.Below(100);
   if (kind < 5 && faults.bursts) {
@@ -220,6 +226,8 @@
   for (cluster::node& one : replicas.nodes) {
     if (!one.alive) {
       replicas.Start(one);
+    } else if (one.disk_full) {
+      replicas.SetDiskFull(one, false);
     }
   }
   replicas.RunFor(5'000'000);
