storage: what a start has read is synced before it counts

Cause: log_store::Load set the synced index without a sync, and didn't sync the folder after an interrupted rename.

Change: reading ends with a sync of the last segment and of the folder.

--- a/src/libwisteriaroute/storage/log_store.cc
+++ b/src/libwisteriaroute/storage/log_store.cc
@@ -187,6 +187,14 @@
   empty_ = false;
   ReadSnapshot(snapshots);
   ReadSegments(segments);
+  SyncContent();
+}
+
+// The process before this one may have ended between a write, or a rename, and
+// its sync. What was read then counts as synced, so it has to be.
+void log_store::SyncContent() {
+  tail_.Sync();
+  SyncDirectory(directory_);
 }
 
 raft::stored_state log_store::TakeContent() {
--- a/src/libwisteriaroute/storage/log_store.h
+++ b/src/libwisteriaroute/storage/log_store.h
@@ -93,6 +93,7 @@
   bool CompleteInitialization();
   void RemoveTemporaryFiles() const;
   void Load();
+  void SyncContent();
   void ReadSnapshot(
       const std::map<std::uint64_t, std::filesystem::path>& found);
   void ReadSegments(
--- a/tests/storage/storage_cut_test.cc
+++ b/tests/storage/storage_cut_test.cc
@@ -5,7 +5,9 @@
 #include <cstdlib>
 #include <fstream>
 #include <functional>
+#include <limits>
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -70,6 +72,9 @@
   disk(const disk&) = delete;
   disk& operator=(const disk&) = delete;
 
+  /** Later changes aren't cut any more, as those of the next process. */
+  void EndCut() { limit_ = std::numeric_limits<int>::max(); }
+
   /** All contents that the directory may have after a power loss. A name that
    * was changed since the last sync of the directory is kept or lost, a file
    * that wasn't synced has its old content, its new one, or half of what was
@@ -149,7 +154,7 @@
   }
 
   const fs::path directory_;
-  const int limit_;
+  int limit_;
   int changes_ = 0;
   /** Contents that are certain to survive, where they were not replaced. */
   files before_;
@@ -391,5 +396,45 @@
   }
 }
 
+// Guards against a replica that counts entries as synced which it has only read
+// (issue 26): its process was killed between a write and the sync, the next one
+// acknowledged what it found, and a loss of power took it away.
+TEST_CASE("what a start has read survives a loss of power") {
+  temporary_directory initial;
+  {
+    log_store store(initial.path);
+    store.Initialize(FirstVoter());
+    store.Write({.entries = {Entry(2), Entry(3)}});
+    store.Sync();
+  }
+  const files start = ReadFiles(initial.path);
+  bool complete = false;
+  for (int limit = 0; !complete; ++limit) {
+    CAPTURE(limit);
+    const temporary_directory directory(start);
+    auto observed = std::make_optional<disk>(directory.path, limit);
+    try {
+      log_store killed(directory.path);
+      killed.Write({.metadata = raft::hard_state{
+                        .term = 5, .voted_for = "b", .identity = 1}});
+      killed.Write({.truncate_from = 3, .entries = {Entry(3, 2), Entry(4, 2)}});
+      killed.Sync();
+      killed.Write({.new_snapshot = Snapshot(3, 2)});
+      killed.Write({.entries = {Entry(5, 2)}});
+      killed.Sync();
+      complete = true;
+    } catch (const cut_short&) {
+    }
+    observed->EndCut();
+    const raft::stored_state read = log_store(directory.path).TakeContent();
+    const std::vector<files> outcomes = observed->AfterPowerLoss();
+    observed.reset();
+    for (const files& left : outcomes) {
+      const temporary_directory after(left);
+      CHECK(HasContent(log_store(after.path).TakeContent(), read));
+    }
+  }
+}
+
 }  // namespace
 }  // namespace wisteriaroute::storage
