platform: a version is a whole number of 0 or more

Cause: the signed number was cast to an unsigned one.

platform_codec_test: -1, -0.5, 7.5, 1e300 and -1e300 were accepted before, and are refused now.

--- a/tests/platform/platform_codec_test.cc
+++ b/tests/platform/platform_codec_test.cc
@@ -89,6 +89,13 @@
                                 R"("weight":0},{"service":"t","weight":0)")));
     CHECK_FALSE(IsAccepted(with(R"("timeout_ms":8000)", R"("timeout_ms":0)")));
     CHECK_FALSE(IsAccepted(with(R"("version":7)", R"("version":"7")")));
+    // A version below 0 was taken for the highest one, for good.
+    for (const char* version : {"-1", "-0.5", "7.5", "1e300", "-1e300"}) {
+      CAPTURE(version);
+      CHECK_FALSE(IsAccepted(
+          with(R"("version":7)", std::string(R"("version":)") + version)));
+    }
+    CHECK(IsAccepted(with(R"("version":7)", R"("version":7.0)")));
     CHECK_FALSE(IsAccepted(with(
         R"("tenants":[)", R"("tenants":[{"name":"v","api_keys":["k2"]},)")));
     CHECK_FALSE(IsAccepted(with(
