config: a route's host is the same whatever the case of its letters

Cause: requests' hosts are put into lower case, routes' weren't. The key of a route now holds its host in lower case, so the check for routes that share a host and prefix sees it, too.

platform_codec_test: a route with capitals is found, and two that differ in case only are refused; both checks failed before.

--- a/src/libwisteriaroute/config/traffic_set.cc
+++ b/src/libwisteriaroute/config/traffic_set.cc
@@ -1,6 +1,7 @@
 #include "libwisteriaroute/config/traffic_set.h"
 
 #include <algorithm>
+#include <cctype>
 #include <set>
 #include <unordered_set>
 #include <utility>
@@ -9,8 +10,12 @@
 
 namespace {
 
+/** Host names are the same whatever the case of their letters. */
 std::string RouteKey(std::string_view host, std::string_view prefix) {
   std::string key(host);
+  std::ranges::transform(key, key.begin(), [](unsigned char c) {
+    return static_cast<char>(std::tolower(c));
+  });
   // A separator that no host name contains.
   key += '\n';
   key += prefix;
--- a/tests/platform/platform_codec_test.cc
+++ b/tests/platform/platform_codec_test.cc
@@ -49,6 +49,13 @@
     CHECK(index.FindRoute("a.example", "/x/y/z")->name == "r");
     CHECK(index.FindRoute("a.example", "/xy") == nullptr);
     CHECK(index.FindRoute("b.example", "/x/y") == nullptr);
+    // The case of a host name has no meaning (RFC 9110, section 4.2.3), so
+    // requests are looked up in lower case. A route whose host had a capital
+    // was never found.
+    const config::traffic_index capitals(*DecodeConfiguration(
+        Replaced(kConfiguration, "a.example", "Clinic.EXAMPLE"), findings));
+    CHECK(capitals.FindRoute("clinic.example", "/x/y") != nullptr);
+    CHECK(capitals.FindRoute("Clinic.EXAMPLE", "/x/y") != nullptr);
   }
 
   SUBCASE("it is refused without a crash wherever it is truncated") {
@@ -101,6 +108,9 @@
     CHECK_FALSE(IsAccepted(with(
         R"("routes":[)",
         R"("routes":[{"name":"q","hostname":"a.example","path_prefix":"/x/","route_type":"safe","timeout_ms":1,"service":"s"},)")));
+    CHECK_FALSE(IsAccepted(with(
+        R"("routes":[)",
+        R"("routes":[{"name":"q","hostname":"A.example","path_prefix":"/x/","route_type":"safe","timeout_ms":1,"service":"s"},)")));
   }
 }
 
