--- a/src/control/raft_runner.cc
+++ b/src/control/raft_runner.cc
@@ -1,6 +1,8 @@
 #include "control/raft_runner.h"
 
 #include <algorithm>
+#include <array>
+#include <cerrno>
 #include <chrono>
 #include <system_error>
 #include <thread>
@@ -17,20 +19,27 @@
 
 constexpr std::chrono::milliseconds kDiskRetryPeriod(200);
 
-void WaitForDisk(const std::system_error& error) {
-  base::LogError("disk_not_writable", {{"cause", error.what()}});
-  std::this_thread::sleep_for(kDiskRetryPeriod);
+/** Whether the error may pass, unlike that of a wrong path. */
+bool IsDiskFailure(const std::system_error& error) {
+  constexpr std::array kFailures = {ENOSPC, EDQUOT, EFBIG, EIO};
+  return std::ranges::find(kFailures, error.code().value()) != kFailures.end();
 }
 
-/** Calls `function` until it throws no I/O error; returns its result. */
+/** Calls `function` until the disk doesn't fail it; returns its result. */
 template <typename Function>
 auto RetryWhileDiskFails(Function function) {
-  for (;;) {
+  for (bool logged = false;; logged = true) {
     try {
       return function();
     } catch (const std::system_error& error) {
-      WaitForDisk(error);
+      if (!IsDiskFailure(error)) {
+        throw;
+      }
+      if (!logged) {
+        base::LogError("disk_not_writable", {{"cause", error.what()}});
+      }
     }
+    std::this_thread::sleep_for(kDiskRetryPeriod);
   }
 }
 
@@ -79,14 +88,13 @@
 }
 
 raft::stored_state raft_runner::Open(const control_settings& settings) {
-  for (;;) {
-    try {
-      return OpenOnce(settings);
-    } catch (const std::system_error& error) {
-      WaitForDisk(error);
+  bool again = false;
+  return RetryWhileDiskFails([&] {
+    if (std::exchange(again, true)) {
+      store_.Reopen();
     }
-    RetryWhileDiskFails([&] { store_.Reopen(); });
-  }
+    return OpenOnce(settings);
+  });
 }
 
 raft::stored_state raft_runner::OpenOnce(const control_settings& settings) {
--- a/src/libwisteriaroute/control/replica_membership.h
+++ b/src/libwisteriaroute/control/replica_membership.h
@@ -45,10 +45,9 @@
  *   notice and another one, not the last, is lost at the same time.
  * - A standby takes the vote of a voter that is leaving or silent, in one
  *   change, so that the set isn't even meanwhile.
- * - Without a standby, the vote of a voter that is leaving or silent is
- * dropped, and a silent replica is removed later, while at least
- * `target_voters` others are live. A removed replica is added again if it
- * reconnects.
+ * - Without a standby, and while at least `target_voters` others are live, the
+ *   vote of a voter that is leaving or silent is dropped, and a replica that
+ *   stays silent is removed. It is added again if it reconnects.
  */
 std::optional<raft::change_replicas> NextReplicaChange(
     std::span<const replica_view> replicas,
