--- a/tests/coordinator/coordinator_property_test.cc
+++ b/tests/coordinator/coordinator_property_test.cc
@@ -457,7 +457,12 @@
   CHECK(edited_orders > 100);
 }
 
+// The sanitizers make the simulation ten times as slow.
+#ifdef __SANITIZE_ADDRESS__
+constexpr std::uint32_t kSchedulesPerSeed = 2;
+#else
 constexpr std::uint32_t kSchedulesPerSeed = 8;
+#endif
 
 // Guards against a takeover that trusts the reported state of the ranks while
 // orders of earlier coordinators may still be carried out.
